--- /dev/null
+++ b/src/cmake/Dependencies.cmake
@@ -0,0 +1,38 @@
+# Finds the libraries that the project links, all from Debian's packages.
+find_package(Threads REQUIRED)
+find_package(OpenSSL REQUIRED)
+find_package(Boost 1.81 REQUIRED COMPONENTS log json thread filesystem)
+find_package(doctest REQUIRED)
+find_path(CXXOPTS_INCLUDE_DIR cxxopts.hpp REQUIRED)
+find_path(TOMLPLUSPLUS_INCLUDE_DIR toml++/toml.h REQUIRED)
+find_path(XXHASH_INCLUDE_DIR xxhash.h REQUIRED)
+find_library(XXHASH_LIBRARY xxhash REQUIRED)
+find_path(THRIFT_INCLUDE_DIR thrift/TProcessor.h REQUIRED)
+find_library(THRIFT_LIBRARY thrift REQUIRED)
+
+find_program(CCACHE_PROGRAM ccache)
+if(CCACHE_PROGRAM)
+  set(CMAKE_CXX_COMPILER_LAUNCHER ${CCACHE_PROGRAM})
+endif()
+
+# Compile options and libraries that every target of the project shares.
+add_library(coltsfoot_options INTERFACE)
+target_compile_options(coltsfoot_options INTERFACE -Wall -Wextra -Werror
+                       -Wno-missing-field-initializers)
+target_compile_definitions(coltsfoot_options INTERFACE BOOST_LOG_DYN_LINK
+                           BOOST_ASIO_NO_DEPRECATED
+                           COLTSFOOTPOINT_VERSION="${PROJECT_VERSION}")
+target_include_directories(coltsfoot_options INTERFACE
+                           ${CMAKE_SOURCE_DIR}/src/include)
+target_include_directories(coltsfoot_options SYSTEM INTERFACE
+                           ${CMAKE_SOURCE_DIR}/src/libprotocol/gen-cpp)
+target_link_libraries(coltsfoot_options INTERFACE Threads::Threads
+                      OpenSSL::Crypto Boost::log Boost::json Boost::thread
+                      Boost::filesystem ${XXHASH_LIBRARY} ${THRIFT_LIBRARY})
+
+set(COLTSFOOT_SANITIZE "" CACHE STRING "Sanitizers, such as address,undefined")
+if(COLTSFOOT_SANITIZE)
+  add_compile_options(-fsanitize=${COLTSFOOT_SANITIZE}
+                      -fno-omit-frame-pointer)
+  add_link_options(-fsanitize=${COLTSFOOT_SANITIZE})
+endif()
--- /dev/null
+++ b/src/coltsfootd/coltsfootd.cpp
@@ -0,0 +1,1 @@
+int main() { return 0; }
--- /dev/null
+++ b/src/libcoordination/placeholder.cpp
@@ -0,0 +1,1 @@
+namespace coltsfoot {}
--- /dev/null
+++ b/src/libutil/time_test.cpp
@@ -0,0 +1,20 @@
+#include "coltsfootpoint/time.h"
+
+#include <doctest/doctest.h>
+
+using namespace coltsfoot;
+
+TEST_CASE("millis compare and add") {
+  CHECK(Millis(2) + Millis(3) == Millis(5));
+  CHECK(Millis(2) < Millis(3));
+  CHECK((Millis(2.75) * 2).whole() == 5);
+}
+
+TEST_CASE("the time of day never steps back") {
+  ManualClock Clock;
+  Millis Before = Clock.wallNow();
+  Clock.stepWall(Millis(-5000));
+  CHECK(Clock.wallNow() == Before);
+  Clock.stepWall(Millis(5001));
+  CHECK(Clock.wallNow() > Before);
+}
