--- a/src/coltsfootd/coltsfootd.cpp
+++ b/src/coltsfootd/coltsfootd.cpp
@@ -1,1 +1,109 @@
-int main() { return 0; }
+/// The daemon that runs beside each backend server.
+
+#include "node.h"
+
+#include "coltsfootpoint/log.h"
+#include "coltsfootpoint/settings.h"
+#include "coltsfootpoint/settingserror.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <cxxopts.hpp>
+#include <iostream>
+#include <thread>
+#include <vector>
+
+namespace {
+
+using namespace coltsfoot;
+
+constexpr int ExitOk = 0;
+constexpr int ExitFailed = 1;
+constexpr int ExitUsage = 2;
+
+void runWorkers(boost::asio::io_context &Context, int Count) {
+  std::vector<std::thread> Workers;
+  Workers.reserve(static_cast<size_t>(Count) - 1);
+  for (int I = 1; I < Count; ++I)
+    Workers.emplace_back([&Context] { Context.run(); });
+  Context.run();
+  for (std::thread &Worker : Workers)
+    Worker.join();
+}
+
+int runNode(const Settings &Given) {
+  boost::asio::io_context Context(Given.Node_.Workers_);
+  Node Self(Context, Given);
+  boost::asio::signal_set Signals(Context, SIGINT, SIGTERM);
+  Signals.async_wait([&](const boost::system::error_code &Error, int Signal) {
+    if (Error)
+      return;
+    logEvent(LogLevel::Info, "signal", {{"number", Signal}});
+    Self.drain();
+  });
+  Self.start([&] { Context.stop(); });
+  logEvent(
+      LogLevel::Info, "listening",
+      {{"node", Self.name()},
+       {"http", Given.Node_.Address_ + ":" + std::to_string(Self.httpPort())}});
+  runWorkers(Context, Given.Node_.Workers_);
+  logEvent(LogLevel::Info, "stopped", {{"node", Self.name()}});
+  return ExitOk;
+}
+
+cxxopts::Options usage() {
+  cxxopts::Options Options("coltsfootd",
+                           "Overload control beside a backend server.");
+  Options.add_options()("config", "settings file in TOML",
+                        cxxopts::value<std::string>(),
+                        "FILE")("check-config", "check the settings and exit")(
+      "help-settings", "list all settings and exit")(
+      "version", "print the version")("help", "print this text");
+  return Options;
+}
+
+int runProgram(int Argc, char **Argv) {
+  cxxopts::Options Options = usage();
+  cxxopts::ParseResult Given = Options.parse(Argc, Argv);
+  if (Given.count("help") != 0) {
+    std::cout << Options.help() << '\n';
+    return ExitOk;
+  }
+  if (Given.count("version") != 0) {
+    std::cout << "coltsfootd " COLTSFOOTPOINT_VERSION "\n";
+    return ExitOk;
+  }
+  if (Given.count("help-settings") != 0) {
+    std::cout << settingsHelp();
+    return ExitOk;
+  }
+  if (Given.count("config") == 0 || !Given.unmatched().empty()) {
+    std::cerr << "coltsfootd: expected --config FILE; see --help\n";
+    return ExitUsage;
+  }
+  Settings Loaded = loadSettings(Given["config"].as<std::string>());
+  if (Given.count("check-config") != 0) {
+    std::cout << "settings are valid\n";
+    return ExitOk;
+  }
+  setLogLevel(Loaded.Logging_.Level_);
+  return runNode(Loaded);
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  try {
+    return runProgram(Argc, Argv);
+  } catch (const SettingsError &Error) {
+    std::cerr << "coltsfootd: " << Error.what() << '\n';
+    return ExitUsage;
+  } catch (const cxxopts::OptionException &Error) {
+    std::cerr << "coltsfootd: " << Error.what() << "; see --help\n";
+    return ExitUsage;
+  } catch (const std::exception &Error) {
+    std::cerr << "coltsfootd: " << Error.what() << '\n';
+    return ExitFailed;
+  }
+}
--- /dev/null
+++ b/src/libcoordination/api.cpp
@@ -0,0 +1,337 @@
+#include "api.h"
+
+#include "configstate.h"
+#include "fleetquery.h"
+#include "gate.h"
+#include "gossipservice.h"
+#include "memberview.h"
+#include "refusal.h"
+#include "requestledger.h"
+
+#include "coltsfootpoint/ids.h"
+#include "coltsfootpoint/ipport.h"
+#include "coltsfootpoint/log.h"
+
+#include <algorithm>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <set>
+
+namespace coltsfoot {
+
+namespace json = boost::json;
+
+namespace {
+
+std::vector<std::string> splitPath(std::string_view Path) {
+  std::vector<std::string> Parts;
+  while (!Path.empty()) {
+    Path.remove_prefix(Path.front() == '/' ? 1 : 0);
+    std::string_view Part = Path.substr(0, Path.find('/'));
+    Path.remove_prefix(Part.size());
+    if (!Part.empty())
+      Parts.emplace_back(Part);
+  }
+  return Parts;
+}
+
+/// One field of a JSON object that was not as expected.
+struct FieldError : std::invalid_argument {
+  FieldError(std::string Field, const std::string &Expected)
+      : std::invalid_argument(Field + ": expected " + Expected),
+        Field_(std::move(Field)) {}
+  std::string Field_;
+};
+
+std::string textField(const json::object &Body, const char *Name) {
+  const json::value *Value = Body.if_contains(Name);
+  if (!Value || !Value->is_string() || Value->as_string().empty())
+    throw FieldError(Name, "a text");
+  return std::string(Value->as_string());
+}
+
+int countField(const json::object &Body, const char *Name) {
+  constexpr int64_t MaxCount = 1'000'000;
+  const json::value *Value = Body.if_contains(Name);
+  if (!Value || !Value->is_int64() || Value->as_int64() < 1 ||
+      Value->as_int64() > MaxCount)
+    throw FieldError(Name, "a number from 1 to 1000000");
+  return static_cast<int>(Value->as_int64());
+}
+
+Announcement::State stateField(const json::object &Body) {
+  std::string Name = textField(Body, "state");
+  if (Name == "starting")
+    return Announcement::State::Starting;
+  if (Name == "serving")
+    return Announcement::State::Serving;
+  if (Name == "leaving")
+    return Announcement::State::Leaving;
+  throw FieldError("state", "starting, serving or leaving");
+}
+
+Announcement parseAnnouncement(const std::string &Text) {
+  static const std::set<std::string_view> Known = {
+      "service", "address", "slots", "connections", "shed_means_not_run",
+      "state"};
+  boost::system::error_code Failure;
+  json::value Parsed = json::parse(Text, Failure);
+  if (Failure || !Parsed.is_object())
+    throw FieldError("", "a JSON object");
+  const json::object &Body = Parsed.as_object();
+  for (const auto &Entry : Body)
+    if (!Known.contains(std::string_view(Entry.key())))
+      throw FieldError(std::string(Entry.key()), "no such key");
+  Announcement Fresh;
+  Fresh.Service_ = textField(Body, "service");
+  auto Address = parseIpPort(textField(Body, "address"));
+  if (!Address)
+    throw FieldError("address", "ip:port");
+  Fresh.Address_ = {boost::asio::ip::make_address(Address->Ip_),
+                    Address->Port_};
+  Fresh.Slots_ = countField(Body, "slots");
+  Fresh.Connections_ = countField(Body, "connections");
+  const json::value *Shed = Body.if_contains("shed_means_not_run");
+  if (Shed && !Shed->is_bool())
+    throw FieldError("shed_means_not_run", "true or false");
+  Fresh.ShedMeansNotRun_ = Shed && Shed->as_bool();
+  Fresh.State_ = stateField(Body);
+  return Fresh;
+}
+
+json::object memberJson(const Member &Known) {
+  json::object Out;
+  Out["node"] = Known.Node_;
+  Out["zone"] = Known.Zone_;
+  Out["region"] = Known.Region_;
+  Out["service"] = Known.Service_;
+  Out["state"] = memberStateName(Known.State_);
+  Out["slots"] = Known.Slots_;
+  Out["config_offset"] = Known.ConfigOffset_;
+  return Out;
+}
+
+} // namespace
+
+class Api::Impl {
+public:
+  explicit Impl(ApiParts Parts)
+      : Parts_(std::move(Parts)),
+        Resources_(Parts_.Config_, [this] { return Parts_.Gossip_.view(); }) {}
+
+  void handle(const HttpExchange::Pointer &Exchange);
+  std::string localStatus(std::string_view What, std::string_view Argument);
+  void record(const CallRecord &Ended);
+
+private:
+  bool handleOpen(const HttpExchange::Pointer &Exchange, std::string_view Path);
+  void handleOperator(const HttpExchange::Pointer &Exchange,
+                      const std::vector<std::string> &Path,
+                      std::string_view Query);
+  bool isOperator(const HttpRequest &Request) const;
+  void announce(const HttpExchange::Pointer &Exchange);
+  void showHealth(const HttpExchange::Pointer &Exchange);
+  void showNodes(const HttpExchange::Pointer &Exchange);
+  void explain(const HttpExchange::Pointer &Exchange, const std::string &Id);
+  void setLevel(const HttpExchange::Pointer &Exchange);
+  std::string statusJson();
+  std::string explainJson(std::string_view Id);
+
+  ApiParts Parts_;
+  ResourceApi Resources_;
+};
+
+void Api::Impl::handle(const HttpExchange::Pointer &Exchange) {
+  std::string_view Target = Exchange->request().Target_;
+  std::string_view Path = Target.substr(0, Target.find('?'));
+  std::string_view Query;
+  if (Path.size() < Target.size())
+    Query = Target.substr(Path.size() + 1);
+  if (handleOpen(Exchange, Path))
+    return;
+  std::vector<std::string> Parts = splitPath(Path);
+  if (Parts.size() < 2 || Parts[0] != "v1")
+    return Exchange->respond(
+        refusalAnswer(NotRun{Reason::BadRequest}, "",
+                      "name the service in Coltsfoot-Service or in Host"));
+  if (!isOperator(Exchange->request()))
+    return Exchange->respond(
+        errorAnswer(401, "the operators' token is missing or wrong"));
+  Parts.erase(Parts.begin());
+  handleOperator(Exchange, Parts, Query);
+}
+
+bool Api::Impl::isOperator(const HttpRequest &Request) const {
+  constexpr std::string_view Scheme = "Bearer ";
+  std::string_view Field = Request.field("Authorization");
+  return Field.starts_with(Scheme) &&
+         Parts_.OperatorToken_.equals(Field.substr(Scheme.size()));
+}
+
+bool Api::Impl::handleOpen(const HttpExchange::Pointer &Exchange,
+                           std::string_view Path) {
+  const std::string &Method = Exchange->request().Method_;
+  if (Path == "/healthz" && Method == "GET")
+    showHealth(Exchange);
+  else if (Path == "/v1/tickets" && Method == "POST")
+    Parts_.Entry_.mintTicket(Exchange);
+  else if (Path == "/v1/announcement" && Method == "PUT")
+    announce(Exchange);
+  else
+    return false;
+  return true;
+}
+
+void Api::Impl::handleOperator(const HttpExchange::Pointer &Exchange,
+                               const std::vector<std::string> &Path,
+                               std::string_view Query) {
+  const std::string &Method = Exchange->request().Method_;
+  if (Resources_.handle(Exchange, Path, Query))
+    return;
+  if (Path[0] == "nodes" && Method == "GET")
+    showNodes(Exchange);
+  else if (Path[0] == "status" && Method == "GET")
+    Exchange->respond(jsonAnswer(200, statusJson()));
+  else if (Path[0] == "explain" && Path.size() == 2 && Method == "GET")
+    explain(Exchange, Path[1]);
+  else if (Path[0] == "log-level" && Method == "PUT")
+    setLevel(Exchange);
+  else if (Path[0] == "drain" && Method == "POST") {
+    Exchange->respond(jsonAnswer(202, R"({"state":"draining"})"));
+    Parts_.Drain_();
+  } else
+    Exchange->respond(errorAnswer(404, "no such resource"));
+}
+
+void Api::Impl::announce(const HttpExchange::Pointer &Exchange) {
+  try {
+    Announcement Fresh = parseAnnouncement(Exchange->request().Body_);
+    Millis Lease = Parts_.Gate_.announce(std::move(Fresh));
+    json::object Out;
+    Out["lease_ms"] = Lease.whole();
+    Exchange->respond(jsonAnswer(200, json::serialize(Out)));
+  } catch (const FieldError &Error) {
+    Exchange->respond(errorAnswer(422, Error.what(), Error.Field_));
+  }
+}
+
+void Api::Impl::showHealth(const HttpExchange::Pointer &Exchange) {
+  std::string State = Parts_.State_();
+  bool Serving = State == "serving" && !Parts_.Isolated_();
+  json::object Out;
+  Out["state"] = State;
+  Out["isolated"] = Parts_.Isolated_();
+  Exchange->respond(jsonAnswer(Serving ? 200 : 503, json::serialize(Out)));
+}
+
+void Api::Impl::showNodes(const HttpExchange::Pointer &Exchange) {
+  json::array Nodes;
+  auto Known = Parts_.Gossip_.view();
+  for (const auto &Node : Known->all())
+    Nodes.push_back(memberJson(*Node));
+  json::object Out;
+  Out["nodes"] = std::move(Nodes);
+  Exchange->respond(jsonAnswer(200, json::serialize(Out)));
+}
+
+std::string Api::Impl::statusJson() {
+  Gate::Figures Gate = Parts_.Gate_.figures();
+  GossipStatus Gossip = Parts_.Gossip_.status();
+  json::object Out;
+  Out["node"] = Parts_.Node_;
+  Out["state"] = Parts_.State_();
+  Out["isolated"] = Parts_.Isolated_();
+  Out["config_offset"] = Parts_.Config_.current()->nextOffset();
+  Out["config_ready"] = Parts_.Config_.ready();
+  Out["members"] = Parts_.Gossip_.view()->presentCount();
+  Out["members_synced"] = Gossip.Synced_;
+  Out["relay"] = Gossip.Relay_;
+  Out["service"] = Gate.Announced_.Service_;
+  Out["serving"] = Gate.Serving_;
+  Out["running"] = Gate.Running_;
+  Out["waiting"] = Gate.Waiting_;
+  Out["limit"] = Gate.Limit_;
+  Out["tickets"] = Gate.Tickets_;
+  Out["kept_answer_bytes"] = Gate.KeptBytes_;
+  Out["calls_pending"] = Parts_.Entry_.pending();
+  return json::serialize(Out);
+}
+
+std::string Api::Impl::explainJson(std::string_view Id) {
+  json::array Hops;
+  for (const LedgerEntry &Known : Parts_.Ledger_.find(Id)) {
+    json::object Hop;
+    Hop["node"] = Parts_.Node_;
+    Hop["time_ms"] = Known.Wall_.whole();
+    Hop["what"] = Known.What_;
+    Hop["detail"] = Known.Detail_;
+    Hops.push_back(std::move(Hop));
+  }
+  return json::serialize(Hops);
+}
+
+std::string Api::Impl::localStatus(std::string_view What,
+                                   std::string_view Argument) {
+  if (What == "status")
+    return statusJson();
+  if (What == "explain")
+    return explainJson(Argument);
+  return "{}";
+}
+
+void Api::Impl::explain(const HttpExchange::Pointer &Exchange,
+                        const std::string &Id) {
+  askFleet(Parts_.Context_, Parts_.Peers_, *Parts_.Gossip_.view(), "explain",
+           Id, [Exchange, Id](const FleetAnswers &Answers) {
+             std::vector<json::value> Hops;
+             for (const std::string &Text : Answers.Texts_) {
+               boost::system::error_code Failure;
+               json::value Parsed = json::parse(Text, Failure);
+               if (Failure || !Parsed.is_array())
+                 continue;
+               for (json::value &Hop : Parsed.as_array())
+                 Hops.push_back(std::move(Hop));
+             }
+             std::stable_sort(
+                 Hops.begin(), Hops.end(),
+                 [](const json::value &Left, const json::value &Right) {
+                   return Left.at("time_ms").to_number<int64_t>() <
+                          Right.at("time_ms").to_number<int64_t>();
+                 });
+             json::object Out;
+             Out["request_id"] = Id;
+             Out["nodes_missing"] = Answers.Missing_;
+             Out["hops"] = json::array(Hops.begin(), Hops.end());
+             Exchange->respond(
+                 jsonAnswer(Hops.empty() ? 404 : 200, json::serialize(Out)));
+           });
+}
+
+void Api::Impl::setLevel(const HttpExchange::Pointer &Exchange) {
+  try {
+    json::value Parsed = json::parse(Exchange->request().Body_);
+    std::string Name = textField(Parsed.as_object(), "level");
+    setLogLevel(parseLogLevel(Name));
+    Exchange->respond(jsonAnswer(200, R"({"level":")" + Name + "\"}"));
+  } catch (const std::exception &Error) {
+    Exchange->respond(errorAnswer(422, Error.what(), "level"));
+  }
+}
+
+void Api::Impl::record(const CallRecord & /*Ended*/) {}
+
+Api::Api(ApiParts Parts) : Impl_(std::make_unique<Impl>(std::move(Parts))) {}
+
+Api::~Api() = default;
+
+void Api::handle(const HttpExchange::Pointer &Exchange) {
+  Impl_->handle(Exchange);
+}
+
+std::string Api::localStatus(std::string_view What, std::string_view Argument) {
+  return Impl_->localStatus(What, Argument);
+}
+
+void Api::record(const CallRecord &Ended) { Impl_->record(Ended); }
+
+} // namespace coltsfoot
--- /dev/null
+++ b/src/libcoordination/configsync.cpp
@@ -0,0 +1,156 @@
+#include "configsync.h"
+
+#include "coltsfoot_types.h"
+#include "configstate.h"
+#include "gossipservice.h"
+#include "memberview.h"
+#include "peerpool.h"
+
+#include "coltsfootpoint/ids.h"
+
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
+#include <variant>
+
+namespace coltsfoot {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::chrono::milliseconds TickSpan(200);
+constexpr size_t BatchBytes = 512 * 1024;
+constexpr size_t PeersToAsk = 3;
+
+} // namespace
+
+ConfigSync::ConfigSync(asio::io_context &Context, ConfigService &Config,
+                       GossipService &Gossip, PeerPool &Peers, std::string Node,
+                       std::string Zone)
+    : Config_(Config), Gossip_(Gossip), Peers_(Peers), Node_(std::move(Node)),
+      Zone_(std::move(Zone)), Strand_(asio::make_strand(Context)),
+      Timer_(Strand_) {}
+
+ConfigSync::~ConfigSync() = default;
+
+void ConfigSync::start() {
+  Config_.FetchFromPeers_ = [this](int64_t From) {
+    asio::dispatch(Strand_, [this, From] {
+      if (!AheadPeer_.empty())
+        fetch(AheadPeer_, From, false);
+    });
+  };
+  Config_.OnApplied_ = [this](std::span<const LogRecord> Records) {
+    std::vector<SpreadRecord> Copies;
+    for (const LogRecord &Record : Records)
+      Copies.push_back({Record.Offset_, Record.Data_});
+    Gossip_.spread(std::move(Copies));
+  };
+  asio::post(Strand_, [this] { arm(); });
+}
+
+void ConfigSync::stop() {
+  asio::post(Strand_, [this] { Timer_.cancel(); });
+}
+
+void ConfigSync::arm() {
+  Timer_.expires_after(TickSpan);
+  Timer_.async_wait([this](const boost::system::error_code &Error) {
+    if (Error)
+      return;
+    tick();
+    arm();
+  });
+}
+
+// Several readers of a zone are harmless and none lasts only until the next
+// tick of another node, so the choice needs no lease.
+void ConfigSync::tick() {
+  Gossip_.setConfigOffset(Config_.current()->nextOffset());
+  if (!Config_.ready())
+    return askPeersWhileFresh();
+  auto Members = Gossip_.view();
+  bool Reader = false;
+  for (const auto &Known : Members->readersOf(Zone_))
+    Reader = Reader || Known->Node_ == Node_;
+  Config_.setReader(Reader || Members->presentCount() <= 1);
+}
+
+// The log may be down: what three peers hold, or all there are, is then the
+// newest that can be known.
+void ConfigSync::askPeersWhileFresh() {
+  if (!Gossip_.status().Synced_)
+    return;
+  auto Members = Gossip_.view();
+  size_t Others = 0;
+  for (const auto &Known : Members->all()) {
+    if (Known->Node_ == Node_ || Known->State_ == MemberState::Dead)
+      continue;
+    ++Others;
+    if (Asked_.size() < PeersToAsk && Asked_.insert(Known->Node_).second)
+      fetch(Known->Node_, Config_.current()->nextOffset(), true);
+  }
+  if (Others > 0 && Answered_.size() >= std::min(PeersToAsk, Others))
+    Config_.peersSettled();
+}
+
+void ConfigSync::onPeerAhead(const std::string &Peer, int64_t NextOffset) {
+  asio::dispatch(Strand_, [this, Peer, NextOffset] {
+    AheadPeer_ = Peer;
+    Config_.onPeerHead(NextOffset);
+  });
+}
+
+void ConfigSync::fetch(const std::string &Peer, int64_t From, bool Fresh) {
+  wire::ConfigFetch Fetch;
+  Fetch.from_offset = From;
+  wire::Frame Message;
+  Message.__set_config_fetch(Fetch);
+  Peers_.call(Peer, Peers_.reserve(), std::move(Message), {},
+              [this, Peer, Fresh](PeerResult Result) {
+                asio::dispatch(Strand_, [this, Peer, Fresh,
+                                         Result = std::move(Result)] {
+                  const auto *Answer =
+                      std::get_if<std::shared_ptr<const wire::Frame>>(&Result);
+                  // One that does not answer may be asked again.
+                  if (!Answer) {
+                    Asked_.erase(Peer);
+                    return;
+                  }
+                  onBatch((*Answer)->config_batch);
+                  if (Fresh)
+                    Answered_.insert(Peer);
+                });
+              });
+}
+
+void ConfigSync::onBatch(const wire::ConfigBatch &Batch) {
+  if (!Batch.snapshot.empty())
+    Config_.onPeerSnapshot(Batch.snapshot);
+  std::vector<LogRecord> Records;
+  for (const wire::ConfigRecord &Record : Batch.records)
+    Records.push_back({Record.offset, Record.data});
+  if (!Records.empty())
+    Config_.onPeerRecords(std::move(Records));
+  Config_.onPeerHead(Batch.next_offset);
+}
+
+wire::ConfigBatch ConfigSync::answer(const wire::ConfigFetch &Asked) const {
+  wire::ConfigBatch Batch;
+  Batch.sequence = Asked.sequence;
+  Batch.next_offset = Config_.current()->nextOffset();
+  if (!Config_.keeps(Asked.from_offset)) {
+    Batch.snapshot = Config_.snapshot();
+    return Batch;
+  }
+  for (const LogRecord &Record :
+       Config_.recordsFrom(Asked.from_offset, BatchBytes)) {
+    wire::ConfigRecord Copy;
+    Copy.offset = Record.Offset_;
+    Copy.data = Record.Data_;
+    Batch.records.push_back(std::move(Copy));
+  }
+  return Batch;
+}
+
+} // namespace coltsfoot
--- /dev/null
+++ b/src/libcoordination/configsync.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "configservice.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+
+namespace coltsfoot {
+
+class GossipService;
+class PeerPool;
+
+namespace wire {
+class ConfigBatch;
+class ConfigFetch;
+} // namespace wire
+
+/// Joins the configuration with the membership: passes records on by gossip,
+/// fills gaps from peers, decides whether this node reads the log for its
+/// zone, and asks peers when the node is fresh and the log does not answer.
+///
+/// Runs on a strand; its public methods are thread-safe.
+class ConfigSync {
+public:
+  /// All but the context are borrowed.
+  ConfigSync(boost::asio::io_context &Context, ConfigService &Config,
+             GossipService &Gossip, PeerPool &Peers, std::string Node,
+             std::string Zone);
+  ~ConfigSync();
+  ConfigSync(const ConfigSync &) = delete;
+  ConfigSync &operator=(const ConfigSync &) = delete;
+
+  void start();
+  void stop();
+
+  /// Notes that a peer has applied more than this node.
+  void onPeerAhead(const std::string &Peer, int64_t NextOffset);
+  /// Answers a peer's request for records.
+  wire::ConfigBatch answer(const wire::ConfigFetch &Asked) const;
+
+private:
+  void arm();
+  void tick();
+  void askPeersWhileFresh();
+  void fetch(const std::string &Peer, int64_t From, bool Fresh);
+  void onBatch(const wire::ConfigBatch &Batch);
+
+  ConfigService &Config_;
+  GossipService &Gossip_;
+  PeerPool &Peers_;
+  const std::string Node_;
+  const std::string Zone_;
+  boost::asio::strand<boost::asio::io_context::executor_type> Strand_;
+  boost::asio::steady_timer Timer_;
+  std::string AheadPeer_;
+  std::set<std::string> Asked_;
+  std::set<std::string> Answered_;
+};
+
+} // namespace coltsfoot
--- /dev/null
+++ b/src/libcoordination/entry.cpp
@@ -0,0 +1,386 @@
+#include "entry.h"
+
+#include "attempttable.h"
+#include "configstate.h"
+#include "entrycall.h"
+#include "entrythreshold.h"
+#include "policy.h"
+#include "refusal.h"
+#include "requestledger.h"
+#include "retrytoken.h"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <charconv>
+#include <random>
+#include <unordered_map>
+
+namespace coltsfoot {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr size_t MaxNameBytes = 128;
+
+std::mt19937_64 &generator() {
+  thread_local std::mt19937_64 Random(randomBits());
+  return Random;
+}
+
+/// The first label of a host that is a name and no IP number.
+std::string_view hostLabel(std::string_view Host) {
+  Host = Host.substr(0, Host.find(':'));
+  std::string_view Label = Host.substr(0, Host.find('.'));
+  bool Numeric =
+      Label.find_first_not_of("0123456789[]") == std::string_view::npos;
+  return Numeric ? std::string_view() : Label;
+}
+
+std::string_view serviceOf(const HttpRequest &Request) {
+  std::string_view Named = Request.field("Coltsfoot-Service");
+  return Named.empty() ? hostLabel(Request.field("Host")) : Named;
+}
+
+/// Returns the positive number of milliseconds of a field, nothing when it is
+/// absent. Throws std::invalid_argument for anything else.
+std::optional<Millis> millisField(const HttpRequest &Request,
+                                  std::string_view Name) {
+  std::string_view Text = Request.field(Name);
+  if (Text.empty())
+    return {};
+  int64_t Value = 0;
+  auto Parsed = std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+  if (Parsed.ec != std::errc() || Parsed.ptr != Text.data() + Text.size() ||
+      Value <= 0)
+    throw std::invalid_argument(std::string(Name) +
+                                ": expected a positive number of milliseconds");
+  return Millis(static_cast<double>(Value));
+}
+
+/// Thrown on the way in; the call has not been sent anywhere.
+struct Refusal {
+  Verdict Verdict_;
+  std::string Detail_;
+  std::vector<HttpField> Fields_;
+};
+
+} // namespace
+
+/// Turns what a caller sent into an EntryRequest, or throws Refusal.
+class Entry::Intake {
+public:
+  Intake(const EntryParts &Parts, const HttpRequest &Caller)
+      : Parts_(Parts), Caller_(Caller), Config_(Parts.Knowledge_.Config_()),
+        Now_(Parts.Knowledge_.Clock_->now()) {}
+
+  EntryRequest read() {
+    Reason Blocked = Parts_.NotServing_();
+    if (Blocked != Reason::None)
+      throw Refusal{NotRun{Blocked}};
+    Request_.RequestId_ = newRequestId();
+    readRoute();
+    std::string_view Context = Caller_.field("Coltsfoot-Context");
+    if (Context.empty())
+      readRoot();
+    else
+      readNested(Context);
+    readDeadline();
+    checkDoor();
+    return std::move(Request_);
+  }
+
+  const std::string &requestId() const { return Request_.RequestId_; }
+
+private:
+  void readRoute();
+  void readRoot();
+  void readNested(std::string_view Context);
+  void readRetryToken();
+  void readRootTicket();
+  void readStepTicket(const ParentCall &Parent);
+  void useTicket(std::string Text);
+  void readDeadline();
+  void checkDoor();
+  [[noreturn]] void askForTicket();
+
+  const EntryParts &Parts_;
+  const HttpRequest &Caller_;
+  const std::shared_ptr<const ConfigState> Config_;
+  const Millis Now_;
+  EntryRequest Request_;
+  Millis ParentDeadline_{std::numeric_limits<double>::max()};
+};
+
+void Entry::Intake::readRoute() {
+  Request_.Service_ = serviceOf(Caller_);
+  if (Request_.Service_.empty())
+    throw Refusal{NotRun{Reason::BadRequest},
+                  "name the service in Coltsfoot-Service or in Host"};
+  const Route *Known =
+      Config_->route(Request_.Service_, Caller_.Method_, Caller_.Target_);
+  if (!Known)
+    throw Refusal{NotRun{Reason::NoRoute},
+                  "no route of service '" + Request_.Service_ + "' matches"};
+  Request_.Route_ = *Known;
+  Request_.RankOrder_ = Config_->rank(Known->Rank_).Order_;
+  Request_.Protected_ = Known->Protected_;
+}
+
+void Entry::Intake::readRoot() {
+  std::string_view Client = Caller_.field("Coltsfoot-Client");
+  if (Client.size() > MaxNameBytes)
+    throw Refusal{NotRun{Reason::BadRequest}, "Coltsfoot-Client is too long"};
+  Request_.Client_ = Client.empty() ? Caller_.Remote_ : std::string(Client);
+  Request_.Credits_ = Config_->retryPolicy(Request_.Service_).Credits_;
+  if (Request_.Route_.Idempotent_)
+    readRetryToken();
+  else
+    readRootTicket();
+  Request_.Bucket_ = bucketOf(Request_.RequestId_);
+}
+
+void Entry::Intake::readRetryToken() {
+  std::string_view Text = Caller_.field("Coltsfoot-Retry-Token");
+  if (Text.empty())
+    return;
+  auto Token = openRetryToken(Text, Parts_.Office_.keys());
+  if (!Token || Token->Client_ != Request_.Client_ ||
+      Token->Service_ != Request_.Service_ ||
+      Token->Route_ != Request_.Route_.Name_)
+    throw Refusal{NotRun{Reason::TicketInvalid},
+                  "the retry token is not genuine or is for another call"};
+  if (Token->ExpiryWall_ <= Parts_.Knowledge_.Clock_->wallNow())
+    throw Refusal{NotRun{Reason::TicketExpired}, "the retry token has expired"};
+  // The retry itself is an extra attempt of the same request.
+  if (Token->Credits_ <= 0)
+    throw Refusal{NotRun{Reason::BudgetSpent}};
+  Request_.RequestId_ = Token->RequestId_;
+  Request_.Credits_ = Token->Credits_ - 1;
+}
+
+void Entry::Intake::askForTicket() {
+  auto Fresh = Parts_.Office_.mint(Request_.Service_, Request_.Route_.Name_,
+                                   Request_.Client_);
+  if (!Fresh)
+    throw Refusal{NotRun{Reason::NoUpstream}};
+  throw Refusal{NotRun{Reason::TicketNeeded},
+                "repeat the request with this ticket",
+                {{"Coltsfoot-Ticket", *Fresh}}};
+}
+
+void Entry::Intake::useTicket(std::string Text) {
+  Request_.Ticket_ = Parts_.Office_.open(Text);
+  Request_.TicketText_ = std::move(Text);
+}
+
+void Entry::Intake::readRootTicket() {
+  std::string_view Text = Caller_.field("Coltsfoot-Ticket");
+  if (Text.empty())
+    askForTicket();
+  useTicket(std::string(Text));
+  const auto &Opened = Request_.Ticket_;
+  if (!Opened || Opened->Client_ != Request_.Client_ ||
+      Opened->Service_ != Request_.Service_ ||
+      Opened->Route_ != Request_.Route_.Name_)
+    throw Refusal{NotRun{Reason::TicketInvalid},
+                  "the ticket is not genuine or is for another call"};
+  // The same request whatever entry it comes through.
+  Request_.RequestId_ = Opened->Serial_;
+}
+
+void Entry::Intake::readNested(std::string_view Context) {
+  auto Parent = Parts_.Attempts_.find(Context);
+  // A context from before this process started may belong to a step that ran.
+  if (!Parent && Request_.Route_.Idempotent_)
+    throw Refusal{NotRun{Reason::BadRequest}, "the context is not known here"};
+  if (!Parent)
+    throw Refusal{MayHaveRun{Reason::BadRequest},
+                  "the context is not known here"};
+  Request_.RequestId_ = Parent->RequestId_;
+  Request_.Client_ = Parent->Client_;
+  Request_.Bucket_ = Parent->Bucket_;
+  Request_.Depth_ = Parent->Depth_ + 1;
+  Request_.RankOrder_ = std::min(Request_.RankOrder_, Parent->RankOrder_);
+  Request_.Protected_ = Request_.Protected_ || Parent->Protected_;
+  ParentDeadline_ = Parent->Deadline_;
+  std::string Step(Caller_.field("Coltsfoot-Step"));
+  if (Step.size() > MaxNameBytes)
+    throw Refusal{NotRun{Reason::BadRequest}, "Coltsfoot-Step is too long"};
+  if (!Request_.Route_.Idempotent_)
+    readStepTicket(*Parent);
+  if (Step.empty())
+    Step = Caller_.Method_ + " " + Caller_.Target_;
+  NestedStart Start =
+      Parts_.Attempts_.startNested(Context, Request_.Service_ + " " + Step);
+  if (const auto *Refused = std::get_if<NestedRefused>(&Start))
+    throw Refusal{Request_.Ticket_ ? Verdict(MayHaveRun{Refused->Reason_})
+                                   : Verdict(NotRun{Refused->Reason_})};
+  Request_.Credits_ = std::get<NestedLent>(Start).Credits_;
+  Request_.ParentKey_ = Context;
+}
+
+void Entry::Intake::readStepTicket(const ParentCall &Parent) {
+  // A read is tried again on other gates, where this step would get another
+  // ticket: what is declared idempotent must not make steps that are not.
+  if (Parent.Idempotent_)
+    throw Refusal{NotRun{Reason::BadRequest},
+                  "a non-idempotent step under an idempotent call"};
+  std::string_view Step = Caller_.field("Coltsfoot-Step");
+  if (Step.empty())
+    throw Refusal{NotRun{Reason::BadRequest},
+                  "name the step in Coltsfoot-Step"};
+  std::string Key = Request_.Service_ + " " + std::string(Step);
+  auto Known = Parts_.Attempts_.stepTicket(Parent.AttemptKey_, Key);
+  if (!Known) {
+    auto Fresh = Parts_.Office_.mint(Request_.Service_, Request_.Route_.Name_,
+                                     Request_.Client_);
+    if (!Fresh)
+      throw Refusal{NotRun{Reason::NoUpstream}};
+    Known = Parts_.Attempts_.rememberTicket(Parent.AttemptKey_, Key, *Fresh);
+    if (Known->empty())
+      throw Refusal{NotRun{Reason::Cancelled}};
+  }
+  useTicket(*Known);
+  if (Request_.Ticket_->Route_ != Request_.Route_.Name_)
+    throw Refusal{NotRun{Reason::TicketBodyMismatch},
+                  "the step was used for another route before"};
+}
+
+void Entry::Intake::readDeadline() {
+  Millis Span = Request_.Route_.Deadline_;
+  try {
+    if (auto Wanted = millisField(Caller_, "Coltsfoot-Deadline-Ms"))
+      Span = std::min(Span, *Wanted);
+  } catch (const std::invalid_argument &Error) {
+    throw Refusal{NotRun{Reason::BadRequest}, Error.what()};
+  }
+  Request_.Deadline_ = std::min(Now_ + Span, ParentDeadline_);
+}
+
+void Entry::Intake::checkDoor() {
+  if (Parts_.Policy_ != PolicyKind::Adaptive || Request_.Ticket_)
+    return;
+  DoorRequest Asked;
+  Asked.Service_ = Request_.Service_;
+  Asked.Route_ = Request_.Route_.Name_;
+  Asked.Kind_ = Request_.Route_.Kind_;
+  Asked.RankOrder_ = Request_.RankOrder_;
+  Asked.Bucket_ = Request_.Bucket_;
+  Asked.Protected_ = Request_.Protected_;
+  Asked.RankFloor_ = Config_->rank(Request_.Route_.Rank_).Floor_;
+  Asked.GateCount_ =
+      static_cast<int>(Parts_.Office_.gatesOf(Request_.Service_).size());
+  if (!Parts_.Thresholds_.wouldRefuse(Asked, Now_, generator()))
+    return;
+  if (!Request_.ParentKey_.empty())
+    Parts_.Attempts_.endNested(Request_.ParentKey_, Request_.Credits_);
+  throw Refusal{NotRun{Reason::Overload}, "refused at the door"};
+}
+
+/// The offers of each nested step whose parent has not ended.
+struct Entry::Steps {
+  std::mutex Mutex_;
+  std::unordered_map<std::string, std::shared_ptr<StepOffers>> Offers_;
+};
+
+Entry::Entry(EntryParts Parts)
+    : Parts_(std::make_shared<EntryParts>(std::move(Parts))),
+      Pending_(std::make_shared<std::atomic<size_t>>(0)),
+      Steps_(std::make_shared<Steps>()) {}
+
+Entry::~Entry() = default;
+
+size_t Entry::pending() const { return *Pending_; }
+
+bool Entry::isCall(const HttpRequest &Request) const {
+  if (!Request.field("Coltsfoot-Service").empty())
+    return true;
+  std::string_view Label = hostLabel(Request.field("Host"));
+  return !Label.empty() && Parts_->Knowledge_.Config_()->service(Label);
+}
+
+void Entry::handle(const HttpExchange::Pointer &Exchange) {
+  Intake In(*Parts_, Exchange->request());
+  try {
+    EntryRequest Request = In.read();
+    std::string ParentKey = Request.ParentKey_;
+    if (Request.Ticket_ && !ParentKey.empty())
+      Request.Step_ = stepOffers(ParentKey, Request.Ticket_->Serial_);
+    EntryCall::Pointer Call(
+        new EntryCall(Parts_, Pending_, Exchange, std::move(Request)));
+    Call->start();
+    if (!ParentKey.empty())
+      Parts_->Attempts_.onClose(ParentKey, [Call] { Call->parentEnded(); });
+  } catch (const Refusal &Refused) {
+    Parts_->Ledger_.note(
+        In.requestId(), "entry-refused",
+        "reason=" + std::string(reasonName(reasonOf(Refused.Verdict_))) +
+            (Refused.Detail_.empty() ? ""
+                                     : " detail=\"" + Refused.Detail_ + "\""));
+    Answer Reply =
+        refusalAnswer(Refused.Verdict_, In.requestId(), Refused.Detail_);
+    Reply.Fields_.push_back({"Coltsfoot-Request-Id", In.requestId()});
+    if (Reply.Status_ == 429 || Reply.Status_ == 503)
+      Reply.Fields_.push_back({"Retry-After", "1"});
+    for (const HttpField &Field : Refused.Fields_)
+      Reply.Fields_.push_back(Field);
+    Exchange->respond(std::move(Reply));
+  }
+}
+
+std::shared_ptr<StepOffers> Entry::stepOffers(const std::string &ParentKey,
+                                              const std::string &Serial) {
+  std::shared_ptr<StepOffers> Offers;
+  bool Fresh = false;
+  {
+    std::lock_guard<std::mutex> Lock(Steps_->Mutex_);
+    auto &Known = Steps_->Offers_[Serial];
+    Fresh = !Known;
+    if (Fresh)
+      Known = std::make_shared<StepOffers>();
+    Offers = Known;
+  }
+  if (Fresh)
+    Parts_->Attempts_.onClose(ParentKey, [Kept = Steps_, Serial] {
+      std::lock_guard<std::mutex> Lock(Kept->Mutex_);
+      Kept->Offers_.erase(Serial);
+    });
+  return Offers;
+}
+
+void Entry::mintTicket(const HttpExchange::Pointer &Exchange) {
+  const HttpRequest &Caller = Exchange->request();
+  std::string Service;
+  std::string Method;
+  std::string Path;
+  try {
+    const json::value Parsed = json::parse(Caller.Body_);
+    const json::object &Body = Parsed.as_object();
+    Service = json::value_to<std::string>(Body.at("service"));
+    Method = json::value_to<std::string>(Body.at("method"));
+    Path = json::value_to<std::string>(Body.at("path"));
+  } catch (const std::exception &) {
+    return Exchange->respond(errorAnswer(
+        400, R"(expected {"service":…,"method":…,"path":…} as JSON)"));
+  }
+  Reason Blocked = Parts_->NotServing_();
+  if (Blocked != Reason::None)
+    return Exchange->respond(refusalAnswer(NotRun{Blocked}, ""));
+  auto Config = Parts_->Knowledge_.Config_();
+  const Route *Known = Config->route(Service, Method, Path);
+  if (!Known)
+    return Exchange->respond(errorAnswer(
+        404, "no route of service '" + Service + "' matches", "path"));
+  std::string_view Client = Caller.field("Coltsfoot-Client");
+  auto Fresh = Parts_->Office_.mint(Service, Known->Name_,
+                                    Client.empty() ? Caller.Remote_ : Client);
+  if (!Fresh)
+    return Exchange->respond(refusalAnswer(NotRun{Reason::NoUpstream}, ""));
+  json::object Body;
+  Body["ticket"] = *Fresh;
+  Body["expires_in_ms"] = Config->retryPolicy(Service).TicketLife_.whole();
+  Exchange->respond(jsonAnswer(201, json::serialize(Body)));
+}
+
+} // namespace coltsfoot
--- /dev/null
+++ b/src/libcoordination/entrycall.cpp
@@ -0,0 +1,503 @@
+#include "entrycall.h"
+
+#include "attempttable.h"
+#include "coltsfoot_types.h"
+#include "entrythreshold.h"
+#include "peerpool.h"
+#include "policy.h"
+#include "refusal.h"
+#include "requestledger.h"
+#include "retrytoken.h"
+#include "timer.h"
+
+#include "coltsfootpoint/log.h"
+
+#include <algorithm>
+#include <boost/asio/dispatch.hpp>
+#include <random>
+
+namespace coltsfoot {
+
+namespace {
+
+/// How long after its deadline a call waits for the gate's own verdict.
+constexpr Millis DeadlineGrace(50);
+/// Between two attempts to reach the same gate.
+constexpr Millis ReconnectPause(60);
+/// Refused connections in a row after which a process counts as gone.
+constexpr int GoneAfterRefusals = 3;
+constexpr Millis RetryTokenLife(120'000);
+constexpr int MinRetryAfterMs = 50;
+
+std::mt19937_64 &generator() {
+  thread_local std::mt19937_64 Random(randomBits());
+  return Random;
+}
+
+Verdict verdictOf(const wire::Reply &Reply) {
+  if (Reply.outcome == wire::WireOutcome::NOT_RUN)
+    return NotRun{static_cast<Reason>(Reply.reason)};
+  if (Reply.outcome == wire::WireOutcome::MAY_HAVE_RUN)
+    return MayHaveRun{static_cast<Reason>(Reply.reason)};
+  Answer Whole{Reply.status, {}, Reply.body};
+  for (const wire::WireField &Field : Reply.fields)
+    Whole.Fields_.push_back({Field.name, Field.value});
+  return Ran{std::move(Whole)};
+}
+
+AttemptResult resultOf(const wire::Reply &Reply) {
+  switch (Reply.outcome) {
+  case wire::WireOutcome::RAN:
+    return AttemptResult::Ok;
+  case wire::WireOutcome::NOT_RUN:
+    return AttemptResult::Refused;
+  default:
+    return AttemptResult::Failed;
+  }
+}
+
+/// Fields that concern one hop or this system; they are not passed on.
+bool isHopField(std::string_view Name) {
+  static constexpr std::array<std::string_view, 9> Names = {
+      "connection",     "keep-alive",       "transfer-encoding",
+      "content-length", "proxy-connection", "te",
+      "trailer",        "upgrade",          "proxy-authenticate"};
+  std::string Lower(Name);
+  std::transform(Lower.begin(), Lower.end(), Lower.begin(), [](char C) {
+    return static_cast<char>(std::tolower(static_cast<unsigned char>(C)));
+  });
+  return Lower.starts_with("coltsfoot-") ||
+         std::find(Names.begin(), Names.end(), Lower) != Names.end();
+}
+
+std::string gateText(const NodeRef &Gate) { return "gate=" + Gate.Node_; }
+
+} // namespace
+
+bool StepOffers::mayLeave(size_t Candidate) {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  if (Counts_[Candidate].PassedOver_)
+    return false;
+  ++Counts_[Candidate].Left_;
+  return true;
+}
+
+bool StepOffers::didNotLeave(size_t Candidate) {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  Count &Known = Counts_[Candidate];
+  if (--Known.Left_ == 0)
+    Known.PassedOver_ = true;
+  return Known.PassedOver_;
+}
+
+EntryCall::EntryCall(std::shared_ptr<const EntryParts> Parts,
+                     std::shared_ptr<std::atomic<size_t>> Pending,
+                     HttpExchange::Pointer Exchange, EntryRequest Request)
+    : Parts_(std::move(Parts)), Pending_(std::move(Pending)),
+      Exchange_(std::move(Exchange)), Request_(std::move(Request)),
+      Started_(Parts_->Knowledge_.Clock_->now()),
+      Strand_(boost::asio::make_strand(Parts_->Context_)), Deadline_(Strand_),
+      Pause_(Strand_), Credits_(Request_.Credits_) {
+  ++*Pending_;
+}
+
+EntryCall::~EntryCall() = default;
+
+Millis EntryCall::now() const { return Parts_->Knowledge_.Clock_->now(); }
+
+void EntryCall::start() {
+  boost::asio::dispatch(Strand_, [Self = Pointer(this)] { Self->begin(); });
+}
+
+void EntryCall::begin() {
+  Pointer Self(this);
+  Deadline_.expires_after(
+      toChrono(Request_.Deadline_ - Started_ + DeadlineGrace));
+  Deadline_.async_wait([Self](const boost::system::error_code &Error) {
+    if (!Error)
+      Self->onDeadline();
+  });
+  Exchange_->onAbandoned([Self] {
+    boost::asio::dispatch(Self->Strand_,
+                          [Self] { Self->abandon(Reason::Cancelled); });
+  });
+  if (Request_.Ticket_)
+    offerCandidate(0);
+  else
+    offerNextGate();
+}
+
+void EntryCall::note(std::string_view What, const std::string &Detail) const {
+  Parts_->Ledger_.note(Request_.RequestId_, What,
+                       "service=" + Request_.Service_ + " " + Detail);
+}
+
+wire::Offer EntryCall::newOffer(int Lent) const {
+  const HttpRequest &Caller = Exchange_->request();
+  wire::Offer Offer;
+  Offer.request_id = Request_.RequestId_;
+  Offer.service_name = Request_.Service_;
+  Offer.method = Caller.Method_;
+  Offer.target = Caller.Target_;
+  Offer.body = Caller.Body_;
+  Offer.remaining_ms = static_cast<int32_t>(
+      std::max<int64_t>(0, (Request_.Deadline_ - now()).whole()));
+  Offer.credits = Lent;
+  Offer.client = Request_.Client_;
+  Offer.bucket = Request_.Bucket_;
+  Offer.depth = Request_.Depth_;
+  Offer.ticket = Request_.TicketText_;
+  Offer.route = Request_.Route_.Name_;
+  Offer.rank_order = Request_.RankOrder_;
+  Offer.protected_call = Request_.Protected_;
+  for (const HttpField &Field : Caller.Fields_) {
+    if (isHopField(Field.Name_))
+      continue;
+    wire::WireField Copy;
+    Copy.name = Field.Name_;
+    Copy.value = Field.Value_;
+    Offer.fields.push_back(std::move(Copy));
+  }
+  return Offer;
+}
+
+void EntryCall::send(const NodeRef &Gate, wire::Frame Message, bool ToProcess,
+                     OnReply Replied, OnLost LostIt) {
+  if (Ended_)
+    return;
+  int64_t Number = Parts_->Peers_.reserve();
+  Outstanding_ = Outstanding{Number, Gate, now()};
+  Parts_->Balancer_.onStart(Gate);
+  std::optional<Incarnation> Wanted;
+  if (ToProcess)
+    Wanted = Gate.Incarnation_;
+  Parts_->Peers_.call(
+      Gate.Node_, Number, std::move(Message), Wanted,
+      [Self = Pointer(this), Number, Replied = std::move(Replied),
+       LostIt = std::move(LostIt)](PeerResult Result) {
+        boost::asio::dispatch(Self->Strand_, [Self, Number, Replied, LostIt,
+                                              Result = std::move(Result)] {
+          Self->onResult(Number, Result, Replied, LostIt);
+        });
+      });
+}
+
+// The answer to a message that the call no longer waits for is dropped.
+void EntryCall::onResult(int64_t Number, const PeerResult &Result,
+                         const OnReply &Replied, const OnLost &LostIt) {
+  if (!Outstanding_ || Outstanding_->Number_ != Number)
+    return;
+  Outstanding Sent = *std::exchange(Outstanding_, std::nullopt);
+  Millis Latency = now() - Sent.Sent_;
+  std::visit(Overloaded{[&](const std::shared_ptr<const wire::Frame> &Answer) {
+                          heard(Sent.Gate_, Answer->reply, Latency);
+                          Replied(Answer->reply);
+                        },
+                        [&](const PeerLost &Lost) {
+                          AttemptResult How = Lost.Cause_ == CloseCause::Silent
+                                                  ? AttemptResult::Silent
+                                                  : AttemptResult::Failed;
+                          Parts_->Balancer_.onEnd(Sent.Gate_, Latency, How, {},
+                                                  now());
+                          LostIt(Lost);
+                        }},
+             Result);
+}
+
+void EntryCall::heard(const NodeRef &Gate, const wire::Reply &Reply,
+                      Millis Latency) {
+  Parts_->Balancer_.onEnd(Gate, Latency, resultOf(Reply),
+                          {Reply.in_flight, Reply.limit, Reply.leaving}, now());
+  Parts_->Thresholds_.heard(Request_.Service_, Gate,
+                            {Reply.threshold.rank, Reply.threshold.bucket},
+                            now(), Request_.Route_.Kind_);
+  if (Reply.retry_after_ms > 0)
+    RetryAfterMs_ = Reply.retry_after_ms;
+}
+
+void EntryCall::after(Millis Pause, std::function<void()> Step) {
+  Pause_.expires_after(toChrono(Pause));
+  Pause_.async_wait([Self = Pointer(this), Step = std::move(Step)](
+                        const boost::system::error_code &Error) {
+    if (!Error && !Self->Ended_)
+      Step();
+  });
+}
+
+void EntryCall::offerNextGate() {
+  std::vector<GateInfo> Gates = Parts_->Office_.gatesOf(Request_.Service_);
+  auto Chosen = Parts_->Balancer_.pick(
+      Gates, Parts_->Office_.scope(Request_.Service_), Tried_, generator());
+  if (!Chosen)
+    return end(NotRun{Reason::NoUpstream});
+  Tried_.push_back(*Chosen);
+  Lent_ = Credits_.lend();
+  wire::Frame Message;
+  Message.__set_offer(newOffer(Lent_));
+  Pointer Self(this);
+  send(
+      *Chosen, std::move(Message), false,
+      [Self, Gate = *Chosen](const wire::Reply &Reply) {
+        Self->onGateReply(Gate, Reply);
+      },
+      [Self, Gate = *Chosen](const PeerLost &Lost) {
+        Self->onGateLost(Gate, Lost);
+      });
+}
+
+void EntryCall::onGateReply(const NodeRef &Gate, const wire::Reply &Reply) {
+  Credits_.takeBack(std::min(Lent_, Reply.credits_left));
+  Verdict Outcome = verdictOf(Reply);
+  if (std::holds_alternative<Ran>(Outcome))
+    return end(std::move(Outcome));
+  Reason Why = reasonOf(Outcome);
+  note("attempt-ended", gateText(Gate) +
+                            " verdict=" + std::string(verdictName(Outcome)) +
+                            " reason=" + std::string(reasonName(Why)));
+  if (std::holds_alternative<MayHaveRun>(Outcome))
+    Open_ = true;
+  // A gate that is on its way out refused before any work: moving on is free.
+  retryOrEnd(std::move(Outcome),
+             Why == Reason::Leaving || Why == Reason::NoUpstream);
+}
+
+void EntryCall::onGateLost(const NodeRef &Gate, const PeerLost &Lost) {
+  note("connection-lost",
+       gateText(Gate) + " cause=" + std::string(closeCauseName(Lost.Cause_)) +
+           " sent=" + (Lost.Sent_ ? "true" : "false"));
+  if (Lost.Sent_) {
+    Open_ = true;
+    return retryOrEnd(MayHaveRun{Reason::ConnectionLost}, false);
+  }
+  Credits_.takeBack(Lent_);
+  retryOrEnd(NotRun{Reason::ConnectionLost}, true);
+}
+
+void EntryCall::retryOrEnd(Verdict Outcome, bool Free) {
+  constexpr size_t MaxGatesTried = 8;
+  bool Left = now() < Request_.Deadline_ && Tried_.size() < MaxGatesTried;
+  if (Left && (Free || Credits_.spendOne()))
+    return offerNextGate();
+  end(std::move(Outcome));
+}
+
+void EntryCall::offerCandidate(size_t Candidate) {
+  const NodeRef &Gate = Request_.Ticket_->Candidates_[Candidate];
+  if (Request_.Step_ && !Request_.Step_->mayLeave(Candidate)) {
+    if (Candidate + 1 < Request_.Ticket_->Candidates_.size())
+      return offerCandidate(Candidate + 1);
+    return end(NotRun{Reason::ConnectionLost});
+  }
+  Lent_ = Credits_.lend();
+  wire::Frame Message;
+  Message.__set_offer(newOffer(Lent_));
+  Pointer Self(this);
+  send(
+      Gate, std::move(Message), true,
+      [Self, Candidate](const wire::Reply &Reply) {
+        Self->onCandidateReply(Candidate, Reply);
+      },
+      [Self, Candidate](const PeerLost &Lost) {
+        Self->onCandidateLost(Candidate, Lost, true);
+      });
+}
+
+void EntryCall::onCandidateReply(size_t Candidate, const wire::Reply &Reply) {
+  Credits_.takeBack(std::min(Lent_, Reply.credits_left));
+  Lent_ = 0;
+  Verdict Outcome = verdictOf(Reply);
+  const auto &Candidates = Request_.Ticket_->Candidates_;
+  if (!std::holds_alternative<Ran>(Outcome))
+    note("candidate-answered",
+         gateText(Candidates[Candidate]) +
+             " verdict=" + std::string(verdictName(Outcome)) +
+             " reason=" + std::string(reasonName(reasonOf(Outcome))) +
+             " closed=" + (Reply.closed ? "true" : "false"));
+  if (!Reply.closed || !std::holds_alternative<NotRun>(Outcome))
+    return end(std::move(Outcome));
+  if (Candidate + 1 == Candidates.size())
+    return end(std::move(Outcome), Reply.successor);
+  // A gate that refused has done no work; a backend server that shed has.
+  bool Free = reasonOf(Outcome) != Reason::UpstreamShed;
+  if (now() < Request_.Deadline_ && (Free || Credits_.spendOne()))
+    return offerCandidate(Candidate + 1);
+  end(std::move(Outcome));
+}
+
+void EntryCall::onCandidateLost(size_t Candidate, const PeerLost &Lost,
+                                bool WasOffer) {
+  const auto &Candidates = Request_.Ticket_->Candidates_;
+  note("connection-lost",
+       gateText(Candidates[Candidate]) +
+           " cause=" + std::string(closeCauseName(Lost.Cause_)) +
+           " sent=" + (Lost.Sent_ ? "true" : "false") +
+           " replaced=" + (Lost.Replaced_ ? "true" : "false"));
+  if (WasOffer && !Lost.Sent_) {
+    Credits_.takeBack(Lent_);
+    Lent_ = 0;
+    if (Request_.Step_ && Request_.Step_->didNotLeave(Candidate)) {
+      if (Candidate + 1 < Candidates.size())
+        return offerCandidate(Candidate + 1);
+      return end(NotRun{Reason::ConnectionLost});
+    }
+  }
+  if (Lost.Replaced_)
+    return searchLater(Candidate + 1);
+  if (Lost.Cause_ == CloseCause::Refused && ++Refusals_ >= GoneAfterRefusals)
+    return searchLater(Candidate + 1);
+  // The gate may have the call or may yet get it: only it can tell.
+  Pointer Self(this);
+  after(ReconnectPause, [Self, Candidate] { Self->inquire(Candidate); });
+}
+
+void EntryCall::inquire(size_t Candidate) {
+  wire::Inquiry Inquiry;
+  Inquiry.ticket = Request_.TicketText_;
+  Inquiry.close = true;
+  wire::Frame Message;
+  Message.__set_inquiry(Inquiry);
+  Pointer Self(this);
+  send(
+      Request_.Ticket_->Candidates_[Candidate], std::move(Message), true,
+      [Self, Candidate](const wire::Reply &Reply) {
+        Self->onCandidateReply(Candidate, Reply);
+      },
+      [Self, Candidate](const PeerLost &Lost) {
+        Self->onCandidateLost(Candidate, Lost, false);
+      });
+}
+
+// A candidate's process is gone with what it knew. A later one may hold the
+// answer, when the earlier one had closed the ticket before; without one the
+// action may have run and is never run again.
+void EntryCall::searchLater(size_t Candidate) {
+  const auto &Candidates = Request_.Ticket_->Candidates_;
+  if (Candidate >= Candidates.size())
+    return end(MayHaveRun{Reason::CandidateGone});
+  wire::Inquiry Inquiry;
+  Inquiry.ticket = Request_.TicketText_;
+  Inquiry.close = false;
+  wire::Frame Message;
+  Message.__set_inquiry(Inquiry);
+  Pointer Self(this);
+  send(
+      Candidates[Candidate], std::move(Message), true,
+      [Self, Candidate](const wire::Reply &Reply) {
+        Self->onSearchReply(Candidate, Reply);
+      },
+      [Self, Candidate](const PeerLost &) {
+        Self->searchLater(Candidate + 1);
+      });
+}
+
+void EntryCall::onSearchReply(size_t Candidate, const wire::Reply &Reply) {
+  Verdict Outcome = verdictOf(Reply);
+  bool Unknown = reasonOf(Outcome) == Reason::CandidateGone;
+  if (std::holds_alternative<Ran>(Outcome) ||
+      (std::holds_alternative<MayHaveRun>(Outcome) && !Unknown))
+    return end(std::move(Outcome));
+  searchLater(Candidate + 1);
+}
+
+void EntryCall::onDeadline() {
+  note("deadline",
+       "started_ms_ago=" + std::to_string((now() - Started_).whole()));
+  abandon(Reason::DeadlinePassed);
+}
+
+void EntryCall::parentEnded() {
+  boost::asio::dispatch(
+      Strand_, [Self = Pointer(this)] { Self->abandon(Reason::Cancelled); });
+}
+
+// Ends the call from outside its own course. What has been sent is cancelled;
+// an action that has started runs on at its gate.
+void EntryCall::abandon(Reason Why) {
+  if (Ended_)
+    return;
+  bool Sent = false;
+  if (auto Awaited = std::exchange(Outstanding_, std::nullopt)) {
+    AttemptResult How = Why == Reason::DeadlinePassed ? AttemptResult::Silent
+                                                      : AttemptResult::Refused;
+    Parts_->Balancer_.onEnd(Awaited->Gate_, now() - Awaited->Sent_, How, {},
+                            now());
+    Sent = Parts_->Peers_.forget(Awaited->Gate_.Node_, Awaited->Number_, true);
+  }
+  if (Sent || Open_ || Request_.Ticket_)
+    end(MayHaveRun{Why});
+  else
+    end(NotRun{Why});
+}
+
+void EntryCall::end(Verdict Outcome, std::string Successor) {
+  if (Ended_)
+    return;
+  Ended_ = true;
+  --*Pending_;
+  // An earlier attempt without an answer leaves the whole call open.
+  if (Open_ && std::holds_alternative<NotRun>(Outcome))
+    Outcome = MayHaveRun{reasonOf(Outcome)};
+  Deadline_.cancel();
+  Pause_.cancel();
+  Exchange_->onAbandoned(nullptr);
+  if (!Request_.ParentKey_.empty())
+    Parts_->Attempts_.endNested(Request_.ParentKey_, Credits_.held());
+  if (!std::holds_alternative<Ran>(Outcome)) {
+    note("call-ended",
+         "verdict=" + std::string(verdictName(Outcome)) +
+             " reason=" + std::string(reasonName(reasonOf(Outcome))) +
+             " credits_left=" + std::to_string(Credits_.held()));
+    logEvent(LogLevel::Debug, "call_ended",
+             {{"request", Request_.RequestId_},
+              {"service", Request_.Service_},
+              {"route", Request_.Route_.Name_},
+              {"verdict", verdictName(Outcome)},
+              {"reason", reasonName(reasonOf(Outcome))}});
+  }
+  respond(Outcome, Successor);
+}
+
+void EntryCall::respond(const Verdict &Outcome, const std::string &Successor) {
+  const Ran *Answered = std::get_if<Ran>(&Outcome);
+  Answer Reply;
+  if (Answered) {
+    Reply = Answered->Answer_;
+    std::erase_if(Reply.Fields_, [](const HttpField &Field) {
+      return isHopField(Field.Name_);
+    });
+    Reply.Fields_.push_back({"Coltsfoot-Verdict", "ran"});
+  } else {
+    Reply = refusalAnswer(Outcome, Request_.RequestId_);
+  }
+  Reply.Fields_.push_back({"Coltsfoot-Request-Id", Request_.RequestId_});
+  if (!Successor.empty())
+    Reply.Fields_.push_back({"Coltsfoot-Ticket", Successor});
+  bool Refused = Reply.Status_ == 429 || Reply.Status_ == 503;
+  if (!Answered && Refused) {
+    // Jitter keeps the callers that were refused together apart.
+    int Base = std::max(MinRetryAfterMs, RetryAfterMs_);
+    int Wait = Base + static_cast<int>(generator()() % uint64_t(Base));
+    Reply.Fields_.push_back(
+        {"Retry-After", std::to_string((Wait + 999) / 1000)});
+    Reply.Fields_.push_back({"Coltsfoot-Retry-After-Ms", std::to_string(Wait)});
+  }
+  if (!Answered && !Request_.Ticket_ && Request_.ParentKey_.empty() &&
+      Credits_.held() > 0) {
+    RetryToken Token{Request_.RequestId_,
+                     Request_.Client_,
+                     Request_.Service_,
+                     Request_.Route_.Name_,
+                     Credits_.held(),
+                     Parts_->Knowledge_.Clock_->wallNow() + RetryTokenLife};
+    Reply.Fields_.push_back({"Coltsfoot-Retry-Token",
+                             sealRetryToken(Token, Parts_->Office_.keys())});
+  }
+  int Status = Reply.Status_;
+  Exchange_->respond(std::move(Reply));
+  if (Parts_->OnEnd_)
+    Parts_->OnEnd_({Request_.Service_, Request_.Route_.Rank_,
+                    verdictName(Outcome), Status, now() - Started_,
+                    Request_.ParentKey_.empty()});
+}
+
+} // namespace coltsfoot
--- /dev/null
+++ b/src/libcoordination/entrycall.h
@@ -0,0 +1,155 @@
+#pragma once
+
+#include "credits.h"
+#include "entry.h"
+#include "peerpool.h"
+#include "resource.h"
+#include "ticket.h"
+
+#include <array>
+#include <atomic>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace coltsfoot {
+
+namespace wire {
+class Offer;
+class Reply;
+} // namespace wire
+
+/// What this node knows of the offers of one nested step's ticket. The node
+/// that minted the ticket is the only one that offers it, so it may pass over
+/// a candidate to which no frame of any of the step's calls has left.
+/// Thread-safe.
+class StepOffers {
+public:
+  /// Notes that a frame may leave for a candidate. Returns false when the
+  /// candidate was passed over before; it must not be asked any more.
+  bool mayLeave(size_t Candidate);
+  /// Notes that the frame did not leave after all. Returns whether the
+  /// candidate is passed over now: no other frame may have left for it.
+  bool didNotLeave(size_t Candidate);
+
+private:
+  struct Count {
+    int Left_ = 0;
+    bool PassedOver_ = false;
+  };
+  std::mutex Mutex_;
+  std::array<Count, MaxCandidates> Counts_;
+};
+
+/// What one call asks for, as the entry understood it.
+struct EntryRequest {
+  std::string RequestId_;
+  std::string Service_;
+  Route Route_;
+  std::string Client_;
+  int RankOrder_ = 0;
+  bool Protected_ = false;
+  int Bucket_ = 0;
+  int Depth_ = 0;
+  int Credits_ = 0;
+  Millis Deadline_;
+  /// Of a non-idempotent call.
+  std::optional<Ticket> Ticket_;
+  std::string TicketText_;
+  /// Of a nested call; the key of the call that makes it.
+  std::string ParentKey_;
+  std::shared_ptr<StepOffers> Step_;
+};
+
+/// One call on its way through this entry.
+///
+/// An idempotent call is offered to one gate after another while retry credits
+/// and time last. A ticketed call is offered to its candidates in their order;
+/// only a candidate that has closed the ticket lets the next one be asked.
+/// When a connection breaks or goes silent under a ticketed call, the gate is
+/// asked over a new one what became of it, which closes the ticket if it never
+/// arrived there.
+///
+/// One message is outstanding at a time, and only its answer moves the call
+/// on; the deadline and the caller's leaving may end it at any moment. All of
+/// this runs on the call's own strand; start() and parentEnded() may be called
+/// from any thread.
+class EntryCall
+    : public boost::intrusive_ref_counter<EntryCall,
+                                          boost::thread_safe_counter> {
+public:
+  using Pointer = boost::intrusive_ptr<EntryCall>;
+
+  EntryCall(std::shared_ptr<const EntryParts> Parts,
+            std::shared_ptr<std::atomic<size_t>> Pending,
+            HttpExchange::Pointer Exchange, EntryRequest Request);
+  ~EntryCall();
+  EntryCall(const EntryCall &) = delete;
+  EntryCall &operator=(const EntryCall &) = delete;
+
+  void start();
+  /// Ends the call because the call that made it has ended.
+  void parentEnded();
+
+private:
+  void offerNextGate();
+  void onGateReply(const NodeRef &Gate, const wire::Reply &Reply);
+  void onGateLost(const NodeRef &Gate, const PeerLost &Lost);
+  void retryOrEnd(Verdict Outcome, bool Free);
+
+  void offerCandidate(size_t Candidate);
+  void onCandidateReply(size_t Candidate, const wire::Reply &Reply);
+  void onCandidateLost(size_t Candidate, const PeerLost &Lost, bool WasOffer);
+  void inquire(size_t Candidate);
+  void searchLater(size_t Candidate);
+  void onSearchReply(size_t Candidate, const wire::Reply &Reply);
+
+  using OnReply = std::function<void(const wire::Reply &)>;
+  using OnLost = std::function<void(const PeerLost &)>;
+  void send(const NodeRef &Gate, wire::Frame Message, bool ToProcess,
+            OnReply Replied, OnLost LostIt);
+  void onResult(int64_t Number, const PeerResult &Result,
+                const OnReply &Replied, const OnLost &LostIt);
+  void begin();
+  wire::Offer newOffer(int Lent) const;
+  void after(Millis Pause, std::function<void()> Step);
+  void heard(const NodeRef &Gate, const wire::Reply &Reply, Millis Latency);
+  void onDeadline();
+  void abandon(Reason Why);
+  void end(Verdict Outcome, std::string Successor = {});
+  void respond(const Verdict &Outcome, const std::string &Successor);
+  void note(std::string_view What, const std::string &Detail) const;
+  Millis now() const;
+
+  const std::shared_ptr<const EntryParts> Parts_;
+  const std::shared_ptr<std::atomic<size_t>> Pending_;
+  const HttpExchange::Pointer Exchange_;
+  const EntryRequest Request_;
+  const Millis Started_;
+  const boost::asio::strand<boost::asio::io_context::executor_type> Strand_;
+  boost::asio::steady_timer Deadline_;
+  boost::asio::steady_timer Pause_;
+
+  /// The message whose answer is awaited.
+  struct Outstanding {
+    int64_t Number_ = 0;
+    NodeRef Gate_;
+    Millis Sent_;
+  };
+  std::optional<Outstanding> Outstanding_;
+  bool Ended_ = false;
+  /// Whether an attempt that has no answer may have run.
+  bool Open_ = false;
+  CreditPool Credits_;
+  int Lent_ = 0;
+  int Refusals_ = 0;
+  int RetryAfterMs_ = 0;
+  std::vector<NodeRef> Tried_;
+};
+
+} // namespace coltsfoot
--- /dev/null
+++ b/src/libcoordination/fleetquery.cpp
@@ -0,0 +1,112 @@
+#include "fleetquery.h"
+
+#include "coltsfoot_types.h"
+#include "memberview.h"
+#include "peerpool.h"
+
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+
+namespace coltsfoot {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr size_t MaxAtOnce = 64;
+constexpr std::chrono::milliseconds TimeLimit(3000);
+
+/// One question on its way; everything runs on its strand.
+class FleetQuery : public std::enable_shared_from_this<FleetQuery> {
+public:
+  FleetQuery(asio::io_context &Context, PeerPool &Peers,
+             std::vector<std::string> Nodes, std::string What,
+             std::string Argument, std::function<void(FleetAnswers)> OnEnd)
+      : Peers_(Peers), Nodes_(std::move(Nodes)), What_(std::move(What)),
+        Argument_(std::move(Argument)), OnEnd_(std::move(OnEnd)),
+        Strand_(asio::make_strand(Context)), Timer_(Strand_) {}
+
+  void start() {
+    asio::post(Strand_, [Self = shared_from_this()] {
+      Self->Timer_.expires_after(TimeLimit);
+      Self->Timer_.async_wait([Self](const boost::system::error_code &Error) {
+        if (!Error)
+          Self->finish();
+      });
+      Self->askMore();
+    });
+  }
+
+private:
+  void askMore() {
+    while (Next_ < Nodes_.size() && AtOnce_ < MaxAtOnce) {
+      ++AtOnce_;
+      ask(Nodes_[Next_++]);
+    }
+    if (Done_ == Nodes_.size())
+      finish();
+  }
+
+  void ask(const std::string &Node) {
+    wire::StatusFetch Fetch;
+    Fetch.what = What_;
+    Fetch.argument = Argument_;
+    wire::Frame Message;
+    Message.__set_status_fetch(Fetch);
+    Peers_.call(Node, Peers_.reserve(), std::move(Message), {},
+                [Self = shared_from_this()](PeerResult Result) {
+                  asio::post(Self->Strand_, [Self, Result = std::move(Result)] {
+                    Self->onResult(Result);
+                  });
+                });
+  }
+
+  void onResult(const PeerResult &Result) {
+    ++Done_;
+    --AtOnce_;
+    if (const auto *Frame =
+            std::get_if<std::shared_ptr<const wire::Frame>>(&Result))
+      Answers_.Texts_.push_back((*Frame)->status_batch.json);
+    askMore();
+  }
+
+  void finish() {
+    if (!OnEnd_)
+      return;
+    Timer_.cancel();
+    Answers_.Missing_ =
+        static_cast<int>(Nodes_.size() - Answers_.Texts_.size());
+    std::exchange(OnEnd_, nullptr)(std::move(Answers_));
+  }
+
+  PeerPool &Peers_;
+  const std::vector<std::string> Nodes_;
+  const std::string What_;
+  const std::string Argument_;
+  std::function<void(FleetAnswers)> OnEnd_;
+  asio::strand<asio::io_context::executor_type> Strand_;
+  asio::steady_timer Timer_;
+  FleetAnswers Answers_;
+  size_t Next_ = 0;
+  size_t AtOnce_ = 0;
+  size_t Done_ = 0;
+};
+
+} // namespace
+
+void askFleet(asio::io_context &Context, PeerPool &Peers,
+              const MemberView &Members, const std::string &What,
+              const std::string &Argument,
+              std::function<void(FleetAnswers)> OnEnd) {
+  std::vector<std::string> Nodes;
+  for (const auto &Known : Members.all())
+    if (Known->State_ != MemberState::Dead)
+      Nodes.push_back(Known->Node_);
+  std::make_shared<FleetQuery>(Context, Peers, std::move(Nodes), What, Argument,
+                               std::move(OnEnd))
+      ->start();
+}
+
+} // namespace coltsfoot
--- /dev/null
+++ b/src/libcoordination/gate.cpp
@@ -0,0 +1,638 @@
+#include "gate.h"
+
+#include "admissionqueue.h"
+#include "attempttable.h"
+#include "coltsfoot_types.h"
+#include "configstate.h"
+#include "policy.h"
+#include "requestledger.h"
+#include "ticket.h"
+#include "tickettable.h"
+#include "timer.h"
+#include "upstreamclient.h"
+#include "waiting.h"
+
+#include "coltsfootpoint/log.h"
+
+#include <atomic>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <map>
+#include <mutex>
+
+namespace coltsfoot {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Millis TickSpan(25);
+constexpr int TicksPerExpiry = 40;
+constexpr int ShedStatus = 503;
+
+/// Where an offer came from, and its number there.
+using CallKey = std::pair<uint64_t, int64_t>;
+
+std::string figuresText(const wire::Reply &Reply, const Route &Kind) {
+  return "rank=" + Kind.Rank_ + " kind=" + Kind.Kind_ +
+         " running=" + std::to_string(Reply.in_flight) +
+         " limit=" + std::to_string(Reply.limit) +
+         " threshold_rank=" + std::to_string(Reply.threshold.rank) +
+         " threshold_bucket=" + std::to_string(Reply.threshold.bucket) +
+         " retry_after_ms=" + std::to_string(Reply.retry_after_ms);
+}
+
+void setOutcome(wire::Reply &Reply, const Verdict &Outcome) {
+  std::visit(Overloaded{[&](const Ran &What) {
+                          Reply.outcome = wire::WireOutcome::RAN;
+                          Reply.status = What.Answer_.Status_;
+                          Reply.body = What.Answer_.Body_;
+                          for (const HttpField &Field : What.Answer_.Fields_) {
+                            wire::WireField Copy;
+                            Copy.name = Field.Name_;
+                            Copy.value = Field.Value_;
+                            Reply.fields.push_back(std::move(Copy));
+                          }
+                        },
+                        [&](const NotRun &What) {
+                          Reply.outcome = wire::WireOutcome::NOT_RUN;
+                          Reply.reason = static_cast<int32_t>(What.Reason_);
+                        },
+                        [&](const MayHaveRun &What) {
+                          Reply.outcome = wire::WireOutcome::MAY_HAVE_RUN;
+                          Reply.reason = static_cast<int32_t>(What.Reason_);
+                        }},
+             Outcome);
+}
+
+/// The route of an offer. A gate that has not applied the newest configuration
+/// yet may not know it; then the offer itself tells enough.
+Route routeOf(const ConfigState &Config, const wire::Offer &Offered) {
+  if (const ServiceResource *Service = Config.service(Offered.service_name))
+    for (const Route &Known : Service->Routes_)
+      if (Known.Name_ == Offered.route)
+        return Known;
+  Route Unknown;
+  Unknown.Name_ = Offered.route;
+  Unknown.Kind_ = Offered.route;
+  Unknown.Rank_ = "normal";
+  Unknown.Method_ = Offered.method;
+  Unknown.Idempotent_ = Offered.method == "GET" || Offered.method == "HEAD";
+  return Unknown;
+}
+
+} // namespace
+
+class Gate::Impl {
+public:
+  Impl(asio::io_context &Context, NodeKnowledge Knowledge,
+       const TicketOffice &Office, AttemptTable &Attempts,
+       RequestLedger &Ledger, PolicyKind Policy, Options Limits)
+      : Knowledge_(std::move(Knowledge)), Office_(Office), Attempts_(Attempts),
+        Ledger_(Ledger), Options_(Limits), Strand_(asio::make_strand(Context)),
+        Timer_(Strand_), Upstream_(Context, {}),
+        Tickets_(*Knowledge_.Clock_,
+                 {Limits.TicketEntries_, Limits.KeptAnswerBytes_}),
+        Queue_(*Knowledge_.Clock_, Policy, {1, Limits.QueueLimit_, Millis(5)}) {
+  }
+
+  void start(OnServing Changed);
+  void stop();
+  Millis announce(Announcement Fresh);
+  void offer(uint64_t Connection, const wire::Offer &Offered, Respond Answer);
+  void inquire(const wire::Inquiry &Asked, Respond Answer);
+  void cancel(uint64_t Connection, int64_t Attempt);
+  void connectionClosed(uint64_t Connection);
+  void drain();
+  bool draining() const { return Draining_; }
+  bool idle() const;
+  Figures figures() const;
+
+private:
+  /// One offer that this gate owns, from its admission to its end.
+  struct Call : Waiting,
+                boost::intrusive_ref_counter<Call, boost::thread_safe_counter> {
+    Call(AdmissionRequest Request, CallKey Key, wire::Offer Offered, Route Kind)
+        : Waiting(std::move(Request)), Key_(std::move(Key)),
+          Offer_(std::move(Offered)), Route_(std::move(Kind)) {}
+    const CallKey Key_;
+    wire::Offer Offer_;
+    const Route Route_;
+    std::optional<Ticket> Ticket_;
+    Respond Respond_; // of an idempotent call
+    std::string AttemptKey_;
+    Millis Started_;
+    // Guarded by the gate's mutex.
+    UpstreamClient::CallPointer Upstream_;
+    bool Cancelled_ = false;
+  };
+  using CallPointer = boost::intrusive_ptr<Call>;
+  using Decisions =
+      std::vector<std::pair<CallPointer, AdmissionQueue::Decision>>;
+
+  Reason refusalOf(const std::string &Service) const;
+  AdmissionRequest admissionOf(const ConfigState &Config, const Route &Kind,
+                               const wire::Offer &Offered) const;
+  void offerTicketed(const CallPointer &Fresh, Respond Answer);
+  void enqueue(const CallPointer &Fresh);
+  Decisions takeDecisions();
+  void carryOut(const Decisions &Due);
+  void startCall(const CallPointer &Due);
+  void refuse(const CallPointer &Due, Reason Why);
+  void onUpstreamEnd(const CallPointer &Due, Verdict Outcome);
+  void endCall(const CallPointer &Due, const Verdict &Outcome, int Credits);
+  wire::Reply newReply(int64_t Attempt, std::string_view Kind) const;
+  std::string successorOf(const Ticket &Closed) const;
+  std::optional<size_t> ownIndex(const Ticket &Asked) const;
+  void tick();
+  void armTimer();
+  void lapseLease();
+
+  const NodeKnowledge Knowledge_;
+  const TicketOffice &Office_;
+  AttemptTable &Attempts_;
+  RequestLedger &Ledger_;
+  const Options Options_;
+  asio::strand<asio::io_context::executor_type> Strand_;
+  asio::steady_timer Timer_;
+  UpstreamClient Upstream_;
+  TicketTable Tickets_;
+  OnServing Changed_;
+  std::atomic<bool> Draining_ = false;
+  int Ticks_ = 0;
+
+  mutable std::mutex Mutex_; // guards the members below
+  AdmissionQueue Queue_;
+  Announcement Announced_;
+  Millis LeaseEnd_;
+  bool Serving_ = false;
+  std::map<CallKey, CallPointer> Calls_;
+};
+
+void Gate::Impl::start(OnServing Changed) {
+  Changed_ = std::move(Changed);
+  asio::post(Strand_, [this] { armTimer(); });
+}
+
+void Gate::Impl::stop() {
+  asio::post(Strand_, [this] { Timer_.cancel(); });
+}
+
+void Gate::Impl::armTimer() {
+  Timer_.expires_after(toChrono(TickSpan));
+  Timer_.async_wait([this](const boost::system::error_code &Error) {
+    if (Error)
+      return;
+    tick();
+    armTimer();
+  });
+}
+
+void Gate::Impl::tick() {
+  Decisions Due;
+  {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    Queue_.tick();
+    Due = takeDecisions();
+  }
+  carryOut(Due);
+  lapseLease();
+  if (++Ticks_ % TicksPerExpiry == 0)
+    Tickets_.expire();
+}
+
+void Gate::Impl::lapseLease() {
+  {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    if (!Serving_ || Knowledge_.Clock_->now() < LeaseEnd_)
+      return;
+    Serving_ = false;
+  }
+  logEvent(LogLevel::Warning, "announcement_lapsed");
+  Changed_("", 0, Draining_);
+}
+
+Millis Gate::Impl::announce(Announcement Fresh) {
+  using State = Announcement::State;
+  bool Changed = false;
+  bool Serving = Fresh.State_ == State::Serving;
+  {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    Changed = Serving_ != Serving || !(Announced_ == Fresh);
+    Announced_ = Fresh;
+    Serving_ = Serving;
+    LeaseEnd_ = Knowledge_.Clock_->now() + Options_.Lease_;
+    Queue_.setSlots(Fresh.Slots_);
+  }
+  Upstream_.setTarget(Fresh.Address_, static_cast<size_t>(Fresh.Connections_));
+  if (!Changed)
+    return Options_.Lease_;
+  logEvent(LogLevel::Info, "announced",
+           {{"service", Fresh.Service_},
+            {"slots", Fresh.Slots_},
+            {"serving", Serving},
+            {"leaving", Fresh.State_ == State::Leaving}});
+  bool Present = Fresh.State_ != State::Starting;
+  Changed_(Present ? Fresh.Service_ : "", Present ? Fresh.Slots_ : 0,
+           Draining_ || Fresh.State_ == State::Leaving);
+  return Options_.Lease_;
+}
+
+Reason Gate::Impl::refusalOf(const std::string &Service) const {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  if (Draining_ || Announced_.State_ == Announcement::State::Leaving)
+    return Reason::Leaving;
+  if (!Serving_ || Announced_.Service_ != Service)
+    return Reason::NoUpstream;
+  return Reason::None;
+}
+
+AdmissionRequest Gate::Impl::admissionOf(const ConfigState &Config,
+                                         const Route &Kind,
+                                         const wire::Offer &Offered) const {
+  const RankResource &Rank = Config.rank(Kind.Rank_);
+  AdmissionRequest Request;
+  Request.RankOrder_ = Offered.depth > 0
+                           ? std::min(Rank.Order_, Offered.rank_order)
+                           : Rank.Order_;
+  Request.Weight_ = Rank.Weight_;
+  Request.RankLimit_ = Rank.Limit_;
+  Request.RankFloor_ = Rank.Floor_;
+  Request.Protected_ = Kind.Protected_ || Offered.protected_call;
+  Request.Kind_ = Kind.Kind_;
+  Request.Client_ = Offered.client;
+  Request.Bucket_ = Offered.bucket;
+  Request.Depth_ = Offered.depth;
+  Request.Deadline_ =
+      Knowledge_.Clock_->now() + Millis(double(Offered.remaining_ms));
+  return Request;
+}
+
+void Gate::Impl::offer(uint64_t Connection, const wire::Offer &Offered,
+                       Respond Answer) {
+  auto Config = Knowledge_.Config_();
+  Route Kind = routeOf(*Config, Offered);
+  CallPointer Fresh(new Call(admissionOf(*Config, Kind, Offered),
+                             {Connection, Offered.attempt}, Offered, Kind));
+  if (!Offered.ticket.empty())
+    return offerTicketed(Fresh, std::move(Answer));
+  Fresh->Respond_ = std::move(Answer);
+  Reason Why = refusalOf(Offered.service_name);
+  if (!Kind.Idempotent_)
+    Why = Reason::TicketNeeded;
+  if (Why != Reason::None)
+    refuse(Fresh, Why);
+  else
+    enqueue(Fresh);
+}
+
+std::optional<size_t> Gate::Impl::ownIndex(const Ticket &Asked) const {
+  for (size_t I = 0; I < Asked.Candidates_.size(); ++I)
+    if (Asked.Candidates_[I].Node_ == Knowledge_.Node_)
+      return I;
+  return {};
+}
+
+void Gate::Impl::offerTicketed(const CallPointer &Fresh, Respond Answer) {
+  const wire::Offer &Offered = Fresh->Offer_;
+  auto RespondNow = [&](const Verdict &Outcome) {
+    wire::Reply Reply = newReply(Offered.attempt, Fresh->Route_.Kind_);
+    setOutcome(Reply, Outcome);
+    Reply.credits_left = Offered.credits;
+    Answer(std::move(Reply));
+  };
+  auto Opened = Office_.open(Offered.ticket);
+  auto Index = Opened ? ownIndex(*Opened) : std::nullopt;
+  if (!Index || Opened->Client_ != Offered.client ||
+      Opened->Service_ != Offered.service_name ||
+      Opened->Route_ != Offered.route)
+    return RespondNow(NotRun{Reason::TicketInvalid});
+  // The process that may know of this ticket was replaced by this one.
+  if (Opened->Candidates_[*Index].Incarnation_ != Knowledge_.Incarnation_)
+    return RespondNow(MayHaveRun{Reason::CandidateGone});
+  Fresh->Ticket_ = std::move(Opened);
+
+  Reason Why = refusalOf(Offered.service_name);
+  if (Why != Reason::None)
+    Tickets_.closeIfUnknown(*Fresh->Ticket_, Why, successorOf(*Fresh->Ticket_));
+  auto Owner = std::make_shared<std::atomic<bool>>(false);
+  auto Handler = [this, Owner, Answer, Attempt = Offered.attempt,
+                  Credits = Offered.credits,
+                  Kind = Fresh->Route_.Kind_](const Outcome &Result) {
+    wire::Reply Reply = newReply(Attempt, Kind);
+    setOutcome(Reply, Result.Verdict_);
+    Reply.closed = Result.Closed_;
+    Reply.successor = Result.Successor_;
+    // Only the offer that started the execution has lent its credits on.
+    bool Spent = *Owner && !std::holds_alternative<NotRun>(Result.Verdict_);
+    Reply.credits_left = Spent ? Result.CreditsLeft_ : Credits;
+    Answer(std::move(Reply));
+  };
+  std::string Digest =
+      requestDigest(Offered.method, Offered.target, Offered.body);
+  if (Tickets_.offer(*Fresh->Ticket_, Digest, Handler) != Admit::Started)
+    return;
+  *Owner = true;
+  enqueue(Fresh);
+}
+
+void Gate::Impl::enqueue(const CallPointer &Fresh) {
+  Decisions Due;
+  {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    Calls_[Fresh->Key_] = Fresh;
+    Queue_.offer(*Fresh);
+    Due = takeDecisions();
+  }
+  carryOut(Due);
+}
+
+// Called with the mutex held; the calls are kept alive past it.
+Gate::Impl::Decisions Gate::Impl::takeDecisions() {
+  Decisions Due;
+  for (const AdmissionQueue::Decision &Next : Queue_.take())
+    Due.emplace_back(static_cast<Call *>(Next.Request_), Next);
+  return Due;
+}
+
+void Gate::Impl::carryOut(const Decisions &Due) {
+  for (const auto &[Next, What] : Due)
+    std::visit(
+        Overloaded{[&](const AdmissionQueue::Start &) { startCall(Next); },
+                   [&](const AdmissionQueue::Refuse &Refused) {
+                     {
+                       std::lock_guard<std::mutex> Lock(Mutex_);
+                       Calls_.erase(Next->Key_);
+                     }
+                     refuse(Next, Refused.Reason_);
+                   }},
+        What.What_);
+}
+
+void Gate::Impl::startCall(const CallPointer &Due) {
+  const wire::Offer &Offered = Due->Offer_;
+  if (Due->Ticket_ && !Tickets_.begin(Due->Ticket_->Serial_)) {
+    Decisions Next;
+    {
+      std::lock_guard<std::mutex> Lock(Mutex_);
+      Queue_.abandon(Due->Request_);
+      Calls_.erase(Due->Key_);
+      Next = takeDecisions();
+    }
+    return carryOut(Next);
+  }
+  Millis Now = Knowledge_.Clock_->now();
+  Millis Remaining = Due->Request_.Deadline_ - Now;
+  Due->Started_ = Now;
+  Due->AttemptKey_ = newRequestId() + newRequestId();
+  ParentCall Parent;
+  Parent.AttemptKey_ = Due->AttemptKey_;
+  Parent.RequestId_ = Offered.request_id;
+  Parent.Client_ = Offered.client;
+  Parent.Ticket_ = Due->Ticket_ ? Due->Ticket_->Serial_ : "";
+  Parent.Bucket_ = Offered.bucket;
+  Parent.Depth_ = Offered.depth;
+  Parent.RankOrder_ = Due->Request_.RankOrder_;
+  Parent.Idempotent_ = !Due->Ticket_;
+  Parent.Protected_ = Due->Request_.Protected_;
+  Parent.Deadline_ = Due->Request_.Deadline_;
+  Attempts_.open(std::move(Parent), Offered.credits);
+
+  UpstreamRequest Request;
+  Request.Method_ = Offered.method;
+  Request.Target_ = Offered.target;
+  Request.Body_ = std::move(Due->Offer_.body);
+  for (const wire::WireField &Field : Offered.fields)
+    Request.Fields_.push_back({Field.name, Field.value});
+  Request.Fields_.push_back({"Coltsfoot-Context", Due->AttemptKey_});
+  Request.Fields_.push_back({"Coltsfoot-Request-Id", Offered.request_id});
+  Request.Fields_.push_back({"Coltsfoot-Client", Offered.client});
+  Request.Fields_.push_back(
+      {"Coltsfoot-Deadline-Ms",
+       std::to_string(std::max<int64_t>(0, Remaining.whole()))});
+  // An action that has started is not broken off by its caller's deadline.
+  Millis TimeLimit = Due->Ticket_ ? Options_.AttemptLimit_
+                                  : std::min(Remaining, Options_.AttemptLimit_);
+  auto Upstream = Upstream_.call(
+      std::move(Request), TimeLimit,
+      [this, Due](Verdict Outcome) { onUpstreamEnd(Due, std::move(Outcome)); });
+  bool Cancelled = false;
+  {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    Due->Upstream_ = Upstream;
+    Cancelled = Due->Cancelled_;
+  }
+  if (Cancelled)
+    Upstream->cancel();
+}
+
+void Gate::Impl::refuse(const CallPointer &Due, Reason Why) {
+  wire::Reply Reply = newReply(Due->Offer_.attempt, Due->Route_.Kind_);
+  std::string Detail = "service=" + Due->Offer_.service_name +
+                       " reason=" + std::string(reasonName(Why)) + " " +
+                       figuresText(Reply, Due->Route_);
+  Ledger_.note(Due->Offer_.request_id, "gate-refused", std::move(Detail));
+  if (Due->Ticket_) {
+    Tickets_.close(Due->Ticket_->Serial_, Why, successorOf(*Due->Ticket_));
+    return;
+  }
+  setOutcome(Reply, NotRun{Why});
+  Reply.credits_left = Due->Offer_.credits;
+  Due->Respond_(std::move(Reply));
+}
+
+void Gate::Impl::onUpstreamEnd(const CallPointer &Due, Verdict Outcome) {
+  int Credits = Attempts_.close(Due->AttemptKey_);
+  Millis Latency = Knowledge_.Clock_->now() - Due->Started_;
+  Decisions Next;
+  {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    ServiceResult Result = ServiceResult::Ok;
+    if (const Ran *Answered = std::get_if<Ran>(&Outcome)) {
+      if (Answered->Answer_.Status_ == ShedStatus)
+        Result = ServiceResult::Shed;
+      if (Result == ServiceResult::Shed && Announced_.ShedMeansNotRun_)
+        Outcome = NotRun{Reason::UpstreamShed};
+    } else {
+      Result = ServiceResult::Failed;
+    }
+    if (Due->Cancelled_)
+      Queue_.abandon(Due->Request_);
+    else
+      Queue_.finish(Due->Request_, Latency, Result);
+    Calls_.erase(Due->Key_);
+    Due->Upstream_ = nullptr;
+    Next = takeDecisions();
+  }
+  endCall(Due, Outcome, Credits);
+  carryOut(Next);
+}
+
+void Gate::Impl::endCall(const CallPointer &Due, const Verdict &Outcome,
+                         int Credits) {
+  wire::Reply Reply = newReply(Due->Offer_.attempt, Due->Route_.Kind_);
+  if (!std::holds_alternative<Ran>(Outcome)) {
+    Reason Why =
+        std::visit(Overloaded{[](const Ran &) { return Reason::None; },
+                              [](const auto &Other) { return Other.Reason_; }},
+                   Outcome);
+    Ledger_.note(Due->Offer_.request_id, "gate-failed",
+                 "service=" + Due->Offer_.service_name +
+                     " verdict=" + std::string(verdictName(Outcome)) +
+                     " reason=" + std::string(reasonName(Why)) + " " +
+                     figuresText(Reply, Due->Route_));
+  }
+  if (Due->Ticket_) {
+    std::string Successor;
+    if (std::holds_alternative<NotRun>(Outcome))
+      Successor = successorOf(*Due->Ticket_);
+    Tickets_.finish(
+        Due->Ticket_->Serial_,
+        {Outcome, Credits, std::holds_alternative<NotRun>(Outcome), Successor});
+    return;
+  }
+  setOutcome(Reply, Outcome);
+  Reply.credits_left = Credits;
+  Due->Respond_(std::move(Reply));
+}
+
+wire::Reply Gate::Impl::newReply(int64_t Attempt, std::string_view Kind) const {
+  wire::Reply Reply;
+  Reply.attempt = Attempt;
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  AdmissionThreshold Now = Queue_.threshold(Kind);
+  Reply.threshold.rank = Now.Rank_;
+  Reply.threshold.bucket = Now.Bucket_;
+  Reply.in_flight = Queue_.running() + Queue_.waiting();
+  Reply.limit = Queue_.limit();
+  Reply.leaving =
+      Draining_ || Announced_.State_ == Announcement::State::Leaving;
+  Reply.retry_after_ms = static_cast<int32_t>(Queue_.retryAfter().whole());
+  return Reply;
+}
+
+std::string Gate::Impl::successorOf(const Ticket &Closed) const {
+  if (Closed.Candidates_.back().Node_ != Knowledge_.Node_)
+    return {};
+  return Office_.mint(Closed.Service_, Closed.Route_, Closed.Client_)
+      .value_or("");
+}
+
+void Gate::Impl::inquire(const wire::Inquiry &Asked, Respond Answer) {
+  auto RespondNow = [&](const Verdict &Outcome) {
+    wire::Reply Reply = newReply(Asked.attempt, "");
+    setOutcome(Reply, Outcome);
+    Answer(std::move(Reply));
+  };
+  auto Opened = Office_.open(Asked.ticket);
+  auto Index = Opened ? ownIndex(*Opened) : std::nullopt;
+  if (!Index)
+    return RespondNow(NotRun{Reason::TicketInvalid});
+  if (Opened->Candidates_[*Index].Incarnation_ != Knowledge_.Incarnation_)
+    return RespondNow(MayHaveRun{Reason::CandidateGone});
+  Tickets_.inquire(
+      *Opened, Asked.close, Reason::ConnectionLost,
+      [&] { return successorOf(*Opened); },
+      [this, Answer, Attempt = Asked.attempt](const Outcome &Result) {
+        wire::Reply Reply = newReply(Attempt, "");
+        setOutcome(Reply, Result.Verdict_);
+        Reply.closed = Result.Closed_;
+        Reply.successor = Result.Successor_;
+        Answer(std::move(Reply));
+      });
+}
+
+void Gate::Impl::cancel(uint64_t Connection, int64_t Attempt) {
+  CallPointer Withdrawn;
+  UpstreamClient::CallPointer Running;
+  {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    auto Entry = Calls_.find({Connection, Attempt});
+    if (Entry == Calls_.end())
+      return;
+    CallPointer Known = Entry->second;
+    if (Queue_.cancel(*Known)) {
+      Calls_.erase(Entry);
+      Withdrawn = Known;
+    } else if (!Known->Ticket_) {
+      Known->Cancelled_ = true;
+      Running = Known->Upstream_;
+    }
+  }
+  if (Withdrawn)
+    refuse(Withdrawn, Reason::Cancelled);
+  if (Running)
+    Running->cancel();
+}
+
+// Ticketed calls stay: their entry, or another one, asks for them again.
+void Gate::Impl::connectionClosed(uint64_t Connection) {
+  std::vector<int64_t> Attempts;
+  {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    for (auto Entry = Calls_.lower_bound({Connection, 0});
+         Entry != Calls_.end() && Entry->first.first == Connection; ++Entry)
+      if (!Entry->second->Ticket_)
+        Attempts.push_back(Entry->first.second);
+  }
+  for (int64_t Attempt : Attempts)
+    cancel(Connection, Attempt);
+}
+
+void Gate::Impl::drain() {
+  if (Draining_.exchange(true))
+    return;
+  Announcement Now;
+  {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    Now = Announced_;
+  }
+  Changed_(Now.Service_, Now.Slots_, true);
+}
+
+bool Gate::Impl::idle() const {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  return Calls_.empty();
+}
+
+Gate::Figures Gate::Impl::figures() const {
+  TicketTable::Figures Kept = Tickets_.figures();
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  return {Announced_,       Serving_,       Draining_,     Queue_.running(),
+          Queue_.waiting(), Queue_.limit(), Kept.Entries_, Kept.KeptBytes_};
+}
+
+Gate::Gate(asio::io_context &Context, NodeKnowledge Knowledge,
+           const TicketOffice &Office, AttemptTable &Attempts,
+           RequestLedger &Ledger, PolicyKind Policy, Options Limits)
+    : Impl_(std::make_unique<Impl>(Context, std::move(Knowledge), Office,
+                                   Attempts, Ledger, Policy, Limits)) {}
+
+Gate::~Gate() = default;
+
+void Gate::start(OnServing Changed) { Impl_->start(std::move(Changed)); }
+void Gate::stop() { Impl_->stop(); }
+Millis Gate::announce(Announcement Fresh) {
+  return Impl_->announce(std::move(Fresh));
+}
+void Gate::offer(uint64_t Connection, const wire::Offer &Offered,
+                 Respond Answer) {
+  Impl_->offer(Connection, Offered, std::move(Answer));
+}
+void Gate::inquire(const wire::Inquiry &Asked, Respond Answer) {
+  Impl_->inquire(Asked, std::move(Answer));
+}
+void Gate::cancel(uint64_t Connection, int64_t Attempt) {
+  Impl_->cancel(Connection, Attempt);
+}
+void Gate::connectionClosed(uint64_t Connection) {
+  Impl_->connectionClosed(Connection);
+}
+void Gate::drain() { Impl_->drain(); }
+bool Gate::draining() const { return Impl_->draining(); }
+bool Gate::idle() const { return Impl_->idle(); }
+Gate::Figures Gate::figures() const { return Impl_->figures(); }
+
+} // namespace coltsfoot
--- /dev/null
+++ b/src/libcoordination/node.cpp
@@ -0,0 +1,482 @@
+#include "node.h"
+
+#include "api.h"
+#include "attempttable.h"
+#include "coltsfoot_types.h"
+#include "configservice.h"
+#include "configsync.h"
+#include "entry.h"
+#include "entrythreshold.h"
+#include "gate.h"
+#include "gossipservice.h"
+#include "logclient.h"
+#include "memberview.h"
+#include "nodelife.h"
+#include "peerpool.h"
+#include "peerserver.h"
+#include "policy.h"
+#include "requestledger.h"
+#include "seedkeeper.h"
+#include "timer.h"
+#include "watchedlog.h"
+
+#include "coltsfootpoint/ipport.h"
+#include "coltsfootpoint/log.h"
+#include "coltsfootpoint/secret.h"
+#include "coltsfootpoint/settings.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+
+namespace coltsfoot {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr int ProtocolVersion = 1;
+constexpr Millis TickSpan(50);
+/// How long a draining node goes on as an entry at least, so that callers and
+/// other nodes learn of it before it stops taking calls.
+constexpr Millis MinDrain(500);
+/// How long it then still answers on kept connections.
+constexpr Millis CloseLinger(300);
+
+tcp::endpoint endpointOf(const std::string &Address, uint16_t Port) {
+  return {asio::ip::make_address(Address), Port};
+}
+
+SealingKeys keysOf(const SecuritySettings &Security) {
+  std::optional<std::string> Previous;
+  if (!Security.PreviousTicketKeyFile_.empty())
+    Previous = loadSecret(Security.PreviousTicketKeyFile_).bytes();
+  return SealingKeys(std::string(loadSecret(Security.TicketKeyFile_).bytes()),
+                     Previous);
+}
+
+std::unique_ptr<LogClient> logClientOf(asio::io_context &Context,
+                                       const LogServiceSettings &Given) {
+  if (Given.Address_.empty())
+    return nullptr;
+  IpPort Address = parseIpPort(Given.Address_).value();
+  LogClient::Options Options;
+  Options.Host_ = Address.Ip_;
+  Options.Port_ = Address.Port_;
+  Options.RequestTimeout_ = Given.RequestTimeout_;
+  return std::make_unique<LogClient>(Context, Options);
+}
+
+/// The two sockets of a node that share one port number.
+struct PeerSockets {
+  std::unique_ptr<PeerServer> Tcp_;
+  std::unique_ptr<GossipService> Udp_;
+  std::string Name_;
+};
+
+} // namespace
+
+class Node::Impl {
+public:
+  Impl(asio::io_context &Context, const Settings &Given);
+
+  void start(std::function<void()> Stopped);
+  void drain();
+  uint16_t httpPort() const { return Http_->port(); }
+  const std::string &name() const { return Sockets_.Name_; }
+
+private:
+  PeerSockets bindPeerSockets(const Settings &Given);
+  NodeKnowledge knowledge() const;
+  wire::Hello hello() const;
+  FrameConnection::Options connectionOptions() const;
+  EntryParts entryParts();
+  ApiParts apiParts();
+  void startGossip();
+  void onPeerFrame(uint64_t Connection, const FrameConnection::Pointer &From,
+                   const wire::Frame &Message);
+  void onLocalFrame(const wire::Frame &Message,
+                    const std::function<void(wire::Frame)> &Answer);
+  void answerFrame(uint64_t Connection, const wire::Frame &Message,
+                   const std::function<void(wire::Frame)> &Answer);
+  void onServing(const std::string &Service, int Slots, bool Leaving);
+  Reason notServing() const;
+  void updateIsolation();
+  void arm();
+  void tick();
+  void advanceDrain(Millis Now);
+  void stopAll();
+
+  asio::io_context &Context_;
+  const Settings Settings_;
+  const SystemClock Clock_;
+  const Incarnation Incarnation_;
+  const PolicyKind Policy_;
+  std::unique_ptr<LogClient> LogClient_;
+  WatchedLog Log_;
+  PeerSockets Sockets_;
+  PeerPool Peers_;
+  ConfigService Config_;
+  ConfigSync ConfigSync_;
+  SeedKeeper Seeds_;
+  Balancer Balancer_;
+  EntryThreshold Thresholds_;
+  AttemptTable Attempts_;
+  RequestLedger Ledger_;
+  TicketOffice Office_;
+  Gate Gate_;
+  Entry Entry_;
+  Api Api_;
+  std::unique_ptr<HttpServer> Http_;
+
+  asio::strand<asio::io_context::executor_type> Strand_;
+  asio::steady_timer Timer_;
+  NodeLife Life_;
+  std::atomic<NodeLife::State> State_ = NodeLife::State::Joining;
+  std::atomic<bool> Isolated_ = false;
+  Millis DrainStart_;
+  Millis IdleSince_;
+  bool Closing_ = false;
+  std::function<void()> Stopped_;
+};
+
+Node::Impl::Impl(asio::io_context &Context, const Settings &Given)
+    : Context_(Context), Settings_(Given), Incarnation_(randomBits()),
+      Policy_(parsePolicy(policyName(Given.Node_.Policy_))),
+      LogClient_(logClientOf(Context, Given.LogService_)),
+      Log_(LogClient_.get(), Clock_), Sockets_(bindPeerSockets(Given)),
+      Peers_(Context, connectionOptions(),
+             asio::ip::make_address(Given.Node_.Address_), hello()),
+      Config_(Context, Log_, Clock_,
+              [&] {
+                ConfigService::Options Options;
+                Options.PollWait_ = Given.LogService_.ReadWait_;
+                Options.SnapshotEvery_ =
+                    Given.LogService_.SnapshotEveryRecords_;
+                Options.Retention_ = Given.LogService_.Retention_;
+                return Options;
+              }()),
+      ConfigSync_(Context, Config_, *Sockets_.Udp_, Peers_, Sockets_.Name_,
+                  Given.Node_.Zone_),
+      Seeds_(Context, Log_, *Sockets_.Udp_, Clock_,
+             {Given.Node_.Fleet_, Sockets_.Name_, Given.Node_.Zone_,
+              Given.Node_.Region_},
+             Given.LogService_.Retention_),
+      Attempts_(Clock_), Ledger_(Clock_),
+      Office_(knowledge(), keysOf(Given.Security_), Balancer_),
+      Gate_(Context, knowledge(), Office_, Attempts_, Ledger_, Policy_,
+            {Given.Limits_.Queue_,
+             static_cast<size_t>(Given.Limits_.TicketEntries_),
+             Given.Limits_.KeptAnswerBytes_, Millis(3000),
+             Given.Timeouts_.Attempt_}),
+      Entry_(entryParts()), Api_(apiParts()),
+      Strand_(asio::make_strand(Context)), Timer_(Strand_) {
+  HttpServer::Options Limits;
+  Limits.HeaderBytes_ = Given.Limits_.HeaderBytes_;
+  Limits.BodyBytes_ = Given.Limits_.BodyBytes_;
+  Limits.Callers_ = static_cast<size_t>(Given.Limits_.Callers_);
+  Limits.Idle_ = Given.Limits_.CallerIdle_;
+  Limits.RequestTime_ = Given.Limits_.HeaderTimeout_;
+  Http_ = std::make_unique<HttpServer>(
+      Context, endpointOf(Given.Node_.Address_, Given.Node_.HttpPort_), Limits,
+      [this](const HttpExchange::Pointer &Exchange) {
+        if (Entry_.isCall(Exchange->request()))
+          Entry_.handle(Exchange);
+        else
+          Api_.handle(Exchange);
+      });
+}
+
+// TCP and UDP use one port number, so that one address names a node.
+PeerSockets Node::Impl::bindPeerSockets(const Settings &Given) {
+  constexpr int MaxTries = 20;
+  for (int Try = 1;; ++Try) {
+    PeerSockets Bound;
+    Bound.Tcp_ = std::make_unique<PeerServer>(
+        Context_, endpointOf(Given.Node_.Address_, Given.Node_.PeerPort_));
+    std::string Address =
+        Given.Node_.Address_ + ":" + std::to_string(Bound.Tcp_->port());
+    Bound.Name_ =
+        Given.Node_.Advertise_.empty() ? Address : Given.Node_.Advertise_;
+    Member Self;
+    Self.Node_ = Bound.Name_;
+    Self.Incarnation_ = Incarnation_;
+    Self.Generation_ = Clock_.wallNow().whole();
+    Self.Zone_ = Given.Node_.Zone_;
+    Self.Region_ = Given.Node_.Region_;
+    GossipOptions Options;
+    Options.Fleet_ = Given.Node_.Fleet_;
+    Options.ProbeInterval_ = Given.Membership_.ProbeInterval_;
+    Options.ProbeTimeout_ = Given.Membership_.ProbeTimeout_;
+    Options.SuspicionTime_ = Given.Membership_.Suspicion_;
+    Options.SpreadInterval_ = Given.Membership_.SpreadInterval_;
+    Options.DigestInterval_ = Given.Membership_.DigestInterval_;
+    Options.Peers_ = Given.Membership_.Peers_;
+    try {
+      Bound.Udp_ = std::make_unique<GossipService>(Context_, Clock_, Options,
+                                                   Self, Address, randomBits());
+      return Bound;
+    } catch (const boost::system::system_error &) {
+      if (Given.Node_.PeerPort_ != 0 || Try == MaxTries)
+        throw;
+    }
+  }
+}
+
+NodeKnowledge Node::Impl::knowledge() const {
+  NodeKnowledge Known;
+  Known.Clock_ = &Clock_;
+  Known.Node_ = Sockets_.Name_;
+  Known.Incarnation_ = Incarnation_;
+  Known.Zone_ = Settings_.Node_.Zone_;
+  Known.Region_ = Settings_.Node_.Region_;
+  Known.Config_ = [this] { return Config_.current(); };
+  Known.Members_ = [this] { return Sockets_.Udp_->view(); };
+  return Known;
+}
+
+wire::Hello Node::Impl::hello() const {
+  wire::Hello Greeting;
+  Greeting.version = ProtocolVersion;
+  Greeting.node = Sockets_.Name_;
+  Greeting.incarnation = static_cast<int64_t>(Incarnation_);
+  Greeting.zone = Settings_.Node_.Zone_;
+  return Greeting;
+}
+
+FrameConnection::Options Node::Impl::connectionOptions() const {
+  FrameConnection::Options Options;
+  Options.Connect_ = Settings_.Timeouts_.Connect_;
+  Options.Heartbeat_ = Settings_.Timeouts_.Heartbeat_;
+  Options.Silent_ = Settings_.Timeouts_.Silent_;
+  Options.MaxFrameBytes_ =
+      2 * (Settings_.Limits_.BodyBytes_ + Settings_.Limits_.HeaderBytes_) +
+      size_t{8} * 1024 * 1024;
+  return Options;
+}
+
+EntryParts Node::Impl::entryParts() {
+  return EntryParts{Context_,
+                    knowledge(),
+                    Office_,
+                    Balancer_,
+                    Thresholds_,
+                    Attempts_,
+                    Peers_,
+                    Ledger_,
+                    Policy_,
+                    [this] { return notServing(); },
+                    [this](const CallRecord &Record) { Api_.record(Record); }};
+}
+
+ApiParts Node::Impl::apiParts() {
+  ApiParts Parts{Context_, Clock_,         Config_, Peers_, Gate_, Entry_,
+                 Ledger_,  *Sockets_.Udp_, {},      {},     {},    {},
+                 {}};
+  Parts.Node_ = Sockets_.Name_;
+  Parts.OperatorToken_ = loadSecret(Settings_.Security_.OperatorTokenFile_);
+  Parts.State_ = [this] { return std::string(nodeStateName(State_)); };
+  Parts.Drain_ = [this] { drain(); };
+  Parts.Isolated_ = [this] { return Isolated_.load(); };
+  return Parts;
+}
+
+void Node::Impl::start(std::function<void()> Stopped) {
+  Stopped_ = std::move(Stopped);
+  Peers_.setLocal([this](const wire::Frame &Message,
+                         const std::function<void(wire::Frame)> &Answer) {
+    onLocalFrame(Message, Answer);
+  });
+  PeerServer::Handlers Handlers;
+  Handlers.OnFrame_ = [this](uint64_t Connection, FrameConnection::Pointer From,
+                             wire::Frame &&Message) {
+    onPeerFrame(Connection, From, Message);
+  };
+  Handlers.OnClosed_ = [this](uint64_t Connection) {
+    Gate_.connectionClosed(Connection);
+  };
+  Sockets_.Tcp_->start(connectionOptions(), hello(), std::move(Handlers));
+  startGossip();
+  ConfigSync_.start();
+  Config_.start();
+  Seeds_.start();
+  Gate_.start([this](const std::string &Service, int Slots, bool Leaving) {
+    onServing(Service, Slots, Leaving);
+  });
+  Http_->start();
+  asio::post(Strand_, [this] { arm(); });
+}
+
+void Node::Impl::startGossip() {
+  GossipCallbacks Callbacks;
+  Callbacks.OnMemberChange_ = [this](const MemberChange &Change) {
+    logEvent(LogLevel::Info, "member",
+             {{"node", Change.New_.Node_},
+              {"state", memberStateName(Change.New_.State_)},
+              {"service", Change.New_.Service_},
+              {"zone", Change.New_.Zone_}});
+    if (Change.New_.State_ == MemberState::Dead)
+      Balancer_.forget({Change.New_.Node_, Change.New_.Incarnation_});
+  };
+  Callbacks.OnRecords_ = [this](const std::vector<SpreadRecord> &Records) {
+    std::vector<LogRecord> Copies;
+    for (const SpreadRecord &Record : Records)
+      Copies.push_back({Record.Offset_, Record.Data_});
+    Config_.onPeerRecords(std::move(Copies));
+  };
+  Callbacks.OnPeerAhead_ = [this](const PeerAhead &Ahead) {
+    ConfigSync_.onPeerAhead(Ahead.Node_, Ahead.Offset_);
+  };
+  Sockets_.Udp_->start(std::move(Callbacks));
+}
+
+void Node::Impl::onServing(const std::string &Service, int Slots,
+                           bool Leaving) {
+  Sockets_.Udp_->updateSelf(Service, Slots);
+  if (Leaving)
+    Sockets_.Udp_->setLeaving();
+  else
+    Sockets_.Udp_->setServing();
+}
+
+void Node::Impl::onPeerFrame(uint64_t Connection,
+                             const FrameConnection::Pointer &From,
+                             const wire::Frame &Message) {
+  answerFrame(Connection, Message,
+              [From](const wire::Frame &Answer) { From->send(Answer); });
+}
+
+void Node::Impl::onLocalFrame(const wire::Frame &Message,
+                              const std::function<void(wire::Frame)> &Answer) {
+  answerFrame(0, Message, Answer);
+}
+
+void Node::Impl::answerFrame(uint64_t Connection, const wire::Frame &Message,
+                             const std::function<void(wire::Frame)> &Answer) {
+  auto Reply = [Answer](wire::Reply Result) {
+    wire::Frame Out;
+    Out.__set_reply(Result);
+    Answer(std::move(Out));
+  };
+  if (Message.__isset.offer) {
+    Gate_.offer(Connection, Message.offer, Reply);
+  } else if (Message.__isset.inquiry) {
+    Gate_.inquire(Message.inquiry, Reply);
+  } else if (Message.__isset.cancel) {
+    Gate_.cancel(Connection, Message.cancel.attempt);
+  } else if (Message.__isset.config_fetch) {
+    wire::Frame Out;
+    Out.__set_config_batch(ConfigSync_.answer(Message.config_fetch));
+    Answer(std::move(Out));
+  } else if (Message.__isset.status_fetch) {
+    wire::StatusBatch Batch;
+    Batch.sequence = Message.status_fetch.sequence;
+    Batch.json = Api_.localStatus(Message.status_fetch.what,
+                                  Message.status_fetch.argument);
+    wire::Frame Out;
+    Out.__set_status_batch(Batch);
+    Answer(std::move(Out));
+  }
+}
+
+// A node without configuration must not decide; one that has lost the log and
+// every peer can't know what is in force any more.
+Reason Node::Impl::notServing() const {
+  if (!Config_.ready())
+    return Reason::NotReady;
+  return Isolated_ ? Reason::Isolated : Reason::None;
+}
+
+void Node::Impl::updateIsolation() {
+  Millis Bound = Settings_.Membership_.Isolation_;
+  bool Cut = Log_.silence() > Bound && Sockets_.Udp_->status().Silence_ > Bound;
+  if (Isolated_.exchange(Cut) == Cut)
+    return;
+  logEvent(LogLevel::Warning, Cut ? "isolated" : "isolation_ended",
+           {{"log_silence_ms", Log_.silence().count()}});
+}
+
+void Node::Impl::arm() {
+  Timer_.expires_after(toChrono(TickSpan));
+  Timer_.async_wait([this](const boost::system::error_code &Error) {
+    if (!Error)
+      tick();
+  });
+}
+
+void Node::Impl::tick() {
+  updateIsolation();
+  if (Config_.ready() && Life_.joined()) {
+    State_ = Life_.state();
+    logEvent(LogLevel::Info, "serving",
+             {{"node", Sockets_.Name_},
+              {"config_offset", Config_.current()->nextOffset()}});
+  }
+  if (Life_.state() == NodeLife::State::Draining)
+    advanceDrain(Clock_.now());
+  if (Life_.state() != NodeLife::State::Stopped)
+    arm();
+}
+
+void Node::Impl::drain() {
+  asio::dispatch(Strand_, [this] {
+    if (!Life_.drain())
+      return;
+    State_ = Life_.state();
+    DrainStart_ = Clock_.now();
+    IdleSince_ = DrainStart_;
+    logEvent(LogLevel::Info, "drain_started", {{"node", Sockets_.Name_}});
+    Gate_.drain();
+  });
+}
+
+// First the gate runs dry while the entry goes on, then the door closes and
+// the answers that are still owed are sent.
+void Node::Impl::advanceDrain(Millis Now) {
+  bool Busy = !Gate_.idle() || Entry_.pending() > 0 || Http_->pending() > 0;
+  if (Busy)
+    IdleSince_ = Now;
+  bool Late = Now - DrainStart_ > Settings_.Timeouts_.Drain_;
+  bool Quiet = Now - IdleSince_ > CloseLinger;
+  if (!Closing_ && Now - DrainStart_ > MinDrain && Gate_.idle()) {
+    Closing_ = true;
+    IdleSince_ = Now;
+    Http_->stop();
+    return;
+  }
+  if (!Late && !(Closing_ && Quiet))
+    return;
+  Life_.stop();
+  State_ = Life_.state();
+  logEvent(Late && Busy ? LogLevel::Warning : LogLevel::Info, "drain_ended",
+           {{"node", Sockets_.Name_},
+            {"took_ms", (Now - DrainStart_).count()},
+            {"cut", Late && Busy}});
+  stopAll();
+}
+
+void Node::Impl::stopAll() {
+  Http_->stop();
+  Gate_.stop();
+  Seeds_.stop();
+  ConfigSync_.stop();
+  Config_.stop();
+  Sockets_.Udp_->stop();
+  Sockets_.Tcp_->stop();
+  Peers_.close();
+  Stopped_();
+}
+
+Node::Node(asio::io_context &Context, const Settings &Given)
+    : Impl_(std::make_unique<Impl>(Context, Given)) {}
+
+Node::~Node() = default;
+
+void Node::start(std::function<void()> Stopped) {
+  Impl_->start(std::move(Stopped));
+}
+void Node::drain() { Impl_->drain(); }
+uint16_t Node::httpPort() const { return Impl_->httpPort(); }
+const std::string &Node::name() const { return Impl_->name(); }
+
+} // namespace coltsfoot
--- /dev/null
+++ b/src/libcoordination/nodelife.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <memory>
+
+namespace coltsfoot {
+
+/// The life of a node, as a state machine: it joins, serves, drains and stops.
+/// Not thread-safe.
+class NodeLife {
+public:
+  enum class State { Joining, Serving, Draining, Stopped };
+
+  NodeLife();
+  ~NodeLife();
+  NodeLife(const NodeLife &) = delete;
+  NodeLife &operator=(const NodeLife &) = delete;
+
+  State state() const;
+  /// The configuration is known. Returns whether the node was joining.
+  bool joined();
+  /// A planned stop begins. Returns whether it had not begun before.
+  bool drain();
+  /// Nothing is in flight any more, or the time for the drain has passed.
+  /// Returns whether the node was draining.
+  bool stop();
+
+private:
+  struct Machine;
+  std::unique_ptr<Machine> Machine_;
+};
+
+/// Returns the state's name for status and logs.
+const char *nodeStateName(NodeLife::State State);
+
+} // namespace coltsfoot
--- /dev/null
+++ b/src/libcoordination/peerserver.cpp
@@ -0,0 +1,134 @@
+#include "peerserver.h"
+
+#include "coltsfoot_types.h"
+
+#include "coltsfootpoint/log.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <map>
+#include <mutex>
+#include <vector>
+
+namespace coltsfoot {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+struct PeerServer::Shared : std::enable_shared_from_this<Shared> {
+  Shared(asio::io_context &Context, const tcp::endpoint &Address)
+      : Context_(Context), Acceptor_(asio::make_strand(Context), Address),
+        Pause_(Acceptor_.get_executor()),
+        Port_(Acceptor_.local_endpoint().port()) {}
+
+  void accept();
+  void onAccepted(tcp::socket Socket);
+  void onClosed(uint64_t Number, CloseCause Cause);
+  void stop();
+
+  asio::io_context &Context_;
+  tcp::acceptor Acceptor_;
+  asio::steady_timer Pause_;
+  const uint16_t Port_;
+  FrameConnection::Options Options_;
+  wire::Hello Self_;
+  Handlers Handlers_;
+
+  std::mutex Mutex_; // guards the members below
+  bool Stopped_ = false;
+  uint64_t LastNumber_ = 0;
+  std::map<uint64_t, FrameConnection::Pointer> Connections_;
+};
+
+void PeerServer::Shared::accept() {
+  Acceptor_.async_accept(
+      asio::make_strand(Context_),
+      [Self = shared_from_this()](const error_code &Error, tcp::socket Socket) {
+        if (Error == asio::error::operation_aborted)
+          return;
+        if (!Error) {
+          Self->onAccepted(std::move(Socket));
+          return Self->accept();
+        }
+        Self->Pause_.expires_after(std::chrono::milliseconds(20));
+        Self->Pause_.async_wait([Self](const error_code &Failure) {
+          if (!Failure)
+            Self->accept();
+        });
+      });
+}
+
+void PeerServer::Shared::onAccepted(tcp::socket Socket) {
+  FrameConnection::Pointer Fresh;
+  {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    if (Stopped_)
+      return;
+    uint64_t Number = ++LastNumber_;
+    FrameConnection::Handlers Callbacks;
+    Callbacks.OnOpen_ = [](FrameConnection &, const wire::Hello &) {};
+    Callbacks.OnFrame_ = [Self = shared_from_this(),
+                          Number](FrameConnection &Connection,
+                                  wire::Frame &&Message) {
+      Self->Handlers_.OnFrame_(Number, FrameConnection::Pointer(&Connection),
+                               std::move(Message));
+    };
+    Callbacks.OnClosed_ = [Self = shared_from_this(),
+                           Number](FrameConnection &, CloseCause Cause) {
+      Self->onClosed(Number, Cause);
+    };
+    Fresh = FrameConnection::create(std::move(Socket), Options_, Self_,
+                                    std::move(Callbacks));
+    Connections_[Number] = Fresh;
+  }
+  Fresh->start();
+}
+
+void PeerServer::Shared::onClosed(uint64_t Number, CloseCause Cause) {
+  if (Cause == CloseCause::Garbage || Cause == CloseCause::Handshake)
+    logEvent(LogLevel::Warning, "peer_refused",
+             {{"cause", closeCauseName(Cause)}});
+  {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    Connections_.erase(Number);
+  }
+  Handlers_.OnClosed_(Number);
+}
+
+void PeerServer::Shared::stop() {
+  std::vector<FrameConnection::Pointer> Open;
+  {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    Stopped_ = true;
+    for (auto &[Number, Connection] : Connections_)
+      Open.push_back(Connection);
+  }
+  asio::post(Acceptor_.get_executor(), [Self = shared_from_this()] {
+    error_code Ignored;
+    Self->Acceptor_.close(Ignored);
+    Self->Pause_.cancel();
+  });
+  for (const FrameConnection::Pointer &Connection : Open)
+    Connection->close();
+}
+
+PeerServer::PeerServer(asio::io_context &Context, const tcp::endpoint &Address)
+    : Shared_(std::make_shared<Shared>(Context, Address)) {}
+
+PeerServer::~PeerServer() { Shared_->stop(); }
+
+uint16_t PeerServer::port() const { return Shared_->Port_; }
+
+void PeerServer::start(FrameConnection::Options Limits, wire::Hello Self,
+                       Handlers Callbacks) {
+  Shared_->Options_ = Limits;
+  Shared_->Self_ = std::move(Self);
+  Shared_->Handlers_ = std::move(Callbacks);
+  Shared_->accept();
+}
+
+void PeerServer::stop() { Shared_->stop(); }
+
+} // namespace coltsfoot
--- /dev/null
+++ b/src/libcoordination/resourceapi.cpp
@@ -0,0 +1,324 @@
+#include "resourceapi.h"
+
+#include "configstate.h"
+#include "memberview.h"
+#include "refusal.h"
+
+#include "coltsfootpoint/ids.h"
+
+#include <algorithm>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <charconv>
+
+namespace coltsfoot {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr size_t KeptEvents = 4096;
+
+std::string_view queryValue(std::string_view Query, std::string_view Name) {
+  while (!Query.empty()) {
+    std::string_view Part = Query.substr(0, Query.find('&'));
+    Query.remove_prefix(std::min(Query.size(), Part.size() + 1));
+    size_t Equals = Part.find('=');
+    if (Part.substr(0, Equals) == Name)
+      return Equals == std::string_view::npos ? "" : Part.substr(Equals + 1);
+  }
+  return {};
+}
+
+std::optional<int64_t> toNumber(std::string_view Text) {
+  int64_t Value = 0;
+  auto Parsed = std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+  if (Parsed.ec != std::errc() || Parsed.ptr != Text.data() + Text.size() ||
+      Value < 0)
+    return {};
+  return Value;
+}
+
+/// The version in an If-Match field: a number, quoted or not, `*` for any;
+/// without the field the resource must not exist.
+std::optional<int64_t> expectedVersion(std::string_view Field) {
+  if (Field.empty())
+    return AbsentVersion;
+  if (Field == "*")
+    return AnyVersion;
+  if (Field.size() >= 2 && Field.front() == '"' && Field.back() == '"')
+    Field = Field.substr(1, Field.size() - 2);
+  return toNumber(Field);
+}
+
+json::object toJson(const StoredResource &Stored) {
+  json::object Out;
+  Out["name"] = Stored.Name_;
+  Out["version"] = Stored.Version_;
+  Out["value"] = json::parse(Stored.Json_);
+  return Out;
+}
+
+std::string eventLine(ResourceKind Kind, std::string_view Name, int64_t Version,
+                      const StoredResource *Stored) {
+  json::object Out;
+  Out["kind"] = std::string(resourceKindName(Kind));
+  Out["name"] = std::string(Name);
+  Out["version"] = Version;
+  Out["deleted"] = Stored == nullptr;
+  if (Stored)
+    Out["value"] = json::parse(Stored->Json_);
+  return json::serialize(Out) + "\n";
+}
+
+constexpr std::array<ResourceKind, ResourceKindCount> AllKinds = {
+    ResourceKind::Service, ResourceKind::Rank, ResourceKind::RetryPolicy,
+    ResourceKind::Objective};
+
+} // namespace
+
+ResourceApi::ResourceApi(ConfigService &Config, Members Known)
+    : Config_(Config), Members_(std::move(Known)), Latest_(Config.current()) {
+  Config_.OnChange_ = [this](const ConfigState &Fresh) { onChange(Fresh); };
+}
+
+ResourceApi::~ResourceApi() = default;
+
+bool ResourceApi::handle(const HttpExchange::Pointer &Exchange,
+                         const std::vector<std::string> &Path,
+                         std::string_view Query) {
+  const std::string &Method = Exchange->request().Method_;
+  if (Path.size() == 2 && Path[0] == "changes" && Method == "GET") {
+    showChange(Exchange, Path[1]);
+    return true;
+  }
+  if (Path.empty() || Path.size() > 2)
+    return false;
+  std::optional<ResourceKind> Kind;
+  for (ResourceKind Known : AllKinds)
+    if (resourceKindName(Known) == Path[0])
+      Kind = Known;
+  if (!Kind)
+    return false;
+  if (Path.size() == 1 && Method == "GET") {
+    auto From = toNumber(queryValue(Query, "from"));
+    if (!queryValue(Query, "watch").empty())
+      watch(Exchange, *Kind, From.value_or(0));
+    else
+      list(Exchange, *Kind);
+  } else if (Path.size() == 2 && Method == "GET") {
+    if (!queryValue(Query, "watch").empty())
+      watch(Exchange, *Kind, toNumber(queryValue(Query, "from")).value_or(0));
+    else
+      get(Exchange, *Kind, Path[1]);
+  } else if (Path.size() == 2 && (Method == "PUT" || Method == "DELETE")) {
+    change(Exchange, *Kind, Path[1], Method == "DELETE");
+  } else {
+    Exchange->respond(errorAnswer(405, "expected GET, PUT or DELETE"));
+  }
+  return true;
+}
+
+// A version is in force on the nodes that have applied its offset.
+std::pair<int, int> ResourceApi::inForce(int64_t Version) const {
+  int Applied = 0;
+  int Present = 0;
+  auto Known = Members_();
+  for (const auto &Node : Known->all()) {
+    if (Node->State_ == MemberState::Dead)
+      continue;
+    ++Present;
+    if (Node->ConfigOffset_ >= Version)
+      ++Applied;
+  }
+  return {Applied, Present};
+}
+
+void ResourceApi::get(const HttpExchange::Pointer &Exchange, ResourceKind Kind,
+                      const std::string &Name) {
+  auto Stored = Config_.current()->get(Kind, Name);
+  if (!Stored)
+    return Exchange->respond(errorAnswer(404, "no such resource", "name"));
+  json::object Out = toJson(*Stored);
+  auto [Applied, Present] = inForce(Stored->Version_);
+  Out["in_force"] = Applied;
+  Out["nodes"] = Present;
+  Answer Reply = jsonAnswer(200, json::serialize(Out));
+  Reply.Fields_.push_back({"ETag", std::to_string(Stored->Version_)});
+  Exchange->respond(std::move(Reply));
+}
+
+void ResourceApi::list(const HttpExchange::Pointer &Exchange,
+                       ResourceKind Kind) {
+  json::array Items;
+  auto Now = Config_.current();
+  for (const auto &Stored : Now->list(Kind))
+    Items.push_back(toJson(*Stored));
+  json::object Out;
+  Out["items"] = std::move(Items);
+  Out["version"] = Now->nextOffset();
+  Exchange->respond(jsonAnswer(200, json::serialize(Out)));
+}
+
+void ResourceApi::watch(const HttpExchange::Pointer &Exchange,
+                        ResourceKind Kind, int64_t From) {
+  Exchange->startStream("application/x-ndjson");
+  std::string Backlog;
+  {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    // Deletions are only in the recent changes; a watcher from before them
+    // gets what exists.
+    bool Covered = !Events_.empty() && Events_.front().Version_ <= From + 1;
+    if (Covered) {
+      for (const Event &Known : Events_)
+        if (Known.Kind_ == Kind && Known.Version_ > From)
+          Backlog += Known.Line_;
+    } else {
+      for (const auto &Stored : Latest_->list(Kind))
+        if (Stored->Version_ > From)
+          Backlog +=
+              eventLine(Kind, Stored->Name_, Stored->Version_, Stored.get());
+    }
+    Watchers_.push_back({Exchange, Kind});
+    // Written under the lock, so that no later change overtakes it.
+    if (!Backlog.empty())
+      Exchange->write(std::move(Backlog));
+  }
+}
+
+void ResourceApi::onChange(const ConfigState &) {
+  auto Fresh = Config_.current();
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  std::vector<Event> Changes;
+  for (ResourceKind Kind : AllKinds) {
+    for (const auto &Stored : Fresh->list(Kind)) {
+      auto Before = Latest_->get(Kind, Stored->Name_);
+      if (!Before || Before->Version_ != Stored->Version_)
+        Changes.push_back(
+            {Stored->Version_, Kind,
+             eventLine(Kind, Stored->Name_, Stored->Version_, Stored.get())});
+    }
+    for (const auto &Stored : Latest_->list(Kind))
+      if (!Fresh->get(Kind, Stored->Name_))
+        Changes.push_back(
+            {Fresh->nextOffset(), Kind,
+             eventLine(Kind, Stored->Name_, Fresh->nextOffset(), nullptr)});
+  }
+  Latest_ = Fresh;
+  std::sort(Changes.begin(), Changes.end(),
+            [](const Event &Left, const Event &Right) {
+              return Left.Version_ < Right.Version_;
+            });
+  for (Event &Change : Changes) {
+    std::erase_if(Watchers_, [&](const Watcher &Known) {
+      return Known.Kind_ == Change.Kind_ &&
+             !Known.Exchange_->write(Change.Line_);
+    });
+    Events_.push_back(std::move(Change));
+  }
+  while (Events_.size() > KeptEvents)
+    Events_.pop_front();
+}
+
+void ResourceApi::change(const HttpExchange::Pointer &Exchange,
+                         ResourceKind Kind, const std::string &Name,
+                         bool Delete) {
+  const HttpRequest &Caller = Exchange->request();
+  auto Expected = expectedVersion(Caller.field("If-Match"));
+  if (!Expected)
+    return Exchange->respond(
+        errorAnswer(400, "If-Match: expected a version or *", "If-Match"));
+  if (Delete && *Expected == AbsentVersion)
+    return Exchange->respond(errorAnswer(
+        400, "If-Match: expected the version to delete or *", "If-Match"));
+  Change Fresh;
+  Fresh.Id_ = newRequestId() + newRequestId();
+  Fresh.Kind_ = Kind;
+  Fresh.Name_ = Name;
+  Fresh.ExpectedVersion_ = *Expected;
+  Fresh.Delete_ = Delete;
+  if (!Delete) {
+    try {
+      parseResource(Kind, Name, Caller.Body_);
+    } catch (const ResourceError &Error) {
+      return Exchange->respond(errorAnswer(422, Error.what(), Error.field()));
+    }
+    Fresh.Body_ = Caller.Body_;
+  }
+  std::string Id = Fresh.Id_;
+  Config_.submit(std::move(Fresh),
+                 [this, Exchange, Id](const ChangeOutcome &Outcome) {
+                   respondOutcome(Exchange, Id, Outcome);
+                 });
+}
+
+void ResourceApi::respondOutcome(const HttpExchange::Pointer &Exchange,
+                                 const std::string &Id,
+                                 const ChangeOutcome &Outcome) {
+  json::object Out;
+  Out["change"] = Id;
+  int Status = std::visit(
+      Overloaded{[&](const Accepted &What) {
+                   auto [Applied, Present] = inForce(What.Version_);
+                   Out["outcome"] = "accepted";
+                   Out["version"] = What.Version_;
+                   Out["in_force"] = Applied;
+                   Out["nodes"] = Present;
+                   return 200;
+                 },
+                 [&](const Void &What) {
+                   Out["outcome"] = "void";
+                   Out["error"] = What.Reason_;
+                   Out["current"] = What.Current_;
+                   if (What.Cause_ == VoidCause::VersionMismatch)
+                     return 409;
+                   return What.Cause_ == VoidCause::Absent ? 404 : 422;
+                 },
+                 [&](const LostRace &What) {
+                   Out["outcome"] = "lost-race";
+                   Out["error"] = "another change came first";
+                   Out["current"] = What.Current_;
+                   return 409;
+                 },
+                 [&](const OutcomeUnknown &) {
+                   Out["outcome"] = "unknown";
+                   Out["error"] = "the log can't say yet";
+                   return 503;
+                 },
+                 [&](const NotWritten &What) {
+                   Out["outcome"] = "not-written";
+                   Out["error"] = What.Why_;
+                   return 503;
+                 }},
+      Outcome);
+  Exchange->respond(jsonAnswer(Status, json::serialize(Out)));
+}
+
+void ResourceApi::showChange(const HttpExchange::Pointer &Exchange,
+                             const std::string &Id) {
+  auto Known = Config_.result(Id);
+  if (!Known) {
+    json::object Out;
+    Out["change"] = Id;
+    Out["outcome"] = "unknown";
+    return Exchange->respond(jsonAnswer(404, json::serialize(Out)));
+  }
+  json::object Out;
+  Out["change"] = Id;
+  std::visit(Overloaded{[&](const Accepted &What) {
+                          auto [Applied, Present] = inForce(What.Version_);
+                          Out["outcome"] = "accepted";
+                          Out["version"] = What.Version_;
+                          Out["in_force"] = Applied;
+                          Out["nodes"] = Present;
+                        },
+                        [&](const Void &What) {
+                          Out["outcome"] = "void";
+                          Out["error"] = What.Reason_;
+                          Out["current"] = What.Current_;
+                        }},
+             *Known);
+  Exchange->respond(jsonAnswer(200, json::serialize(Out)));
+}
+
+} // namespace coltsfoot
--- /dev/null
+++ b/src/libcoordination/seedkeeper.cpp
@@ -0,0 +1,128 @@
+#include "seedkeeper.h"
+
+#include "gossipservice.h"
+#include "memberview.h"
+#include "timer.h"
+
+#include "coltsfootpoint/log.h"
+#include "coltsfootpoint/verdict.h"
+
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace coltsfoot {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr Millis AlonePause(1000);
+constexpr Millis CompanyPause(30'000);
+constexpr Millis JoinPause(500);
+constexpr Millis DownPause(500);
+constexpr int BatchRecords = 256;
+
+/// Returns the node of a seed record, or nothing when it is not one.
+std::string nodeOf(const std::string &Data) {
+  try {
+    return json::value_to<std::string>(json::parse(Data).at("node"));
+  } catch (const std::exception &) {
+    return {};
+  }
+}
+
+} // namespace
+
+SeedKeeper::SeedKeeper(asio::io_context &Context, LogStore &Log,
+                       GossipService &Gossip, const Clock &Time, Self Own,
+                       Millis Retention)
+    : Log_(Log), Gossip_(Gossip), Clock_(Time), Self_(std::move(Own)),
+      Retention_(Retention), Stream_("seeds-" + Self_.Fleet_),
+      Strand_(asio::make_strand(Context)), Timer_(Strand_) {}
+
+SeedKeeper::~SeedKeeper() = default;
+
+void SeedKeeper::start() {
+  asio::post(Strand_, [this] { read(); });
+}
+
+void SeedKeeper::stop() {
+  asio::post(Strand_, [this] { Timer_.cancel(); });
+}
+
+void SeedKeeper::arm(Millis Pause) {
+  Timer_.expires_after(toChrono(Pause));
+  Timer_.async_wait([this](const boost::system::error_code &Error) {
+    if (!Error)
+      read();
+  });
+}
+
+void SeedKeeper::read() {
+  Log_.read(Stream_, NextOffset_, BatchRecords, Millis(0),
+            [this](const ReadResult &Result) {
+              asio::dispatch(Strand_, [this, Result] { onRead(Result); });
+            });
+}
+
+void SeedKeeper::onRead(const ReadResult &Result) {
+  std::visit(Overloaded{[&](const LogBatch &Batch) {
+                          std::vector<std::string> Nodes;
+                          for (const LogRecord &Record : Batch.Records_) {
+                            NextOffset_ = Record.Offset_ + 1;
+                            std::string Node = nodeOf(Record.Data_);
+                            if (!Node.empty() && Node != Self_.Node_)
+                              Nodes.push_back(std::move(Node));
+                          }
+                          if (!Nodes.empty())
+                            Gossip_.addPeers(std::move(Nodes));
+                          if (!Batch.Records_.empty())
+                            return read();
+                          afterRead();
+                        },
+                        [&](const LogTrimmed &Trimmed) {
+                          NextOffset_ = Trimmed.FirstOffset_;
+                          read();
+                        },
+                        [&](const LogDown &) { arm(DownPause); }},
+             Result);
+}
+
+// A fresh node first tries to join by the seeds there are; only then does it
+// know whether its zone needs one.
+void SeedKeeper::afterRead() {
+  bool First = !std::exchange(ReachedEnd_, true);
+  auto Members = Gossip_.view();
+  bool Alone = Members->presentCount() <= 1;
+  if (First && NextOffset_ > 0)
+    return arm(JoinPause);
+  bool Keeper = false;
+  for (const auto &Known : Members->readersOf(Self_.Zone_))
+    Keeper = Keeper || Known->Node_ == Self_.Node_;
+  bool Due = !Written_ || Clock_.now() - WrittenAt_ > Retention_ * 0.5;
+  if ((Keeper || Alone) && Due)
+    appendSelf();
+  arm(Alone ? AlonePause : CompanyPause);
+}
+
+void SeedKeeper::appendSelf() {
+  json::object Record;
+  Record["node"] = Self_.Node_;
+  Record["zone"] = Self_.Zone_;
+  Record["region"] = Self_.Region_;
+  Written_ = true;
+  WrittenAt_ = Clock_.now();
+  Log_.append(Stream_, json::serialize(Record),
+              [this](const AppendResult &Result) {
+                bool Refused = std::holds_alternative<AppendRefused>(Result);
+                asio::dispatch(Strand_, [this, Refused] {
+                  if (Refused)
+                    Written_ = false;
+                });
+              });
+}
+
+} // namespace coltsfoot
--- a/src/libprotocol/coltsfoot.thrift
+++ b/src/libprotocol/coltsfoot.thrift
@@ -33,8 +33,9 @@
   11: i32 bucket          // 0..127, hash of the root request
   12: i32 depth           // 0 for a root call
   13: string ticket       // empty for an idempotent call
-  14: string digest       // of method, target and body, for ticketed calls
-  15: string route        // name of the route that the entry matched
+  14: string route        // name of the route that the entry matched
+  15: i32 rank_order      // of the root call; the more urgent of it and the route's counts
+  16: bool protected_call // inherited from the root call
 }
 
 // What the gate's admission would refuse at this moment: ranks behind
--- a/src/libprotocol/gen-cpp/coltsfoot_types.cpp
+++ b/src/libprotocol/gen-cpp/coltsfoot_types.cpp
@@ -424,13 +424,17 @@
   this->ticket = val;
 }
 
-void Offer::__set_digest(const std::string& val) {
-  this->digest = val;
-}
-
 void Offer::__set_route(const std::string& val) {
   this->route = val;
 }
+
+void Offer::__set_rank_order(const int32_t val) {
+  this->rank_order = val;
+}
+
+void Offer::__set_protected_call(const bool val) {
+  this->protected_call = val;
+}
 std::ostream& operator<<(std::ostream& out, const Offer& obj)
 {
   obj.printTo(out);
@@ -577,16 +581,24 @@
         break;
       case 14:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->digest);
-          this->__isset.digest = true;
+          xfer += iprot->readString(this->route);
+          this->__isset.route = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 15:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->route);
-          this->__isset.route = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->rank_order);
+          this->__isset.rank_order = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->protected_call);
+          this->__isset.protected_call = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -668,12 +680,16 @@
   xfer += oprot->writeString(this->ticket);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_STRING, 14);
-  xfer += oprot->writeString(this->digest);
+  xfer += oprot->writeFieldBegin("route", ::apache::thrift::protocol::T_STRING, 14);
+  xfer += oprot->writeString(this->route);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("route", ::apache::thrift::protocol::T_STRING, 15);
-  xfer += oprot->writeString(this->route);
+  xfer += oprot->writeFieldBegin("rank_order", ::apache::thrift::protocol::T_I32, 15);
+  xfer += oprot->writeI32(this->rank_order);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("protected_call", ::apache::thrift::protocol::T_BOOL, 16);
+  xfer += oprot->writeBool(this->protected_call);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -696,8 +712,9 @@
   swap(a.bucket, b.bucket);
   swap(a.depth, b.depth);
   swap(a.ticket, b.ticket);
-  swap(a.digest, b.digest);
   swap(a.route, b.route);
+  swap(a.rank_order, b.rank_order);
+  swap(a.protected_call, b.protected_call);
   swap(a.__isset, b.__isset);
 }
 
@@ -715,8 +732,9 @@
   bucket = other14.bucket;
   depth = other14.depth;
   ticket = other14.ticket;
-  digest = other14.digest;
   route = other14.route;
+  rank_order = other14.rank_order;
+  protected_call = other14.protected_call;
   __isset = other14.__isset;
 }
 Offer::Offer(Offer&& other15) noexcept {
@@ -733,8 +751,9 @@
   bucket = other15.bucket;
   depth = other15.depth;
   ticket = std::move(other15.ticket);
-  digest = std::move(other15.digest);
   route = std::move(other15.route);
+  rank_order = other15.rank_order;
+  protected_call = other15.protected_call;
   __isset = other15.__isset;
 }
 Offer& Offer::operator=(const Offer& other16) {
@@ -751,8 +770,9 @@
   bucket = other16.bucket;
   depth = other16.depth;
   ticket = other16.ticket;
-  digest = other16.digest;
   route = other16.route;
+  rank_order = other16.rank_order;
+  protected_call = other16.protected_call;
   __isset = other16.__isset;
   return *this;
 }
@@ -770,8 +790,9 @@
   bucket = other17.bucket;
   depth = other17.depth;
   ticket = std::move(other17.ticket);
-  digest = std::move(other17.digest);
   route = std::move(other17.route);
+  rank_order = other17.rank_order;
+  protected_call = other17.protected_call;
   __isset = other17.__isset;
   return *this;
 }
@@ -791,8 +812,9 @@
   out << ", " << "bucket=" << to_string(bucket);
   out << ", " << "depth=" << to_string(depth);
   out << ", " << "ticket=" << to_string(ticket);
-  out << ", " << "digest=" << to_string(digest);
   out << ", " << "route=" << to_string(route);
+  out << ", " << "rank_order=" << to_string(rank_order);
+  out << ", " << "protected_call=" << to_string(protected_call);
   out << ")";
 }
 
--- a/src/libprotocol/gen-cpp/coltsfoot_types.h
+++ b/src/libprotocol/gen-cpp/coltsfoot_types.h
@@ -209,7 +209,7 @@
 std::ostream& operator<<(std::ostream& out, const Hello& obj);
 
 typedef struct _Offer__isset {
-  _Offer__isset() : attempt(false), request_id(false), service_name(false), method(false), target(false), fields(false), body(false), remaining_ms(false), credits(false), client(false), bucket(false), depth(false), ticket(false), digest(false), route(false) {}
+  _Offer__isset() : attempt(false), request_id(false), service_name(false), method(false), target(false), fields(false), body(false), remaining_ms(false), credits(false), client(false), bucket(false), depth(false), ticket(false), route(false), rank_order(false), protected_call(false) {}
   bool attempt :1;
   bool request_id :1;
   bool service_name :1;
@@ -223,8 +223,9 @@
   bool bucket :1;
   bool depth :1;
   bool ticket :1;
-  bool digest :1;
   bool route :1;
+  bool rank_order :1;
+  bool protected_call :1;
 } _Offer__isset;
 
 class Offer : public virtual ::apache::thrift::TBase {
@@ -247,8 +248,9 @@
           bucket(0),
           depth(0),
           ticket(),
-          digest(),
-          route() {
+          route(),
+          rank_order(0),
+          protected_call(0) {
   }
 
   virtual ~Offer() noexcept;
@@ -265,8 +267,9 @@
   int32_t bucket;
   int32_t depth;
   std::string ticket;
-  std::string digest;
   std::string route;
+  int32_t rank_order;
+  bool protected_call;
 
   _Offer__isset __isset;
 
@@ -296,10 +299,12 @@
 
   void __set_ticket(const std::string& val);
 
-  void __set_digest(const std::string& val);
-
   void __set_route(const std::string& val);
 
+  void __set_rank_order(const int32_t val);
+
+  void __set_protected_call(const bool val);
+
   bool operator == (const Offer & rhs) const
   {
     if (!(attempt == rhs.attempt))
@@ -328,10 +333,12 @@
       return false;
     if (!(ticket == rhs.ticket))
       return false;
-    if (!(digest == rhs.digest))
-      return false;
     if (!(route == rhs.route))
       return false;
+    if (!(rank_order == rhs.rank_order))
+      return false;
+    if (!(protected_call == rhs.protected_call))
+      return false;
     return true;
   }
   bool operator != (const Offer &rhs) const {
--- /dev/null
+++ b/src/libstate/requestledger_test.cpp
@@ -0,0 +1,16 @@
+#include "requestledger.h"
+
+#include <doctest/doctest.h>
+
+using namespace coltsfoot;
+
+TEST_CASE("the ledger forgets the oldest decisions first") {
+  ManualClock Time;
+  RequestLedger Ledger(Time, 2);
+  Ledger.note("a", "gate-refused", "rank=20");
+  Ledger.note("b", "entry-refused", "");
+  Ledger.note("b", "entry-retried", "");
+  CHECK(Ledger.find("a").empty());
+  REQUIRE(Ledger.find("b").size() == 2);
+  CHECK(Ledger.find("b")[0].What_ == "entry-refused");
+}
--- /dev/null
+++ b/src/libtransport/connectionlife.cpp
@@ -0,0 +1,57 @@
+#include "connectionlife.h"
+
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+
+namespace coltsfoot {
+
+namespace {
+
+namespace msm = boost::msm;
+namespace mpl = boost::mpl;
+
+struct Greeting {};
+struct Closing {};
+
+struct LifeTable : msm::front::state_machine_def<LifeTable> {
+  struct Handshaking : msm::front::state<> {};
+  struct Open : msm::front::state<> {};
+  struct Closed : msm::front::state<> {};
+  using initial_state = Handshaking;
+
+  // The order of the rows gives the states their numbers, which match
+  // ConnectionLife::State.
+  struct transition_table
+      : mpl::vector<msm::front::Row<Handshaking, Greeting, Open>,
+                    msm::front::Row<Open, Closing, Closed>,
+                    msm::front::Row<Handshaking, Closing, Closed>> {};
+
+  template <class Machine, class Event>
+  void no_transition(const Event & /*Unused*/, Machine & /*Unused*/,
+                     int /*State*/) {}
+};
+
+} // namespace
+
+struct ConnectionLife::Machine : msm::back::state_machine<LifeTable> {};
+
+ConnectionLife::ConnectionLife() : Machine_(std::make_unique<Machine>()) {
+  Machine_->start();
+}
+
+ConnectionLife::~ConnectionLife() = default;
+
+ConnectionLife::State ConnectionLife::state() const {
+  return static_cast<State>(*Machine_->current_state());
+}
+
+bool ConnectionLife::greet() {
+  return Machine_->process_event(Greeting()) == msm::back::HANDLED_TRUE;
+}
+
+bool ConnectionLife::close() {
+  return Machine_->process_event(Closing()) == msm::back::HANDLED_TRUE;
+}
+
+} // namespace coltsfoot
--- /dev/null
+++ b/src/libtransport/upstreamclient.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "coltsfootpoint/time.h"
+#include "coltsfootpoint/verdict.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace coltsfoot {
+
+/// What the backend server is asked to do.
+struct UpstreamRequest {
+  std::string Method_;
+  std::string Target_;
+  std::vector<HttpField> Fields_;
+  std::string Body_;
+};
+
+/// Speaks HTTP/1.1 to the backend server of this VM over a pool of kept
+/// connections.
+///
+/// A request is written once. Only a failure before any of its bytes was
+/// written leads to another connection. An answer counts only when its end
+/// has been seen by length or chunks; an answer that ends with its connection
+/// is refused, since a cut could not be told from its end. A connection on
+/// which a call failed, timed out or was cancelled is closed and never reused.
+///
+/// All methods are thread-safe. Handlers are called once, on a worker, with no
+/// lock held.
+class UpstreamClient {
+public:
+  struct Options {
+    Millis Connect_{1000};
+    Millis KeptIdle_{20000};
+    size_t AnswerBytes_ = 8 * 1024 * 1024;
+    size_t Connections_ = 256;
+  };
+  using Handler = std::function<void(Verdict)>;
+
+  /// A call in progress.
+  class Call
+      : public boost::intrusive_ref_counter<Call, boost::thread_safe_counter> {
+  public:
+    virtual ~Call() = default;
+    /// Closes the call's connection, which tells the backend server to stop.
+    /// The handler is called with MayHaveRun(Cancelled) unless it was called
+    /// before.
+    virtual void cancel() = 0;
+  };
+  using CallPointer = boost::intrusive_ptr<Call>;
+
+  UpstreamClient(boost::asio::io_context &Context, Options Limits);
+  ~UpstreamClient();
+  UpstreamClient(const UpstreamClient &) = delete;
+  UpstreamClient &operator=(const UpstreamClient &) = delete;
+
+  /// Sets the backend server's address; kept connections to another one are
+  /// closed when they become idle.
+  void setTarget(const boost::asio::ip::tcp::endpoint &Address,
+                 size_t Connections);
+
+  /// Sends a request. The handler learns Ran with the whole answer, NotRun
+  /// when no byte was written, else MayHaveRun.
+  CallPointer call(UpstreamRequest Request, Millis TimeLimit, Handler OnEnd);
+
+private:
+  struct Shared;
+  boost::intrusive_ptr<Shared> Shared_;
+};
+
+} // namespace coltsfoot
