--- /dev/null
+++ b/src/libstate/configstate.cpp
@@ -0,0 +1,468 @@
+#include "configstate.h"
+
+#include "coltsfootpoint/ids.h"
+#include "coltsfootpoint/verdict.h"
+#include "jsonreader.h"
+#include "routepath.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <cstdio>
+#include <limits>
+#include <stdexcept>
+#include <utility>
+
+namespace coltsfoot {
+
+struct ConfigState::RememberedResult {
+  std::string Id_;
+  ChangeResult Result_;
+  uint64_t IdHash_ = 0;
+  uint64_t Hash_ = 0; ///< Of the id and the result.
+};
+
+namespace {
+
+constexpr size_t ResultChunkSize = 64;
+constexpr std::string_view SnapshotHeader = "coltsfoot-config-1 ";
+constexpr size_t DigestDigits = 16;
+constexpr std::string_view DefaultRank = "normal";
+constexpr std::string_view DefaultRetryPolicy = "default";
+constexpr std::array<std::string_view, 3> CauseNames = {"version-mismatch",
+                                                        "absent", "invalid"};
+
+const std::array<RankResource, 3> &builtInRanks() {
+  static const std::array<RankResource, 3> Ranks = {
+      RankResource{"urgent", 0}, RankResource{std::string(DefaultRank), 10},
+      RankResource{"low", 20}};
+  return Ranks;
+}
+
+const RetryPolicyResource &builtInRetryPolicy() {
+  static const RetryPolicyResource Policy = std::get<RetryPolicyResource>(
+      parseResource(ResourceKind::RetryPolicy, DefaultRetryPolicy, "{}"));
+  return Policy;
+}
+
+std::string hexadecimal(uint64_t Value) {
+  std::array<char, DigestDigits + 1> Digits;
+  std::snprintf(Digits.data(), Digits.size(), "%016llx",
+                static_cast<unsigned long long>(Value));
+  return Digits.data();
+}
+
+/// Appends a text so that no two sequences of texts give the same bytes.
+void appendHashed(std::string &Bytes, std::string_view Text) {
+  Bytes += std::to_string(Text.size());
+  Bytes += ':';
+  Bytes += Text;
+}
+
+void appendHashed(std::string &Bytes, int64_t Number) {
+  appendHashed(Bytes, std::to_string(Number));
+}
+
+StoredResource makeStored(ResourceKind Kind, std::string Name, int64_t Version,
+                          std::string Json) {
+  StoredResource Entry;
+  Entry.Value_ = parseResource(Kind, Name, Json);
+  std::string Bytes;
+  appendHashed(Bytes, resourceKindName(Kind));
+  appendHashed(Bytes, Name);
+  appendHashed(Bytes, Version);
+  appendHashed(Bytes, Json);
+  Entry.Hash_ = stableHash(Bytes);
+  Entry.Name_ = std::move(Name);
+  Entry.Version_ = Version;
+  Entry.Json_ = std::move(Json);
+  return Entry;
+}
+
+uint64_t hashResult(std::string_view Id, const ChangeResult &Result) {
+  std::string Bytes;
+  appendHashed(Bytes, Id);
+  std::visit(Overloaded{[&](const Accepted &Done) {
+                          appendHashed(Bytes, Done.Version_);
+                        },
+                        [&](const Void &Done) {
+                          appendHashed(Bytes,
+                                       static_cast<int64_t>(Done.Cause_));
+                          appendHashed(Bytes, Done.Reason_);
+                          appendHashed(Bytes, Done.Current_);
+                        }},
+             Result);
+  return stableHash(Bytes);
+}
+
+bool nameBefore(const std::shared_ptr<const StoredResource> &Entry,
+                std::string_view Name) {
+  return Entry->Name_ < Name;
+}
+
+boost::json::object resultToJson(const std::string &Id,
+                                 const ChangeResult &Result) {
+  boost::json::object Object;
+  Object["id"] = Id;
+  std::visit(Overloaded{[&](const Accepted &Done) {
+                          Object["version"] = Done.Version_;
+                        },
+                        [&](const Void &Done) {
+                          Object["version"] = Done.Current_;
+                          Object["cause"] =
+                              CauseNames[static_cast<size_t>(Done.Cause_)];
+                          Object["reason"] = Done.Reason_;
+                        }},
+             Result);
+  return Object;
+}
+
+VoidCause parseCause(const JsonReader &Reader, std::string_view Name) {
+  for (size_t I = 0; I < CauseNames.size(); ++I)
+    if (CauseNames[I] == Name)
+      return static_cast<VoidCause>(I);
+  Reader.fail("cause", "unknown cause");
+}
+
+ChangeResult readResult(JsonReader &Reader, int64_t NextOffset) {
+  int64_t Version = Reader.integer("version", 0, NextOffset).value();
+  std::optional<std::string> Cause = Reader.string("cause");
+  if (!Cause)
+    return Accepted{Version};
+  return Void{parseCause(Reader, *Cause), Reader.string("reason").value(),
+              Version};
+}
+
+const boost::json::array &neededArray(JsonReader &Reader,
+                                      std::string_view Key) {
+  const boost::json::array *Array = Reader.array(Key);
+  if (!Array)
+    Reader.fail(Key, "missing");
+  return *Array;
+}
+
+/// Returns the part of a snapshot after its first line, whose digest it
+/// checks.
+std::string_view checkedPayload(std::string_view Snapshot) {
+  size_t HeaderSize = SnapshotHeader.size() + DigestDigits + 1;
+  if (!Snapshot.starts_with(SnapshotHeader) || Snapshot.size() < HeaderSize ||
+      Snapshot[HeaderSize - 1] != '\n')
+    throw std::invalid_argument("not a snapshot");
+  std::string_view Digest =
+      Snapshot.substr(SnapshotHeader.size(), DigestDigits);
+  std::string_view Payload = Snapshot.substr(HeaderSize);
+  if (Digest != hexadecimal(stableHash(Payload)))
+    throw std::invalid_argument("the snapshot's digest is wrong");
+  return Payload;
+}
+
+} // namespace
+
+ConfigState::ConfigState() {
+  for (std::shared_ptr<Table> &Each : Tables_)
+    Each = std::make_shared<Table>();
+}
+
+std::shared_ptr<const ConfigState>
+ConfigState::apply(std::span<const LogRecord> Records) const {
+  auto Next = std::make_shared<ConfigState>(*this);
+  for (const LogRecord &Record : Records) {
+    if (Record.Offset_ < Next->NextOffset_)
+      continue;
+    if (Record.Offset_ > Next->NextOffset_)
+      throw std::invalid_argument("expected the record at offset " +
+                                  std::to_string(Next->NextOffset_) + ", got " +
+                                  std::to_string(Record.Offset_));
+    Next->applyRecord(Record);
+    ++Next->NextOffset_;
+  }
+  return Next;
+}
+
+void ConfigState::applyRecord(const LogRecord &Record) {
+  std::optional<Change> Value = decodeChange(Record.Data_);
+  if (!Value || findResult(Value->Id_))
+    return;
+  ChangeResult Result = applyChange(*Value, Record.Offset_);
+  remember(std::move(Value->Id_), std::move(Result));
+}
+
+ChangeResult ConfigState::applyChange(const Change &Value, int64_t Offset) {
+  const StoredResource *Present = find(Value.Kind_, Value.Name_);
+  int64_t Current = Present ? Present->Version_ : AbsentVersion;
+  if (Value.ExpectedVersion_ != AnyVersion && Value.ExpectedVersion_ != Current)
+    return Void{VoidCause::VersionMismatch,
+                "expected version " + std::to_string(Value.ExpectedVersion_) +
+                    ", found " + std::to_string(Current),
+                Current};
+  int64_t Version = Offset + 1;
+  if (Value.Delete_) {
+    if (!Present)
+      return Void{VoidCause::Absent, "there is no such resource", Current};
+    erase(Value.Kind_, Value.Name_);
+    return Accepted{Version};
+  }
+  try {
+    put(Value.Kind_,
+        makeStored(Value.Kind_, Value.Name_, Version, Value.Body_));
+  } catch (const ResourceError &Error) {
+    return Void{VoidCause::Invalid, Error.what(), Current};
+  }
+  return Accepted{Version};
+}
+
+const ConfigState::Table &ConfigState::table(ResourceKind Kind) const {
+  return *Tables_[static_cast<size_t>(Kind)];
+}
+
+// A table that another state shares is copied before the first write. While a
+// state is being made its origin is alive, so the count can't drop to one by
+// another thread.
+ConfigState::Table &ConfigState::writableTable(ResourceKind Kind) {
+  std::shared_ptr<Table> &Owned = Tables_[static_cast<size_t>(Kind)];
+  if (Owned.use_count() != 1)
+    Owned = std::make_shared<Table>(*Owned);
+  return *Owned;
+}
+
+const StoredResource *ConfigState::find(ResourceKind Kind,
+                                        std::string_view Name) const {
+  const Table &Entries = table(Kind);
+  auto Found =
+      std::lower_bound(Entries.begin(), Entries.end(), Name, nameBefore);
+  if (Found == Entries.end() || (*Found)->Name_ != Name)
+    return nullptr;
+  return Found->get();
+}
+
+void ConfigState::put(ResourceKind Kind, StoredResource Entry) {
+  Table &Entries = writableTable(Kind);
+  auto Shared = std::make_shared<const StoredResource>(std::move(Entry));
+  auto Place = std::lower_bound(Entries.begin(), Entries.end(),
+                                std::string_view(Shared->Name_), nameBefore);
+  if (Place != Entries.end() && (*Place)->Name_ == Shared->Name_)
+    *Place = std::move(Shared);
+  else
+    Entries.insert(Place, std::move(Shared));
+}
+
+void ConfigState::erase(ResourceKind Kind, std::string_view Name) {
+  Table &Entries = writableTable(Kind);
+  auto Place =
+      std::lower_bound(Entries.begin(), Entries.end(), Name, nameBefore);
+  Entries.erase(Place);
+}
+
+void ConfigState::remember(std::string Id, ChangeResult Result) {
+  RememberedResult Entry;
+  Entry.IdHash_ = stableHash(Id);
+  Entry.Hash_ = hashResult(Id, Result);
+  Entry.Id_ = std::move(Id);
+  Entry.Result_ = std::move(Result);
+  if (Results_.empty() || Results_.back()->size() == ResultChunkSize)
+    Results_.push_back(std::make_shared<ResultChunk>());
+  else if (Results_.back().use_count() != 1)
+    Results_.back() = std::make_shared<ResultChunk>(*Results_.back());
+  Results_.back()->push_back(std::move(Entry));
+  // The first chunk goes once the others hold all that is remembered.
+  if (countResults() - Results_.front()->size() >= RememberedResults)
+    Results_.erase(Results_.begin());
+}
+
+size_t ConfigState::countResults() const {
+  if (Results_.empty())
+    return 0;
+  return (Results_.size() - 1) * ResultChunkSize + Results_.back()->size();
+}
+
+template <typename F> void ConfigState::forEachResult(F Visit) const {
+  size_t Total = countResults();
+  size_t Forgotten = Total > RememberedResults ? Total - RememberedResults : 0;
+  for (const auto &Chunk : Results_) {
+    for (const RememberedResult &Entry : *Chunk) {
+      if (Forgotten > 0)
+        --Forgotten;
+      else
+        Visit(Entry);
+    }
+  }
+}
+
+const ConfigState::RememberedResult *
+ConfigState::findResult(std::string_view Id) const {
+  uint64_t IdHash = stableHash(Id);
+  const RememberedResult *Found = nullptr;
+  forEachResult([&](const RememberedResult &Entry) {
+    if (Entry.IdHash_ == IdHash && Entry.Id_ == Id)
+      Found = &Entry;
+  });
+  return Found;
+}
+
+std::optional<ChangeResult> ConfigState::result(std::string_view Id) const {
+  const RememberedResult *Found = findResult(Id);
+  if (!Found)
+    return std::nullopt;
+  return Found->Result_;
+}
+
+const ServiceResource *ConfigState::service(std::string_view Name) const {
+  const StoredResource *Entry = find(ResourceKind::Service, Name);
+  return Entry ? &std::get<ServiceResource>(Entry->Value_) : nullptr;
+}
+
+const Route *ConfigState::route(std::string_view Service,
+                                std::string_view Method,
+                                std::string_view Target) const {
+  const ServiceResource *Found = service(Service);
+  if (!Found)
+    return nullptr;
+  std::string_view Path = Target.substr(0, Target.find_first_of("?#"));
+  const Route *Best = nullptr;
+  for (const Route &Each : Found->Routes_) {
+    if (Each.Method_ != Method || !routePathMatches(Each.Path_, Path))
+      continue;
+    if (!Best || routePathMoreSpecific(Each.Path_, Best->Path_))
+      Best = &Each;
+  }
+  return Best;
+}
+
+const RankResource *ConfigState::findRank(std::string_view Name) const {
+  if (const StoredResource *Entry = find(ResourceKind::Rank, Name))
+    return &std::get<RankResource>(Entry->Value_);
+  for (const RankResource &Each : builtInRanks())
+    if (Each.Name_ == Name)
+      return &Each;
+  return nullptr;
+}
+
+const RankResource &ConfigState::rank(std::string_view Name) const {
+  const RankResource *Found = findRank(Name);
+  return Found ? *Found : *findRank(DefaultRank);
+}
+
+std::vector<const RankResource *> ConfigState::ranks() const {
+  std::vector<const RankResource *> Ranks;
+  for (const auto &Entry : table(ResourceKind::Rank))
+    Ranks.push_back(&std::get<RankResource>(Entry->Value_));
+  for (const RankResource &Each : builtInRanks())
+    if (!find(ResourceKind::Rank, Each.Name_))
+      Ranks.push_back(&Each);
+  std::sort(Ranks.begin(), Ranks.end(),
+            [](const RankResource *Left, const RankResource *Right) {
+              return std::tie(Left->Order_, Left->Name_) <
+                     std::tie(Right->Order_, Right->Name_);
+            });
+  return Ranks;
+}
+
+const RetryPolicyResource &
+ConfigState::retryPolicy(std::string_view Service) const {
+  const ServiceResource *Found = service(Service);
+  const StoredResource *Entry = nullptr;
+  if (Found && !Found->RetryPolicy_.empty())
+    Entry = find(ResourceKind::RetryPolicy, Found->RetryPolicy_);
+  if (!Entry)
+    Entry = find(ResourceKind::RetryPolicy, DefaultRetryPolicy);
+  return Entry ? std::get<RetryPolicyResource>(Entry->Value_)
+               : builtInRetryPolicy();
+}
+
+std::vector<const ObjectiveResource *> ConfigState::objectives() const {
+  std::vector<const ObjectiveResource *> Objectives;
+  for (const auto &Entry : table(ResourceKind::Objective))
+    Objectives.push_back(&std::get<ObjectiveResource>(Entry->Value_));
+  return Objectives;
+}
+
+std::vector<std::shared_ptr<const StoredResource>>
+ConfigState::list(ResourceKind Kind) const {
+  return table(Kind);
+}
+
+std::shared_ptr<const StoredResource>
+ConfigState::get(ResourceKind Kind, std::string_view Name) const {
+  const Table &Entries = table(Kind);
+  auto Found =
+      std::lower_bound(Entries.begin(), Entries.end(), Name, nameBefore);
+  if (Found == Entries.end() || (*Found)->Name_ != Name)
+    return nullptr;
+  return *Found;
+}
+
+std::string ConfigState::snapshot() const {
+  boost::json::array Resources;
+  for (size_t Kind = 0; Kind < ResourceKindCount; ++Kind) {
+    for (const auto &Entry : *Tables_[Kind]) {
+      boost::json::object Object;
+      Object["kind"] = resourceKindName(static_cast<ResourceKind>(Kind));
+      Object["name"] = Entry->Name_;
+      Object["version"] = Entry->Version_;
+      Object["body"] = Entry->Json_;
+      Resources.push_back(std::move(Object));
+    }
+  }
+  boost::json::array Results;
+  forEachResult([&](const RememberedResult &Entry) {
+    Results.push_back(resultToJson(Entry.Id_, Entry.Result_));
+  });
+  boost::json::object Object;
+  Object["next_offset"] = NextOffset_;
+  Object["resources"] = std::move(Resources);
+  Object["results"] = std::move(Results);
+  std::string Payload = boost::json::serialize(Object);
+  std::string Text(SnapshotHeader);
+  Text += hexadecimal(stableHash(Payload));
+  Text += '\n';
+  Text += Payload;
+  return Text;
+}
+
+// The digest guards against damage; what it lets through was written by a
+// node, so that any further fault is reported as a damaged snapshot too.
+std::shared_ptr<const ConfigState>
+ConfigState::restore(std::string_view Snapshot) {
+  std::string_view Payload = checkedPayload(Snapshot);
+  auto State = std::make_shared<ConfigState>();
+  try {
+    boost::json::value Value = boost::json::parse(Payload);
+    JsonReader Reader(Value.as_object(), "");
+    State->NextOffset_ =
+        Reader.integer("next_offset", 0, std::numeric_limits<int64_t>::max())
+            .value();
+    for (const boost::json::value &Item : neededArray(Reader, "resources")) {
+      JsonReader Entry(Item.as_object(), "resources.");
+      ResourceKind Kind = parseResourceKind(Entry.string("kind").value());
+      State->put(
+          Kind,
+          makeStored(Kind, Entry.string("name").value(),
+                     Entry.integer("version", 1, State->NextOffset_).value(),
+                     Entry.string("body").value()));
+    }
+    for (const boost::json::value &Item : neededArray(Reader, "results")) {
+      JsonReader Entry(Item.as_object(), "results.");
+      std::string Id = Entry.string("id").value();
+      State->remember(std::move(Id), readResult(Entry, State->NextOffset_));
+    }
+  } catch (const std::exception &Error) {
+    throw std::invalid_argument(std::string("damaged snapshot: ") +
+                                Error.what());
+  }
+  return State;
+}
+
+uint64_t ConfigState::digest() const {
+  std::vector<uint64_t> Hashes = {static_cast<uint64_t>(NextOffset_)};
+  for (const std::shared_ptr<Table> &Each : Tables_) {
+    for (const auto &Entry : *Each)
+      Hashes.push_back(Entry->Hash_);
+    Hashes.push_back(Each->size());
+  }
+  forEachResult(
+      [&](const RememberedResult &Entry) { Hashes.push_back(Entry.Hash_); });
+  return stableHash(
+      std::string_view(reinterpret_cast<const char *>(Hashes.data()),
+                       Hashes.size() * sizeof(uint64_t)));
+}
+
+} // namespace coltsfoot
--- a/src/libstate/configstate.h
+++ b/src/libstate/configstate.h
@@ -101,18 +101,27 @@
   using Table = std::vector<std::shared_ptr<const StoredResource>>;
   using ResultChunk = std::vector<RememberedResult>;
 
+  const Table &table(ResourceKind Kind) const;
+  Table &writableTable(ResourceKind Kind);
   const StoredResource *find(ResourceKind Kind, std::string_view Name) const;
+  const RankResource *findRank(std::string_view Name) const;
   void applyRecord(const LogRecord &Record);
   ChangeResult applyChange(const Change &Value, int64_t Offset);
-  void put(ResourceKind Kind, std::shared_ptr<const StoredResource> Entry);
+  void put(ResourceKind Kind, StoredResource Entry);
   void erase(ResourceKind Kind, std::string_view Name);
   void remember(std::string Id, ChangeResult Result);
+  size_t countResults() const;
+  const RememberedResult *findResult(std::string_view Id) const;
+  /// Calls Visit with each remembered result, oldest first.
+  template <typename F> void forEachResult(F Visit) const;
 
   int64_t NextOffset_ = 0;
   /// Sorted by name, one a kind; never null.
-  std::array<std::shared_ptr<const Table>, ResourceKindCount> Tables_;
-  /// Oldest first; only the last chunk is not full.
-  std::vector<std::shared_ptr<const ResultChunk>> Results_;
+  std::array<std::shared_ptr<Table>, ResourceKindCount> Tables_;
+  /// Oldest first; only the last chunk is not full. The first may hold results
+  /// that are no longer remembered. Tables and chunks that two states share
+  /// are never written.
+  std::vector<std::shared_ptr<ResultChunk>> Results_;
 };
 
 } // namespace coltsfoot
--- /dev/null
+++ b/src/libstate/jsonreader.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace coltsfoot {
+
+/// Reads the members of a JSON object strictly. Every reader throws
+/// ResourceError, with the member's full name, for a wrong type or a value out
+/// of range; finish() does so for members that nobody has read. Borrows the
+/// object.
+class JsonReader {
+public:
+  /// Members are reported as Prefix followed by their key.
+  JsonReader(const boost::json::object &Object, std::string Prefix);
+
+  /// Returns the string, or nothing when the member is absent.
+  std::optional<std::string> string(std::string_view Key);
+  /// Returns the integer, or nothing when the member is absent.
+  std::optional<int64_t> integer(std::string_view Key, int64_t Least,
+                                 int64_t Greatest);
+  /// Returns the number, or nothing when the member is absent.
+  std::optional<double> number(std::string_view Key, double Least,
+                               double Greatest);
+  /// Returns the boolean, or nothing when the member is absent.
+  std::optional<bool> boolean(std::string_view Key);
+  /// Returns the array, or null when the member is absent.
+  const boost::json::array *array(std::string_view Key);
+
+  /// Throws for members that were not read.
+  void finish() const;
+
+  /// Throws ResourceError for the member.
+  [[noreturn]] void fail(std::string_view Key, const std::string &Why) const;
+
+private:
+  const boost::json::value *take(std::string_view Key);
+
+  const boost::json::object &Object_;
+  std::string Prefix_;
+  std::vector<std::string_view> Taken_;
+};
+
+} // namespace coltsfoot
--- /dev/null
+++ b/src/libstate/resource.cpp
@@ -0,0 +1,262 @@
+#include "resource.h"
+
+#include "jsonreader.h"
+#include "routepath.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/json.hpp>
+#include <cctype>
+#include <optional>
+#include <set>
+#include <utility>
+
+namespace coltsfoot {
+
+namespace {
+
+constexpr size_t MaxBodyBytes = 64U << 10U;
+constexpr size_t MaxNameLength = 128;
+constexpr size_t MaxLabelLength = 1024;
+constexpr size_t MaxRoutes = 512;
+constexpr size_t MaxWindows = 8;
+constexpr double DayMs = 86400000;
+constexpr double DefaultDeadlineMs = 2000;
+constexpr double MaxDeadlineMs = 3600000;
+constexpr double DefaultAttemptTimeoutMs = 1000;
+constexpr double DefaultStartupRampMs = 10000;
+constexpr int64_t MaxOrder = 100;
+constexpr double LeastWeight = 0.001;
+constexpr double MaxWeight = 1000;
+constexpr int64_t DefaultCredits = 3;
+constexpr int64_t MaxCredits = 20;
+constexpr double DefaultTicketLifeMs = 120000;
+constexpr double LeastTicketLifeMs = 1000;
+constexpr double LeastTarget = 0.0001;
+constexpr double MaxTarget = 0.999999;
+constexpr double LeastWindowMs = 1000;
+constexpr double MaxWindowMs = 30 * DayMs;
+/// Windows of an objective that names none: 5 minutes, 1 hour, 6 hours.
+constexpr std::array<double, 3> DefaultWindowsMs = {300000, 3600000, 21600000};
+
+constexpr std::array<std::string_view, ResourceKindCount> KindNames = {
+    "services", "ranks", "retry-policies", "objectives"};
+
+bool isResourceName(std::string_view Name) {
+  if (Name.empty() || Name.size() > MaxNameLength)
+    return false;
+  return std::all_of(Name.begin(), Name.end(), [](unsigned char C) {
+    return std::isalnum(C) != 0 || C == '-' || C == '_' || C == '.';
+  });
+}
+
+bool isMethod(std::string_view Method) {
+  return !Method.empty() && Method.size() <= 16 &&
+         std::all_of(Method.begin(), Method.end(),
+                     [](char C) { return C >= 'A' && C <= 'Z'; });
+}
+
+bool isLabel(std::string_view Label) {
+  return !Label.empty() && Label.size() <= MaxLabelLength &&
+         std::all_of(Label.begin(), Label.end(),
+                     [](unsigned char C) { return C >= ' ' && C != 0x7f; });
+}
+
+/// Returns a member that names another resource.
+std::string reference(JsonReader &Reader, std::string_view Key,
+                      std::string_view Default) {
+  std::string Name = Reader.string(Key).value_or(std::string(Default));
+  if (!Name.empty() && !isResourceName(Name))
+    Reader.fail(Key, "expected a name of letters, digits, '-', '_' and '.'");
+  return Name;
+}
+
+std::string label(JsonReader &Reader, std::string_view Key,
+                  const std::string &Default) {
+  std::string Label = Reader.string(Key).value_or(Default);
+  if (!isLabel(Label))
+    Reader.fail(Key, "expected a printable text");
+  return Label;
+}
+
+Millis millis(JsonReader &Reader, std::string_view Key, double Least,
+              double Greatest, double Default) {
+  return Millis(Reader.number(Key, Least, Greatest).value_or(Default));
+}
+
+Route parseRoute(const boost::json::object &Object, std::string Prefix) {
+  JsonReader Reader(Object, std::move(Prefix));
+  Route Result;
+  Result.Method_ = Reader.string("method").value_or("");
+  if (!isMethod(Result.Method_))
+    Reader.fail("method", "expected an HTTP method in capitals");
+  Result.Path_ = Reader.string("path").value_or("");
+  if (std::string Error = routePathError(Result.Path_); !Error.empty())
+    Reader.fail("path", Error);
+  Result.Name_ = label(Reader, "name", Result.Method_ + ' ' + Result.Path_);
+  Result.Kind_ = label(Reader, "kind", Result.Name_);
+  Result.Rank_ = reference(Reader, "rank", "normal");
+  if (Result.Rank_.empty())
+    Reader.fail("rank", "expected the name of a rank");
+  Result.Deadline_ =
+      millis(Reader, "deadline_ms", 1, MaxDeadlineMs, DefaultDeadlineMs);
+  bool IsRead = Result.Method_ == "GET" || Result.Method_ == "HEAD";
+  Result.Idempotent_ = Reader.boolean("idempotent").value_or(IsRead);
+  Result.Protected_ = Reader.boolean("protected").value_or(false);
+  Reader.finish();
+  return Result;
+}
+
+std::vector<Route> parseRoutes(JsonReader &Reader) {
+  const boost::json::array *Array = Reader.array("routes");
+  if (!Array)
+    Reader.fail("routes", "expected an array of routes");
+  if (Array->size() > MaxRoutes)
+    Reader.fail("routes", "too many routes");
+  std::vector<Route> Routes;
+  std::set<std::string> Names;
+  std::set<std::string> Shapes;
+  for (const boost::json::value &Item : *Array) {
+    std::string Field = "routes[" + std::to_string(Routes.size()) + "]";
+    if (!Item.is_object())
+      throw ResourceError(Field, "expected an object");
+    Route Next = parseRoute(Item.get_object(), Field + ".");
+    if (!Names.insert(Next.Name_).second)
+      throw ResourceError(Field + ".name", "another route has this name");
+    if (!Shapes.insert(Next.Method_ + routePathShape(Next.Path_)).second)
+      throw ResourceError(Field + ".path", "another route matches the same");
+    Routes.push_back(std::move(Next));
+  }
+  return Routes;
+}
+
+ServiceResource parseService(std::string Name, JsonReader &Reader) {
+  ServiceResource Result;
+  Result.Name_ = std::move(Name);
+  Result.Routes_ = parseRoutes(Reader);
+  Result.RetryPolicy_ = reference(Reader, "retry_policy", "");
+  Result.AttemptTimeout_ = millis(Reader, "attempt_timeout_ms", 1,
+                                  MaxDeadlineMs, DefaultAttemptTimeoutMs);
+  Result.StartupRamp_ =
+      millis(Reader, "startup_ramp_ms", 0, MaxDeadlineMs, DefaultStartupRampMs);
+  return Result;
+}
+
+RankResource parseRank(std::string Name, JsonReader &Reader) {
+  RankResource Result;
+  Result.Name_ = std::move(Name);
+  std::optional<int64_t> Order = Reader.integer("order", 0, MaxOrder);
+  if (!Order)
+    Reader.fail("order", "expected an integer from 0 to 100");
+  Result.Order_ = static_cast<int>(*Order);
+  Result.Weight_ = Reader.number("weight", LeastWeight, MaxWeight).value_or(1);
+  Result.Limit_ = Reader.number("limit", 0, 1).value_or(1);
+  Result.Floor_ = Reader.number("floor", 0, 1).value_or(0);
+  if (Result.Floor_ > Result.Limit_)
+    Reader.fail("floor", "expected at most the limit");
+  return Result;
+}
+
+RetryPolicyResource parseRetryPolicy(std::string Name, JsonReader &Reader) {
+  RetryPolicyResource Result;
+  Result.Name_ = std::move(Name);
+  Result.Credits_ = static_cast<int>(
+      Reader.integer("credits", 0, MaxCredits).value_or(DefaultCredits));
+  Result.TicketLife_ = millis(Reader, "ticket_life_ms", LeastTicketLifeMs,
+                              MaxDeadlineMs, DefaultTicketLifeMs);
+  return Result;
+}
+
+std::vector<Millis> parseWindows(JsonReader &Reader) {
+  std::vector<Millis> Windows;
+  const boost::json::array *Array = Reader.array("windows_ms");
+  if (!Array) {
+    for (double Window : DefaultWindowsMs)
+      Windows.push_back(Millis(Window));
+    return Windows;
+  }
+  if (Array->empty() || Array->size() > MaxWindows)
+    Reader.fail("windows_ms", "expected 1 to 8 windows");
+  for (const boost::json::value &Item : *Array) {
+    double Window = Item.is_number() ? Item.to_number<double>() : 0;
+    if (Window < LeastWindowMs || Window > MaxWindowMs)
+      Reader.fail("windows_ms", "expected numbers from 1000 to 2592000000");
+    if (!Windows.empty() && Millis(Window) <= Windows.back())
+      Reader.fail("windows_ms", "expected increasing numbers");
+    Windows.push_back(Millis(Window));
+  }
+  return Windows;
+}
+
+ObjectiveResource parseObjective(std::string Name, JsonReader &Reader) {
+  ObjectiveResource Result;
+  Result.Name_ = std::move(Name);
+  Result.Service_ = reference(Reader, "service", "");
+  if (Result.Service_.empty())
+    Reader.fail("service", "expected the name of a service");
+  Result.Rank_ = reference(Reader, "rank", "");
+  std::optional<double> Target =
+      Reader.number("target", LeastTarget, MaxTarget);
+  if (!Target)
+    Reader.fail("target", "expected a share between 0 and 1");
+  Result.Target_ = *Target;
+  std::optional<double> Latency = Reader.number("latency_ms", 1, MaxDeadlineMs);
+  if (!Latency)
+    Reader.fail("latency_ms", "expected a number of milliseconds");
+  Result.Latency_ = Millis(*Latency);
+  Result.Windows_ = parseWindows(Reader);
+  return Result;
+}
+
+Resource parseByKind(ResourceKind Kind, std::string Name, JsonReader &Reader) {
+  switch (Kind) {
+  case ResourceKind::Service:
+    return parseService(std::move(Name), Reader);
+  case ResourceKind::Rank:
+    return parseRank(std::move(Name), Reader);
+  case ResourceKind::RetryPolicy:
+    return parseRetryPolicy(std::move(Name), Reader);
+  case ResourceKind::Objective:
+    break;
+  }
+  return parseObjective(std::move(Name), Reader);
+}
+
+} // namespace
+
+ResourceError::ResourceError(std::string Field, const std::string &Message)
+    : std::invalid_argument(Field.empty() ? Message : Field + ": " + Message),
+      Field_(std::move(Field)) {}
+
+std::string_view resourceKindName(ResourceKind Kind) {
+  return KindNames[static_cast<size_t>(Kind)];
+}
+
+ResourceKind parseResourceKind(std::string_view Name) {
+  for (size_t I = 0; I < KindNames.size(); ++I)
+    if (KindNames[I] == Name)
+      return static_cast<ResourceKind>(I);
+  throw ResourceError("kind",
+                      "expected services, ranks, retry-policies or objectives");
+}
+
+Resource parseResource(ResourceKind Kind, std::string_view Name,
+                       std::string_view Json) {
+  if (!isResourceName(Name))
+    throw ResourceError("name",
+                        "expected 1 to 128 letters, digits, '-', '_' and '.'");
+  if (Json.size() > MaxBodyBytes)
+    throw ResourceError("", "the text is longer than 65536 bytes");
+  boost::system::error_code Error;
+  boost::json::value Value = boost::json::parse(Json, Error);
+  if (Error)
+    throw ResourceError("", "not JSON: " + Error.message());
+  if (!Value.is_object())
+    throw ResourceError("", "expected a JSON object");
+  JsonReader Reader(Value.get_object(), "");
+  Resource Result = parseByKind(Kind, std::string(Name), Reader);
+  Reader.finish();
+  return Result;
+}
+
+} // namespace coltsfoot
--- /dev/null
+++ b/src/libstate/routepath.cpp
@@ -0,0 +1,108 @@
+#include "routepath.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace coltsfoot {
+
+namespace {
+
+constexpr size_t MaxPathLength = 512;
+
+enum class SegmentKind { Rest, Named, Literal };
+
+/// Cuts the next segment, from a slash to before the next, off the path.
+std::string_view nextSegment(std::string_view &Path) {
+  size_t End = Path.find('/', 1);
+  std::string_view Segment = Path.substr(0, End);
+  Path.remove_prefix(Segment.size());
+  return Segment;
+}
+
+SegmentKind kindOf(std::string_view Segment) {
+  if (Segment.ends_with('*'))
+    return SegmentKind::Rest;
+  if (Segment.size() > 1 && Segment[1] == '{')
+    return SegmentKind::Named;
+  return SegmentKind::Literal;
+}
+
+bool isNameCharacter(char C) {
+  return std::isalnum(static_cast<unsigned char>(C)) != 0 || C == '_';
+}
+
+std::string segmentError(std::string_view Segment, bool IsLast) {
+  size_t Star = Segment.find('*');
+  if (Star != std::string_view::npos && (!IsLast || Star + 1 != Segment.size()))
+    return "'*' may only stand at the end";
+  if (Segment.find_first_of("{}") == std::string_view::npos)
+    return "";
+  bool Whole = Segment.size() > 3 && Segment[1] == '{' && Segment.back() == '}';
+  std::string_view Name = Whole ? Segment.substr(2, Segment.size() - 3) : "";
+  if (Name.empty() || !std::all_of(Name.begin(), Name.end(), isNameCharacter))
+    return "braces must hold a name and fill a whole segment";
+  return "";
+}
+
+} // namespace
+
+std::string routePathError(std::string_view Pattern) {
+  if (Pattern.empty() || Pattern.front() != '/')
+    return "expected a path that begins with '/'";
+  if (Pattern.size() > MaxPathLength)
+    return "a path may have " + std::to_string(MaxPathLength) + " characters";
+  for (unsigned char C : Pattern)
+    if (C <= ' ' || C >= 0x7f || C == '?' || C == '#')
+      return "a path holds no spaces, control characters, '?' or '#'";
+  while (!Pattern.empty()) {
+    std::string_view Segment = nextSegment(Pattern);
+    std::string Error = segmentError(Segment, Pattern.empty());
+    if (!Error.empty())
+      return Error;
+  }
+  return "";
+}
+
+std::string routePathShape(std::string_view Pattern) {
+  std::string Shape;
+  while (!Pattern.empty()) {
+    std::string_view Segment = nextSegment(Pattern);
+    Shape += kindOf(Segment) == SegmentKind::Named ? "/{}" : Segment;
+  }
+  return Shape;
+}
+
+bool routePathMatches(std::string_view Pattern, std::string_view Path) {
+  if (Path.empty() || Path.front() != '/')
+    return false;
+  while (!Pattern.empty()) {
+    std::string_view Expected = nextSegment(Pattern);
+    SegmentKind Kind = kindOf(Expected);
+    if (Kind == SegmentKind::Rest)
+      return Path.starts_with(Expected.substr(0, Expected.size() - 1));
+    if (Path.empty())
+      return false;
+    std::string_view Segment = nextSegment(Path);
+    bool Fits =
+        Kind == SegmentKind::Named ? Segment.size() > 1 : Segment == Expected;
+    if (!Fits)
+      return false;
+  }
+  return Path.empty();
+}
+
+bool routePathMoreSpecific(std::string_view Left, std::string_view Right) {
+  while (!Left.empty() && !Right.empty()) {
+    std::string_view LeftSegment = nextSegment(Left);
+    std::string_view RightSegment = nextSegment(Right);
+    SegmentKind LeftKind = kindOf(LeftSegment);
+    SegmentKind RightKind = kindOf(RightSegment);
+    if (LeftKind != RightKind)
+      return LeftKind > RightKind;
+    if (LeftKind == SegmentKind::Rest)
+      return LeftSegment.size() > RightSegment.size();
+  }
+  return !Left.empty();
+}
+
+} // namespace coltsfoot
--- /dev/null
+++ b/src/libtransport/httplane.cpp
@@ -0,0 +1,217 @@
+#include "httplane.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <chrono>
+#include <deque>
+#include <optional>
+#include <utility>
+
+namespace coltsfoot {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using Steady = std::chrono::steady_clock;
+
+constexpr int HttpVersion11 = 11;
+
+Steady::duration toDuration(Millis Span) {
+  return std::chrono::duration_cast<Steady::duration>(
+      std::chrono::duration<double, std::milli>(Span.count()));
+}
+
+} // namespace
+
+// Everything runs on the strand. At most one request is on the connection.
+class HttpLane::Impl : public std::enable_shared_from_this<HttpLane::Impl> {
+public:
+  Impl(asio::io_context &Io, Options Settings)
+      : Settings_(std::move(Settings)), Strand_(asio::make_strand(Io)),
+        Stream_(Strand_) {}
+
+  void send(HttpRequest Request, Handler Done) {
+    asio::post(Strand_, [Self = shared_from_this(),
+                         Job = Pending{std::move(Request), std::move(Done),
+                                       Steady::now()}]() mutable {
+      Self->enqueue(std::move(Job));
+    });
+  }
+
+  void close() {
+    asio::post(Strand_, [Self = shared_from_this()] {
+      Self->Closed_ = true;
+      Self->Queue_.clear();
+      Self->Current_.reset();
+      Self->Stream_.close();
+    });
+  }
+
+private:
+  struct Pending {
+    HttpRequest Request_;
+    Handler Done_;
+    Steady::time_point Since_;
+  };
+
+  void enqueue(Pending Job) {
+    if (Closed_)
+      return;
+    if (Queue_.size() >= Settings_.MaxQueued_) {
+      Job.Done_(HttpNotSent{"too many requests wait"});
+      return;
+    }
+    Queue_.push_back(std::move(Job));
+    if (!Current_)
+      startNext();
+  }
+
+  void startNext() {
+    if (Closed_ || Queue_.empty())
+      return;
+    Current_ = std::move(Queue_.front());
+    Queue_.pop_front();
+    Steady::duration Waited = Steady::now() - Current_->Since_;
+    if (Waited > toDuration(Current_->Request_.MaxQueued_))
+      finish(HttpNotSent{"waited too long for the connection"});
+    else if (isUsable())
+      write();
+    else
+      connect();
+  }
+
+  // A server closes idle connections; a request written to such a one would be
+  // lost without need. Bytes or an end that wait to be read betray it.
+  bool isUsable() {
+    if (!Connected_)
+      return false;
+    if (Steady::now() - LastUse_ > toDuration(Settings_.IdleTimeout_))
+      return false;
+    char Byte = 0;
+    beast::error_code Error;
+    Stream_.socket().non_blocking(true, Error);
+    Stream_.socket().receive(asio::buffer(&Byte, 1),
+                             asio::socket_base::message_peek, Error);
+    return Error == asio::error::would_block;
+  }
+
+  void connect() {
+    disconnect();
+    Stream_.expires_after(toDuration(Settings_.ConnectTimeout_));
+    Stream_.async_connect(Settings_.Server_,
+                          [Self = shared_from_this()](beast::error_code Error) {
+                            Self->onConnect(Error);
+                          });
+  }
+
+  void onConnect(beast::error_code Error) {
+    if (Closed_)
+      return;
+    if (Error) {
+      disconnect();
+      finish(HttpNotSent{"connect: " + Error.message()});
+      return;
+    }
+    Connected_ = true;
+    Stream_.socket().set_option(asio::ip::tcp::no_delay(true), Error);
+    write();
+  }
+
+  void write() {
+    HttpRequest &Request = Current_->Request_;
+    Message_ = {};
+    Message_.version(HttpVersion11);
+    Message_.method_string(Request.Method_);
+    Message_.target(Request.Target_);
+    Message_.set(http::field::host, Host_);
+    Message_.body() = std::move(Request.Body_);
+    Message_.prepare_payload();
+    Parser_.emplace();
+    Parser_->body_limit(Settings_.MaxAnswerBytes_);
+    Stream_.expires_after(toDuration(Request.Timeout_));
+    http::async_write(
+        Stream_, Message_,
+        [Self = shared_from_this()](beast::error_code Error, size_t) {
+          Self->onWrite(Error);
+        });
+  }
+
+  void onWrite(beast::error_code Error) {
+    if (Closed_)
+      return;
+    if (Error) {
+      lose("write: " + Error.message());
+      return;
+    }
+    http::async_read(
+        Stream_, Buffer_, *Parser_,
+        [Self = shared_from_this()](beast::error_code Error, size_t) {
+          Self->onRead(Error);
+        });
+  }
+
+  void onRead(beast::error_code Error) {
+    if (Closed_)
+      return;
+    if (Error) {
+      lose("read: " + Error.message());
+      return;
+    }
+    Stream_.expires_never();
+    LastUse_ = Steady::now();
+    http::response<http::string_body> Message = Parser_->release();
+    if (!Message.keep_alive())
+      disconnect();
+    finish(HttpAnswer{static_cast<int>(Message.result_int()),
+                      std::move(Message.body())});
+  }
+
+  void lose(std::string Why) {
+    disconnect();
+    finish(HttpLost{std::move(Why)});
+  }
+
+  // The handler may send again, hence the order.
+  void finish(const HttpResult &Result) {
+    Handler Done = std::move(Current_->Done_);
+    Current_.reset();
+    Done(Result);
+    if (!Current_)
+      startNext();
+  }
+
+  void disconnect() {
+    Connected_ = false;
+    Stream_.close();
+    Buffer_.clear();
+  }
+
+  Options Settings_;
+  std::string Host_ = Settings_.Server_.address().to_string() + ":" +
+                      std::to_string(Settings_.Server_.port());
+  asio::strand<asio::io_context::executor_type> Strand_;
+  beast::tcp_stream Stream_;
+  beast::flat_buffer Buffer_;
+  http::request<http::string_body> Message_;
+  std::optional<http::response_parser<http::string_body>> Parser_;
+  std::deque<Pending> Queue_;
+  std::optional<Pending> Current_;
+  Steady::time_point LastUse_;
+  bool Connected_ = false;
+  bool Closed_ = false;
+};
+
+HttpLane::HttpLane(asio::io_context &Io, Options Settings)
+    : Impl_(std::make_shared<Impl>(Io, std::move(Settings))) {}
+
+HttpLane::~HttpLane() { Impl_->close(); }
+
+void HttpLane::send(HttpRequest Request, Handler Done) {
+  Impl_->send(std::move(Request), std::move(Done));
+}
+
+} // namespace coltsfoot
--- /dev/null
+++ b/src/libtransport/logclient.cpp
@@ -0,0 +1,110 @@
+#include "logclient.h"
+
+#include "coltsfootpoint/verdict.h"
+#include "httplane.h"
+#include "logmessages.h"
+
+#include <algorithm>
+#include <boost/asio/ip/address.hpp>
+#include <cctype>
+#include <stdexcept>
+#include <utility>
+
+namespace coltsfoot {
+
+namespace {
+
+/// Reads wait for their lane as long as it takes; MaxQueued_ bounds them.
+constexpr Millis NoQueueTimeout = Millis(1e9);
+
+std::unique_ptr<HttpLane> makeLane(boost::asio::io_context &Io,
+                                   const LogClient::Options &Settings) {
+  boost::system::error_code Error;
+  auto Address = boost::asio::ip::make_address(Settings.Host_, Error);
+  if (Error)
+    throw std::invalid_argument("the log's host must be an IP number, not '" +
+                                Settings.Host_ + "'");
+  HttpLane::Options Options;
+  Options.Server_ = {Address, Settings.Port_};
+  Options.ConnectTimeout_ = Settings.ConnectTimeout_;
+  Options.IdleTimeout_ = Settings.IdleTimeout_;
+  Options.MaxQueued_ = Settings.MaxQueued_;
+  Options.MaxAnswerBytes_ = Settings.MaxAnswerBytes_;
+  return std::make_unique<HttpLane>(Io, Options);
+}
+
+std::string streamTarget(std::string_view Stream) {
+  bool Valid =
+      !Stream.empty() &&
+      std::all_of(Stream.begin(), Stream.end(), [](unsigned char C) {
+        return std::isalnum(C) != 0 || C == '-' || C == '_' || C == '.';
+      });
+  if (!Valid)
+    throw std::invalid_argument("bad name of a stream");
+  return "/streams/" + std::string(Stream);
+}
+
+AppendResult appendResult(const HttpResult &Result) {
+  return std::visit(Overloaded{[](const HttpAnswer &Got) {
+                                 return parseAppendAnswer(Got.Status_,
+                                                          Got.Body_);
+                               },
+                               [](const HttpNotSent &Got) -> AppendResult {
+                                 return AppendRefused{Got.Why_};
+                               },
+                               [](const HttpLost &Got) -> AppendResult {
+                                 return AppendUnknown{Got.Why_};
+                               }},
+                    Result);
+}
+
+ReadResult readResult(const HttpResult &Result, int64_t From) {
+  return std::visit(Overloaded{[&](const HttpAnswer &Got) {
+                                 return parseReadAnswer(Got.Status_, Got.Body_,
+                                                        From);
+                               },
+                               [](const auto &Got) -> ReadResult {
+                                 return LogDown{Got.Why_};
+                               }},
+                    Result);
+}
+
+} // namespace
+
+LogClient::LogClient(boost::asio::io_context &Io, Options Settings)
+    : Settings_(std::move(Settings)), Appends_(makeLane(Io, Settings_)),
+      Reads_(makeLane(Io, Settings_)), WaitingReads_(makeLane(Io, Settings_)) {}
+
+LogClient::~LogClient() = default;
+
+void LogClient::append(std::string_view Stream, std::string Data,
+                       AppendHandler Handler) {
+  HttpRequest Request;
+  Request.Method_ = "POST";
+  Request.Target_ = streamTarget(Stream);
+  Request.Body_ = std::move(Data);
+  Request.Timeout_ = Settings_.RequestTimeout_;
+  Request.MaxQueued_ = Settings_.RequestTimeout_;
+  Appends_->send(std::move(Request),
+                 [Handler = std::move(Handler)](const HttpResult &Result) {
+                   Handler(appendResult(Result));
+                 });
+}
+
+void LogClient::read(std::string_view Stream, int64_t From, int Max,
+                     Millis Wait, ReadHandler Handler) {
+  HttpRequest Request;
+  Request.Method_ = "GET";
+  Request.Target_ = streamTarget(Stream) + "?from=" + std::to_string(From) +
+                    "&max=" + std::to_string(Max) +
+                    "&wait_ms=" + std::to_string(Wait.whole());
+  Request.Timeout_ = Settings_.RequestTimeout_ + Wait;
+  Request.MaxQueued_ = NoQueueTimeout;
+  HttpLane &Lane = Wait > Millis(0) ? *WaitingReads_ : *Reads_;
+  Lane.send(std::move(Request),
+            [From, Handler = std::move(Handler)](const HttpResult &Result) {
+              Handler(readResult(Result, From));
+            });
+}
+
+} // namespace coltsfoot
--- a/src/libtransport/logclient.h
+++ b/src/libtransport/logclient.h
@@ -10,6 +10,8 @@
 
 namespace coltsfoot {
 
+class HttpLane;
+
 /// Speaks HTTP/1.1 to the platform's log service. It keeps one connection for
 /// appends, one for reads and, once one is asked for, one for reads that wait;
 /// the requests of a connection follow one another.
@@ -44,11 +46,10 @@
             ReadHandler Handler) override;
 
 private:
-  class Connection;
   Options Settings_;
-  std::shared_ptr<Connection> Appends_;
-  std::shared_ptr<Connection> Reads_;
-  std::shared_ptr<Connection> WaitingReads_;
+  std::unique_ptr<HttpLane> Appends_;
+  std::unique_ptr<HttpLane> Reads_;
+  std::unique_ptr<HttpLane> WaitingReads_;
 };
 
 } // namespace coltsfoot
