Add membership by gossip over UDP

Cause: nodes have to learn of one another without a list, a coordination service or heartbeats in the log. Ruled out: suspicion across regions, since a short cut would declare a region dead member by member; adopting a death that contradicts one's own table at once, since a healed split would flap.

--- /dev/null
+++ b/src/libcoordination/gossip.cpp
@@ -0,0 +1,456 @@
+#include "gossip.h"
+
+#include "codec.h"
+#include "gossipimpl.h"
+#include "gossipwire.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace coltsfoot {
+
+namespace {
+
+/// Bytes of headers and growing numbers that the estimate leaves out.
+constexpr size_t DatagramSlackBytes = 24;
+/// Bytes of IP and UDP headers, counted in the figures.
+constexpr size_t HeaderBytes = 28;
+/// How long a peer may be ahead before that is reported: the time in which
+/// records on their way by gossip arrive.
+constexpr Millis AheadGrace = Millis(1000);
+constexpr Millis ExpiryInterval = Millis(10'000);
+/// The index over n members is rebuilt every n * this much at most.
+constexpr Millis IndexTimePerMember = Millis(0.1);
+constexpr size_t MaxBigOffsets = 64;
+constexpr int MinRemoteSends = 4;
+
+Member withGeneration(Member Self, const Clock &Time) {
+  if (Self.Generation_ == 0)
+    Self.Generation_ = Time.wallNow().whole();
+  return Self;
+}
+
+std::optional<Member> memberOf(const MemberPtr &Record) {
+  return Record ? std::optional(Record->Member_) : std::nullopt;
+}
+
+} // namespace
+
+Gossip::Impl::Impl(GossipOptions Options, Member Self, const Clock &Time,
+                   uint64_t Seed)
+    : Table_(withGeneration(std::move(Self), Time), Options.DeadRetention_),
+      Index_(Table_.self(), Options.RelaysPerZone_),
+      Options_(std::move(Options)), Time_(Time), Random_(Seed),
+      LastTick_(Time.now()), LastHeard_(Time.now()) {
+  renewSelfWire();
+  // Phases differ between nodes, so that a fleet started at once spreads its
+  // load over the interval.
+  double Phase = static_cast<double>(Random_() % 1000) / 1000;
+  NextProbe_ = Time.now() + Options_.ProbeInterval_ * Phase;
+  NextDigest_ = Time.now();
+  NextSequence_ = static_cast<int64_t>(Random_() >> 16);
+  Rumors_.add(Table_.record(Table_.self().Node_));
+  addPeers(Options_.Peers_);
+}
+
+std::vector<Outgoing> Gossip::Impl::tick() {
+  if (Left_)
+    return {};
+  noticeLateTick();
+  rebuildIndex();
+  contactSeedPeers();
+  expireProbes();
+  startProbes();
+  expireSuspicions();
+  expireDisputes();
+  watchRegions();
+  contactDead();
+  digestRound();
+  sendTransfers();
+  spreadRound();
+  checkAhead();
+  Millis Now = Time_.now();
+  if (Now >= NextExpiry_) {
+    Table_.dropExpired(Now);
+    NextExpiry_ = Now + ExpiryInterval;
+  }
+  return takeOut();
+}
+
+// Datagrams out.
+
+void Gossip::Impl::renewSelfWire() {
+  SelfWire_ = toWire(Table_.self());
+  wire::Datagram Empty = newDatagram();
+  EmptyBytes_ = encodeDatagram(Empty).size() + DatagramSlackBytes;
+}
+
+wire::Datagram Gossip::Impl::newDatagram() const {
+  wire::Datagram Message;
+  Message.fleet = Options_.Fleet_;
+  Message.sender = SelfWire_;
+  return Message;
+}
+
+size_t Gossip::Impl::roomIn(const wire::Datagram &Message) const {
+  constexpr size_t NumberBytes = 12;
+  size_t Used = EmptyBytes_;
+  if (Message.__isset.probe)
+    Used += NumberBytes + Message.probe.target.size();
+  if (Message.__isset.ack)
+    Used += NumberBytes + Message.ack.target.size();
+  if (Message.__isset.digest)
+    Used += NumberBytes + Message.digest.digests.size();
+  for (const wire::WireMember &Known : Message.members)
+    if (auto M = fromWire(Known))
+      Used += wireSize(*M);
+  auto Max = static_cast<size_t>(Options_.MaxDatagramBytes_);
+  return Max > Used ? Max - Used : 0;
+}
+
+void Gossip::Impl::send(const std::string &Node, wire::Datagram Message) {
+  Outgoing Sent{Node, encodeDatagram(Message)};
+  ++Figures_.DatagramsSent_;
+  Figures_.BytesSent_ += Sent.Bytes_.size() + HeaderBytes;
+  Out_.push_back(std::move(Sent));
+}
+
+void Gossip::Impl::sendWithNews(const std::string &Node,
+                                wire::Datagram Message) {
+  const Member *Peer = Table_.find(Node);
+  if (Peer && Peer->Region_ == Table_.self().Region_ && Rumors_.size() > 0)
+    Rumors_.fill(Message, roomIn(Message), RumorChannel::Local, limits());
+  send(Node, std::move(Message));
+}
+
+void Gossip::Impl::sendRecordOf(const Member &Subject,
+                                const std::string &Node) {
+  wire::Datagram Message = newDatagram();
+  Message.members.push_back(toWire(Subject));
+  send(Node, std::move(Message));
+}
+
+std::vector<Outgoing> Gossip::Impl::takeOut() {
+  return std::exchange(Out_, {});
+}
+
+// Datagrams in.
+
+std::vector<Outgoing> Gossip::Impl::receive(std::string_view Bytes) {
+  if (Left_)
+    return {};
+  ++Figures_.DatagramsReceived_;
+  Figures_.BytesReceived_ += Bytes.size() + HeaderBytes;
+  std::optional<wire::Datagram> Message;
+  try {
+    Message.emplace(decodeDatagram(Bytes));
+  } catch (const CodecError &) {
+    ++Figures_.Ignored_;
+    return {};
+  }
+  std::optional<Member> Sender = fromWire(Message->sender);
+  if (Message->fleet != Options_.Fleet_ || !Sender ||
+      Sender->Node_ == Table_.self().Node_) {
+    ++Figures_.Ignored_;
+    return {};
+  }
+  hear(*Sender);
+  applyRecord(*Sender, *Sender, true);
+  // A joining node takes the table over without passing it on.
+  bool IsTransfer = Message->__isset.digest && Message->digest.answer &&
+                    Message->digest.digests.empty();
+  for (const wire::WireMember &Record : Message->members)
+    if (auto M = fromWire(Record))
+      applyRecord(*M, *Sender, Synced_ || !IsTransfer);
+  for (const wire::ConfigRecord &Record : Message->records)
+    if (auto R = fromWire(Record))
+      takeRecord(std::move(*R), *Sender);
+  noteAhead(Sender->Node_, Sender->ConfigOffset_);
+  if (Message->__isset.probe)
+    takeProbe(Message->probe, *Sender);
+  if (Message->__isset.ack)
+    takeAck(Message->ack, *Sender);
+  if (Message->__isset.digest && !IsTransfer)
+    takeDigest(Message->digest, *Sender);
+  correctSender(*Sender, Message->__isset.probe);
+  return takeOut();
+}
+
+void Gossip::Impl::hear(const Member &Sender) {
+  Millis Now = Time_.now();
+  // After a cut the tables may differ by more than the news still under way.
+  if (Now - LastHeard_ > Options_.SuspicionTime_ * 2)
+    NextDigest_ = Now;
+  LastHeard_ = Now;
+  hearRegion(Sender.Region_);
+}
+
+void Gossip::Impl::applyRecord(const Member &Fresh, const Member &Sender,
+                               bool Spread) {
+  if (dispute(Fresh, Sender))
+    return;
+  MemberPtr Old = Table_.record(Fresh.Node_);
+  switch (Table_.apply(Fresh, Time_.now())) {
+  case ApplyResult::RefuteNeeded:
+    refute(Fresh.Generation_);
+    break;
+  case ApplyResult::News:
+    noteChange(std::move(Old), Table_.record(Fresh.Node_), Spread);
+    break;
+  case ApplyResult::Stale:
+    break;
+  }
+}
+
+void Gossip::Impl::noteChange(MemberPtr Old, MemberPtr New, bool Spread) {
+  const Member &M = New->Member_;
+  trackSuspicion(M, Old ? &Old->Member_ : nullptr);
+  Events_.Changes_.push_back({memberOf(Old), M});
+  if (!Spread)
+    return;
+  // Traffic has to turn away from a member that leaves: don't wait.
+  if (M.State_ == MemberState::Leaving || M.State_ == MemberState::Dead)
+    NextSpread_ = Millis();
+  Rumors_.add(std::move(New));
+}
+
+void Gossip::Impl::refute(int64_t Generation) {
+  ++Figures_.Refutes_;
+  Member Raised = Table_.self();
+  Raised.Generation_ = std::max(Raised.Generation_, Generation);
+  changeSelf(Raised);
+  NextSpread_ = Millis();
+}
+
+void Gossip::Impl::changeSelf(const Member &Changed) {
+  MemberPtr Old = Table_.record(Changed.Node_);
+  Member Raised = Changed;
+  ++Raised.Generation_;
+  Table_.setSelf(Raised, Time_.now());
+  renewSelfWire();
+  noteChange(std::move(Old), Table_.record(Changed.Node_), true);
+}
+
+/// Tells a sender that is known by a newer record than its own, such as its
+/// death, so that it can refute it.
+void Gossip::Impl::correctSender(const Member &Sender, bool Answered) {
+  const Member *Known = Table_.find(Sender.Node_);
+  if (!Known || !supersedes(*Known, Sender))
+    return;
+  bool WasDead = !isPresent(*Known);
+  // The ack to a probe by a present member carries the record already.
+  if (!Answered || WasDead)
+    sendRecordOf(*Known, Sender.Node_);
+  if (WasDead)
+    NextDigest_ = std::min(NextDigest_, Time_.now() + Options_.ProbeInterval_);
+}
+
+void Gossip::Impl::takeRecord(SpreadRecord Record, const Member &Sender) {
+  int64_t Applied = Table_.self().ConfigOffset_;
+  if (Record.Offset_ < Applied)
+    return;
+  // No data: the record is too big for a datagram and has to be fetched.
+  if (Record.Data_.empty()) {
+    if (BigOffsets_.size() < MaxBigOffsets)
+      BigOffsets_.insert(Record.Offset_);
+    if (!Events_.Ahead_ || Events_.Ahead_->Offset_ <= Record.Offset_)
+      Events_.Ahead_ = PeerAhead{Sender.Node_, Record.Offset_ + 1};
+    return;
+  }
+  if (!SeenRecords_.note(Record.Offset_))
+    return;
+  Events_.Records_.push_back(Record);
+  Rumors_.add(std::move(Record));
+}
+
+void Gossip::Impl::noteAhead(const std::string &Node, int64_t Offset) {
+  if (Offset <= Table_.self().ConfigOffset_)
+    return;
+  if (!Ahead_) {
+    Ahead_ = PeerAhead{Node, Offset};
+    AheadSince_ = Time_.now();
+  } else if (Offset >= Ahead_->Offset_) {
+    // A later peer holds what is missed as well; the oldest gap counts.
+    Ahead_->Node_ = Node;
+  }
+}
+
+// Spreading.
+
+void Gossip::Impl::setConfigOffset(int64_t Offset) {
+  const Member &Self = Table_.self();
+  if (!Table_.raiseConfigOffset(Self.Node_, Self.Incarnation_, Offset))
+    return;
+  renewSelfWire();
+  // Peers may now fetch the big records from here.
+  while (!BigOffsets_.empty() && *BigOffsets_.begin() < Offset) {
+    Rumors_.add(SpreadRecord{*BigOffsets_.begin(), {}});
+    BigOffsets_.erase(BigOffsets_.begin());
+  }
+}
+
+void Gossip::Impl::spread(std::span<const SpreadRecord> Records) {
+  for (const SpreadRecord &Record : Records) {
+    if (!SeenRecords_.note(Record.Offset_))
+      continue;
+    size_t Bytes = EmptyBytes_ + wireSize(Record);
+    bool Fits = Bytes <= static_cast<size_t>(Options_.MaxDatagramBytes_);
+    if (Fits)
+      Rumors_.add(Record);
+    else if (Record.Offset_ < Table_.self().ConfigOffset_)
+      Rumors_.add(SpreadRecord{Record.Offset_, {}});
+    else if (BigOffsets_.size() < MaxBigOffsets)
+      BigOffsets_.insert(Record.Offset_);
+  }
+}
+
+RumorLimits Gossip::Impl::limits() const {
+  RumorLimits Limits;
+  if (!Index_.local().empty()) {
+    double Region = static_cast<double>(Index_.local().size()) + 1;
+    int Rounds = static_cast<int>(std::ceil(std::log(Region)));
+    Limits.LocalMember_ = Options_.Fanout_ + Rounds;
+    Limits.LocalRecord_ = 1 + Rounds;
+  }
+  if (Index_.selfIsRelay() && !Index_.regions().empty())
+    Limits.Remote_ =
+        std::max(MinRemoteSends, static_cast<int>(Index_.regions().size()));
+  return Limits;
+}
+
+void Gossip::Impl::spreadRound() {
+  Millis Now = Time_.now();
+  RumorLimits Limits = limits();
+  bool Alone = Index_.local().empty() && Index_.regions().empty();
+  if (Rumors_.size() == 0 || Now < NextSpread_ || Alone)
+    return;
+  NextSpread_ = Now + Options_.SpreadInterval_;
+  for (const MemberPtr &Peer : Index_.chooseSome(Random_, Options_.Fanout_)) {
+    wire::Datagram Message = newDatagram();
+    if (Rumors_.fill(Message, roomIn(Message), RumorChannel::Local, Limits))
+      send(Peer->Member_.Node_, std::move(Message));
+  }
+  if (Limits.Remote_ > 0 && Rumors_.pending(RumorChannel::Remote, Limits)) {
+    const auto &Regions = Index_.regions();
+    const RemoteRegion &Region = Regions[NextSpreadRegion_ % Regions.size()];
+    ++NextSpreadRegion_;
+    wire::Datagram Message = newDatagram();
+    MemberPtr Relay = chooseFrom(Region.Relays_, Random_);
+    if (Rumors_.fill(Message, roomIn(Message), RumorChannel::Remote, Limits) &&
+        Relay)
+      send(Relay->Member_.Node_, std::move(Message));
+  }
+  Rumors_.retire(Limits);
+}
+
+/// Reports a peer that has been ahead for longer than records take to come.
+void Gossip::Impl::checkAhead() {
+  if (!Ahead_)
+    return;
+  if (Ahead_->Offset_ <= Table_.self().ConfigOffset_) {
+    Ahead_.reset();
+  } else if (Time_.now() - AheadSince_ >= AheadGrace) {
+    if (!Events_.Ahead_ || Events_.Ahead_->Offset_ < Ahead_->Offset_)
+      Events_.Ahead_ = *Ahead_;
+    Ahead_.reset();
+  }
+}
+
+void Gossip::Impl::rebuildIndex() {
+  Millis Now = Time_.now();
+  if (IndexedVersion_ == Table_.version() || Now < NextIndex_)
+    return;
+  bool WasRelay = Index_.selfIsRelay();
+  Index_.rebuild(Table_);
+  IndexedVersion_ = Table_.version();
+  NextIndex_ =
+      Now + IndexTimePerMember * static_cast<double>(Table_.records().size());
+  if (!WasRelay)
+    RegionHeard_.clear();
+  for (const RemoteRegion &Region : Index_.regions())
+    RegionHeard_.try_emplace(Region.Name_, Now);
+}
+
+std::vector<Outgoing> Gossip::Impl::leave() {
+  if (Left_)
+    return {};
+  Member Gone = Table_.self();
+  Gone.State_ = MemberState::Dead;
+  changeSelf(Gone);
+  // More peers than in a round, since there won't be another.
+  for (const MemberPtr &Peer : Index_.chooseSome(Random_, 2 * Options_.Fanout_))
+    send(Peer->Member_.Node_, newDatagram());
+  if (Index_.local().empty())
+    for (const RemoteRegion &Region : Index_.regions())
+      for (const MemberPtr &Relay : Region.Relays_)
+        send(Relay->Member_.Node_, newDatagram());
+  Left_ = true;
+  return takeOut();
+}
+
+GossipEvents Gossip::Impl::takeEvents() { return std::exchange(Events_, {}); }
+
+// The public face.
+
+Gossip::Gossip(GossipOptions Options, Member Self, const Clock &Time,
+               uint64_t Seed)
+    : Impl_(std::make_unique<Impl>(std::move(Options), std::move(Self), Time,
+                                   Seed)) {}
+
+Gossip::~Gossip() = default;
+
+std::vector<Outgoing> Gossip::tick() { return Impl_->tick(); }
+
+std::vector<Outgoing> Gossip::receive(std::string_view Bytes) {
+  return Impl_->receive(Bytes);
+}
+
+void Gossip::addPeers(std::span<const std::string> Nodes) {
+  Impl_->addPeers(Nodes);
+}
+
+void Gossip::updateSelf(std::string_view Service, int Slots) {
+  Member Changed = table().self();
+  if (Changed.Service_ == Service && Changed.Slots_ == Slots)
+    return;
+  Changed.Service_ = Service;
+  Changed.Slots_ = Slots;
+  Impl_->changeSelf(Changed);
+}
+
+void Gossip::setLeaving() {
+  Member Changed = table().self();
+  if (Changed.State_ != MemberState::Alive)
+    return;
+  Changed.State_ = MemberState::Leaving;
+  Impl_->changeSelf(Changed);
+}
+
+void Gossip::setServing() {
+  Member Changed = table().self();
+  if (Changed.State_ != MemberState::Leaving)
+    return;
+  Changed.State_ = MemberState::Alive;
+  Impl_->changeSelf(Changed);
+}
+
+std::vector<Outgoing> Gossip::leave() { return Impl_->leave(); }
+
+void Gossip::setConfigOffset(int64_t Offset) { Impl_->setConfigOffset(Offset); }
+
+void Gossip::spread(std::span<const SpreadRecord> Records) {
+  Impl_->spread(Records);
+}
+
+GossipEvents Gossip::takeEvents() { return Impl_->takeEvents(); }
+const MemberTable &Gossip::table() const { return Impl_->Table_; }
+const GossipFigures &Gossip::figures() const { return Impl_->Figures_; }
+bool Gossip::synced() const { return Impl_->synced(); }
+Millis Gossip::silence() const { return Impl_->silence(); }
+bool Gossip::isRelay() const { return Impl_->Index_.selfIsRelay(); }
+
+bool Gossip::regionSilent(std::string_view Region) const {
+  return Impl_->regionSilent(Region);
+}
+
+} // namespace coltsfoot
--- /dev/null
+++ b/src/libcoordination/gossipprobe.cpp
@@ -0,0 +1,330 @@
+#include "coltsfootpoint/log.h"
+#include "gossipimpl.h"
+#include "gossipwire.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace coltsfoot {
+
+namespace {
+
+constexpr int MaxHealth = 8;
+constexpr size_t MaxProxyProbes = 256;
+/// How many probe intervals a region may be quiet before it counts as silent.
+constexpr double SilentProbes = 10;
+/// How many probe intervals may pass without any datagram before a node takes
+/// itself, and not the others, for cut off.
+constexpr double CutOffProbes = 2.5;
+
+} // namespace
+
+/// A node that was paused or starved of CPU has missed acks and refutations
+/// through its own fault: every time-out begins anew.
+void Gossip::Impl::noticeLateTick() {
+  Millis Now = Time_.now();
+  bool Late = Now - LastTick_ > Options_.ProbeTimeout_;
+  LastTick_ = Now;
+  if (!Late)
+    return;
+  ++Figures_.LateTicks_;
+  Health_ = std::min(Health_ + 1, MaxHealth);
+  Probes_.clear();
+  for (auto &[Node, Pending] : Suspicions_)
+    Pending.Deadline_ = Now + suspicionTime();
+  for (auto &[Node, Pending] : Disputes_)
+    Pending.Deadline_ = Now + suspicionTime();
+  for (auto &[Region, Heard] : RegionHeard_)
+    Heard = Now;
+}
+
+void Gossip::Impl::startProbes() {
+  Millis Now = Time_.now();
+  if (Now < NextProbe_)
+    return;
+  NextProbe_ = Now + Options_.ProbeInterval_;
+  // Every member of the region once in each round, in random order.
+  if (ProbeOrder_.empty()) {
+    ProbeOrder_ = Index_.local();
+    std::shuffle(ProbeOrder_.begin(), ProbeOrder_.end(), Random_);
+  }
+  while (!ProbeOrder_.empty()) {
+    std::string Node = ProbeOrder_.back()->Member_.Node_;
+    ProbeOrder_.pop_back();
+    const Member *Target = Table_.find(Node);
+    if (!Target || !isPresent(*Target))
+      continue;
+    startProbe(*Target);
+    break;
+  }
+  const auto &Regions = Index_.regions();
+  if (!Index_.selfIsRelay() || Regions.empty())
+    return;
+  const RemoteRegion &Region = Regions[NextProbeRegion_++ % Regions.size()];
+  if (MemberPtr Relay = chooseFrom(Region.Relays_, Random_))
+    startProbe(Relay->Member_);
+}
+
+void Gossip::Impl::startProbe(const Member &Target) {
+  ++Figures_.Probes_;
+  int64_t Sequence = ++NextSequence_;
+  Probes_[Sequence] = {Target.Node_, Target.Region_, Target.Generation_,
+                       Time_.now() + probeTimeout(), false};
+  sendProbe(Target.Node_, Sequence);
+}
+
+void Gossip::Impl::sendProbe(const std::string &Node, int64_t Sequence) {
+  wire::Datagram Message = newDatagram();
+  wire::Probe Probe;
+  Probe.sequence = Sequence;
+  Message.__set_probe(Probe);
+  // A suspected member learns of it at once, so that it can refute.
+  const Member *Target = Table_.find(Node);
+  if (Target && Target->State_ >= MemberState::Suspect)
+    Message.members.push_back(toWire(*Target));
+  sendWithNews(Node, std::move(Message));
+}
+
+void Gossip::Impl::expireProbes() {
+  Millis Now = Time_.now();
+  std::erase_if(Proxies_,
+                [Now](const auto &P) { return P.second.Expires_ <= Now; });
+  for (auto It = Probes_.begin(); It != Probes_.end();) {
+    PendingProbe &Probe = It->second;
+    if (Now < Probe.Deadline_) {
+      ++It;
+      continue;
+    }
+    if (!Probe.Indirect_) {
+      Probe.Indirect_ = true;
+      Probe.Deadline_ = Now + probeTimeout();
+      askOthers(It->first, Probe);
+      ++It;
+      continue;
+    }
+    if (Probe.Region_ == Table_.self().Region_)
+      suspect(Probe);
+    It = Probes_.erase(It);
+  }
+}
+
+/// Asks other members to probe a silent one, and tries once more directly, as
+/// one datagram may be lost.
+void Gossip::Impl::askOthers(int64_t Sequence, const PendingProbe &Probe) {
+  bool Remote = Probe.Region_ != Table_.self().Region_;
+  if (!Remote) {
+    ++Figures_.MissedAcks_;
+    Health_ = std::min(Health_ + 1, MaxHealth);
+  }
+  sendProbe(Probe.Node_, Sequence);
+  std::vector<MemberPtr> Helpers =
+      Remote ? Index_.localRelays()
+             : Index_.chooseSome(Random_, Options_.IndirectProbes_ + 1);
+  std::shuffle(Helpers.begin(), Helpers.end(), Random_);
+  int Asked = 0;
+  for (const MemberPtr &Helper : Helpers) {
+    if (Helper->Member_.Node_ == Probe.Node_)
+      continue;
+    if (Asked++ == Options_.IndirectProbes_)
+      break;
+    wire::Datagram Message = newDatagram();
+    wire::Probe Request;
+    Request.sequence = Sequence;
+    Request.target = Probe.Node_;
+    Message.__set_probe(Request);
+    send(Helper->Member_.Node_, std::move(Message));
+  }
+}
+
+void Gossip::Impl::suspect(const PendingProbe &Probe) {
+  const Member *Target = Table_.find(Probe.Node_);
+  if (cutOff() || !Target || Target->State_ >= MemberState::Suspect ||
+      Target->Generation_ != Probe.Generation_)
+    return;
+  ++Figures_.Suspicions_;
+  Member Suspected = *Target;
+  Suspected.State_ = MemberState::Suspect;
+  MemberPtr Old = Table_.record(Probe.Node_);
+  Table_.apply(Suspected, Time_.now());
+  noteChange(std::move(Old), Table_.record(Probe.Node_), true);
+  Suspicions_[Probe.Node_].Raised_ = true;
+  sendRecordOf(Suspected, Probe.Node_);
+}
+
+void Gossip::Impl::trackSuspicion(const Member &New, const Member *Old) {
+  auto Where = Suspicions_.find(New.Node_);
+  if (Where != Suspicions_.end()) {
+    bool Refuted = New.State_ <= MemberState::Leaving;
+    if (Refuted && Where->second.Raised_ && Old &&
+        Old->Incarnation_ == New.Incarnation_)
+      ++Figures_.FalseSuspicions_;
+    Suspicions_.erase(Where);
+  }
+  Disputes_.erase(New.Node_);
+  if (New.State_ == MemberState::Suspect &&
+      New.Region_ == Table_.self().Region_)
+    Suspicions_[New.Node_] = {New.Generation_, Time_.now() + suspicionTime(),
+                              false};
+}
+
+void Gossip::Impl::expireSuspicions() {
+  Millis Now = Time_.now();
+  std::vector<MemberPtr> Expired;
+  for (auto &[Node, Pending] : Suspicions_) {
+    if (cutOff())
+      Pending.Deadline_ = Now + suspicionTime();
+    else if (Now >= Pending.Deadline_)
+      Expired.push_back(Table_.record(Node));
+  }
+  for (const MemberPtr &Record : Expired)
+    if (Record)
+      declareDead(Record->Member_);
+}
+
+void Gossip::Impl::declareDead(const Member &Subject) {
+  ++Figures_.Deaths_;
+  MemberPtr Old = Table_.record(Subject.Node_);
+  Member Dead = Subject;
+  Dead.State_ = MemberState::Dead;
+  if (Table_.apply(Dead, Time_.now()) == ApplyResult::News)
+    noteChange(std::move(Old), Table_.record(Subject.Node_), true);
+}
+
+/// Holds back a death that was declared elsewhere without this node having
+/// heard of a suspicion, as after a split: the far side has declared members
+/// dead that are alive on this side. Returns whether it is held back.
+bool Gossip::Impl::dispute(const Member &Fresh, const Member &Sender) {
+  if (Fresh.State_ != MemberState::Dead || Fresh.Node_ == Sender.Node_)
+    return false;
+  const Member *Known = Table_.find(Fresh.Node_);
+  if (!Known || Known->State_ > MemberState::Leaving ||
+      Known->Generation_ != Fresh.Generation_ ||
+      Known->Incarnation_ != Fresh.Incarnation_ ||
+      Known->Node_ == Table_.self().Node_)
+    return false;
+  auto [Where, IsNew] = Disputes_.try_emplace(
+      Fresh.Node_, Dispute{Fresh, Time_.now() + suspicionTime()});
+  if (IsNew && Fresh.Region_ == Table_.self().Region_)
+    sendRecordOf(Fresh, Fresh.Node_);
+  return true;
+}
+
+void Gossip::Impl::expireDisputes() {
+  Millis Now = Time_.now();
+  std::vector<Member> Expired;
+  for (auto &[Node, Pending] : Disputes_)
+    if (Now >= Pending.Deadline_)
+      Expired.push_back(Pending.Death_);
+  for (const Member &Death : Expired) {
+    Disputes_.erase(Death.Node_);
+    MemberPtr Old = Table_.record(Death.Node_);
+    if (Table_.apply(Death, Now) == ApplyResult::News)
+      noteChange(std::move(Old), Table_.record(Death.Node_), true);
+  }
+}
+
+void Gossip::Impl::takeProbe(const wire::Probe &Probe, const Member &Sender) {
+  if (Probe.target.empty()) {
+    wire::Datagram Message = newDatagram();
+    wire::ProbeAck Ack;
+    Ack.sequence = Probe.sequence;
+    Message.__set_ack(Ack);
+    const Member *Known = Table_.find(Sender.Node_);
+    if (Known && isPresent(*Known) && supersedes(*Known, Sender))
+      Message.members.push_back(toWire(*Known));
+    sendWithNews(Sender.Node_, std::move(Message));
+    return;
+  }
+  // Only members are probed for others, so that a stray datagram can't make
+  // this node send elsewhere.
+  const Member *Target = Table_.find(Probe.target);
+  if (!Target || Target->Node_ == Table_.self().Node_ ||
+      Proxies_.size() >= MaxProxyProbes)
+    return;
+  int64_t Sequence = ++NextSequence_;
+  Proxies_[Sequence] = {Sender.Node_, Probe.sequence,
+                        Time_.now() + Options_.ProbeTimeout_ * (1 + MaxHealth)};
+  sendProbe(Probe.target, Sequence);
+}
+
+void Gossip::Impl::takeAck(const wire::ProbeAck &Ack, const Member &Sender) {
+  auto Proxy = Proxies_.find(Ack.sequence);
+  if (Proxy != Proxies_.end() && Ack.target.empty()) {
+    wire::Datagram Message = newDatagram();
+    wire::ProbeAck Passed;
+    Passed.sequence = Proxy->second.AskerSequence_;
+    Passed.target = Sender.Node_;
+    Message.__set_ack(Passed);
+    std::string Asker = Proxy->second.Asker_;
+    Proxies_.erase(Proxy);
+    send(Asker, std::move(Message));
+    return;
+  }
+  auto Pending = Probes_.find(Ack.sequence);
+  if (Pending == Probes_.end())
+    return;
+  const std::string &Answering = Ack.target.empty() ? Sender.Node_ : Ack.target;
+  if (Answering != Pending->second.Node_)
+    return;
+  hearRegion(Pending->second.Region_);
+  if (!Pending->second.Indirect_)
+    Health_ = std::max(Health_ - 1, 0);
+  Probes_.erase(Pending);
+}
+
+void Gossip::Impl::hearRegion(const std::string &Region) {
+  if (Region == Table_.self().Region_)
+    return;
+  auto Where = RegionHeard_.find(Region);
+  if (Where != RegionHeard_.end())
+    Where->second = Time_.now();
+}
+
+bool Gossip::Impl::regionSilent(std::string_view Region) const {
+  auto Where = RegionHeard_.find(Region);
+  return Index_.selfIsRelay() && Where != RegionHeard_.end() &&
+         Time_.now() - Where->second > Options_.ProbeInterval_ * SilentProbes;
+}
+
+/// Drops the members of regions that have been silent for the retention.
+void Gossip::Impl::watchRegions() {
+  if (!Index_.selfIsRelay())
+    return;
+  Millis Now = Time_.now();
+  for (auto &[Region, Heard] : RegionHeard_) {
+    if (Now - Heard < Options_.RegionRetention_ || cutOff())
+      continue;
+    Heard = Now;
+    std::vector<MemberPtr> Lost;
+    for (const MemberPtr &Record : Table_.records())
+      if (Record->Member_.Region_ == Region && isPresent(Record->Member_))
+        Lost.push_back(Record);
+    if (Lost.empty())
+      continue;
+    logEvent(LogLevel::Warning, "region-dropped",
+             {{"region", Region}, {"members", uint64_t(Lost.size())}});
+    for (const MemberPtr &Record : Lost)
+      declareDead(Record->Member_);
+  }
+}
+
+/// Returns whether nobody has been heard for so long that this node itself is
+/// more likely cut off than all others dead. With a single other member in
+/// the region nothing can tell the two apart, and that one is judged.
+bool Gossip::Impl::cutOff() const {
+  Millis Silence = silence();
+  return Index_.local().size() > 1 &&
+         Silence > Options_.ProbeInterval_ * CutOffProbes &&
+         Silence < Options_.RegionRetention_;
+}
+
+Millis Gossip::Impl::probeTimeout() const {
+  return Options_.ProbeTimeout_ * (1 + Health_);
+}
+
+Millis Gossip::Impl::suspicionTime() const {
+  double Region = static_cast<double>(Index_.local().size()) + 1;
+  return Options_.SuspicionTime_ * std::max(1.0, std::log10(Region));
+}
+
+} // namespace coltsfoot
--- /dev/null
+++ b/src/libcoordination/gossipsync.cpp
@@ -0,0 +1,244 @@
+#include "gossipimpl.h"
+#include "gossipwire.h"
+
+#include <algorithm>
+
+namespace coltsfoot {
+
+namespace {
+
+constexpr size_t MaxSeedPeers = 64;
+constexpr Millis FirstSeedBackoff = Millis(1000);
+constexpr Millis MaxSeedBackoff = Millis(30'000);
+/// How often a node that is still joining asks one more peer.
+constexpr Millis JoinInterval = Millis(500);
+constexpr Millis DigestAnswerTime = Millis(5000);
+constexpr Millis DeadContactInterval = Millis(5000);
+/// Bounds how often the whole region together contacts dead members.
+constexpr Millis DeadContactPerMember = Millis(50);
+constexpr int TransferDatagramsPerTick = 4;
+constexpr int TransferDatagrams = 48;
+constexpr size_t MaxTransfers = 16;
+constexpr size_t DigestBytes = 4;
+constexpr size_t BucketMapBytes = DigestBucketCount / 8;
+
+std::string encodeDigests(const TableDigests &Digests) {
+  std::string Bytes;
+  Bytes.reserve(Digests.size() * DigestBytes);
+  for (uint32_t Digest : Digests)
+    for (size_t I = 0; I < DigestBytes; ++I)
+      Bytes.push_back(static_cast<char>(Digest >> (8 * I)));
+  return Bytes;
+}
+
+/// The caller has checked the size.
+TableDigests decodeDigests(std::string_view Bytes) {
+  TableDigests Digests{};
+  for (size_t I = 0; I < Bytes.size(); ++I)
+    Digests[I / DigestBytes] |= uint32_t(static_cast<unsigned char>(Bytes[I]))
+                                << (8 * (I % DigestBytes));
+  return Digests;
+}
+
+std::string encodeBuckets(const std::vector<bool> &Buckets) {
+  std::string Bytes(BucketMapBytes, '\0');
+  for (size_t I = 0; I < Buckets.size(); ++I)
+    if (Buckets[I])
+      Bytes[I / 8] = static_cast<char>(Bytes[I / 8] | (1 << (I % 8)));
+  return Bytes;
+}
+
+std::vector<bool> decodeBuckets(std::string_view Bytes) {
+  std::vector<bool> Buckets(DigestBucketCount);
+  for (size_t I = 0; I < Buckets.size(); ++I)
+    Buckets[I] = (Bytes[I / 8] >> (I % 8)) & 1;
+  return Buckets;
+}
+
+} // namespace
+
+void Gossip::Impl::addPeers(std::span<const std::string> Nodes) {
+  for (const std::string &Node : Nodes) {
+    bool Known =
+        std::any_of(SeedPeers_.begin(), SeedPeers_.end(),
+                    [&](const SeedPeer &Peer) { return Peer.Node_ == Node; });
+    if (Known || Node.empty() || Node == Table_.self().Node_)
+      continue;
+    // The peers of the settings come first in the list and are kept.
+    if (SeedPeers_.size() >= std::max(MaxSeedPeers, Options_.Peers_.size()))
+      SeedPeers_.erase(SeedPeers_.begin() +
+                       std::ptrdiff_t(Options_.Peers_.size()));
+    SeedPeers_.push_back({Node, Time_.now(), FirstSeedBackoff});
+  }
+}
+
+void Gossip::Impl::contactSeedPeers() {
+  Millis Now = Time_.now();
+  for (SeedPeer &Peer : SeedPeers_) {
+    if (Now < Peer.Next_)
+      continue;
+    const Member *Known = Table_.find(Peer.Node_);
+    if (Known && isPresent(*Known)) {
+      Peer.Backoff_ = FirstSeedBackoff;
+      Peer.Next_ = Now + MaxSeedBackoff;
+      continue;
+    }
+    sendProbe(Peer.Node_, ++NextSequence_);
+    // Jitter keeps a zone that starts at once from asking in step.
+    double Jitter = 0.75 + static_cast<double>(Random_() % 500) / 1000;
+    Peer.Next_ = Now + Peer.Backoff_ * Jitter;
+    bool Alone = Table_.presentCount() == 1;
+    Peer.Backoff_ = std::min(Peer.Backoff_ * 2,
+                             Alone ? FirstSeedBackoff * 2 : MaxSeedBackoff);
+  }
+}
+
+/// Members declared dead may only have been cut off: now and then one is
+/// asked, so that two halves find each other again.
+void Gossip::Impl::contactDead() {
+  Millis Now = Time_.now();
+  if (Now < NextDeadContact_)
+    return;
+  Millis Interval =
+      std::max(DeadContactInterval,
+               DeadContactPerMember * double(Index_.local().size()));
+  double Jitter = 0.5 + static_cast<double>(Random_() % 1000) / 1000;
+  NextDeadContact_ = Now + Interval * Jitter;
+  if (Table_.count(MemberState::Dead) == 0)
+    return;
+  std::vector<MemberPtr> Dead;
+  for (const MemberPtr &Record : Table_.records()) {
+    const Member &M = Record->Member_;
+    bool Near = M.Region_ == Table_.self().Region_ || Index_.selfIsRelay();
+    if (!isPresent(M) && Near)
+      Dead.push_back(Record);
+  }
+  if (MemberPtr Target = chooseFrom(Dead, Random_))
+    sendProbe(Target->Member_.Node_, ++NextSequence_);
+}
+
+void Gossip::Impl::digestRound() {
+  Millis Now = Time_.now();
+  if (Now < NextDigest_)
+    return;
+  MemberPtr Peer = Index_.choose(Random_);
+  bool AskRemote = Index_.selfIsRelay() && (!Peer || Random_() % 2 == 0);
+  if (AskRemote && !Index_.regions().empty()) {
+    const auto &Regions = Index_.regions();
+    if (MemberPtr Relay =
+            chooseFrom(Regions[Random_() % Regions.size()].Relays_, Random_))
+      Peer = Relay;
+  }
+  if (!Peer)
+    return;
+  double Jitter = 0.8 + static_cast<double>(Random_() % 400) / 1000;
+  NextDigest_ =
+      Now + (Synced_ ? Options_.DigestInterval_ : JoinInterval) * Jitter;
+  sendDigest(Peer->Member_.Node_);
+}
+
+void Gossip::Impl::sendDigest(const std::string &Node) {
+  DigestAsked_ = Node;
+  DigestAnswerDue_ = Time_.now() + DigestAnswerTime;
+  wire::Datagram Message = newDatagram();
+  wire::TableDigest Digest;
+  Digest.digests = encodeDigests(Table_.digests());
+  Digest.answer = false;
+  Message.__set_digest(Digest);
+  send(Node, std::move(Message));
+}
+
+void Gossip::Impl::takeDigest(const wire::TableDigest &Digest,
+                              const Member &Sender) {
+  if (!Digest.answer &&
+      Digest.digests.size() == DigestBucketCount * DigestBytes)
+    answerDigest(Digest, Sender);
+  else if (Digest.answer && Digest.digests.size() == BucketMapBytes)
+    takeDigestAnswer(Digest, Sender);
+  else
+    ++Figures_.Ignored_;
+}
+
+/// Tells the asker which buckets differ and sends it the records of those.
+void Gossip::Impl::answerDigest(const wire::TableDigest &Digest,
+                                const Member &Sender) {
+  TableDigests Theirs = decodeDigests(Digest.digests);
+  std::vector<bool> Differing(DigestBucketCount);
+  for (size_t I = 0; I < Differing.size(); ++I)
+    Differing[I] = Theirs[I] != Table_.digests()[I];
+  wire::Datagram Message = newDatagram();
+  wire::TableDigest Answer;
+  Answer.answer = true;
+  Answer.digests = encodeBuckets(Differing);
+  Message.__set_digest(Answer);
+  send(Sender.Node_, std::move(Message));
+  queueTransfer(Sender.Node_, Differing);
+}
+
+void Gossip::Impl::takeDigestAnswer(const wire::TableDigest &Digest,
+                                    const Member &Sender) {
+  if (Sender.Node_ != DigestAsked_ || Time_.now() > DigestAnswerDue_)
+    return;
+  DigestAsked_.clear();
+  std::vector<bool> Differing = decodeBuckets(Digest.digests);
+  auto Count = std::count(Differing.begin(), Differing.end(), true);
+  // News under way keeps a bucket or two of a large fleet apart at any time.
+  if (Count * 100 <= Table_.presentCount())
+    Synced_ = true;
+  // A joining node holds nothing that its peer lacks, but for itself.
+  if (Synced_)
+    queueTransfer(Sender.Node_, Differing);
+}
+
+void Gossip::Impl::queueTransfer(const std::string &Node,
+                                 const std::vector<bool> &Buckets) {
+  bool Running = std::any_of(
+      Transfers_.begin(), Transfers_.end(),
+      [&](const Transfer &Pending) { return Pending.Node_ == Node; });
+  if (Running || Transfers_.size() >= MaxTransfers)
+    return;
+  Transfer Fresh{Node, Table_.inBuckets(Buckets), 0, TransferDatagrams};
+  if (Fresh.Records_.empty())
+    return;
+  // What doesn't fit into one transfer is asked for again, elsewhere; each
+  // peer begins at another place.
+  std::sort(Fresh.Records_.begin(), Fresh.Records_.end(),
+            [](const MemberPtr &A, const MemberPtr &B) {
+              return digestBucketOf(A->Member_.Node_) <
+                     digestBucketOf(B->Member_.Node_);
+            });
+  auto Start = std::ptrdiff_t(Random_() % Fresh.Records_.size());
+  std::rotate(Fresh.Records_.begin(), Fresh.Records_.begin() + Start,
+              Fresh.Records_.end());
+  Transfers_.push_back(std::move(Fresh));
+}
+
+void Gossip::Impl::sendTransfers() {
+  for (int I = 0; I < TransferDatagramsPerTick && !Transfers_.empty(); ++I) {
+    Transfer Current = std::move(Transfers_.front());
+    Transfers_.pop_front();
+    wire::Datagram Message = newDatagram();
+    wire::TableDigest Marker;
+    Marker.answer = true;
+    Message.__set_digest(Marker);
+    size_t Room = roomIn(Message);
+    while (Current.Sent_ < Current.Records_.size()) {
+      const Member &M = Current.Records_[Current.Sent_]->Member_;
+      size_t Bytes = wireSize(M);
+      if (Bytes > Room)
+        break;
+      Room -= Bytes;
+      Message.members.push_back(toWire(M));
+      ++Current.Sent_;
+    }
+    send(Current.Node_, std::move(Message));
+    if (Current.Sent_ < Current.Records_.size() && --Current.DatagramsLeft_ > 0)
+      Transfers_.push_back(std::move(Current));
+  }
+}
+
+bool Gossip::Impl::synced() const {
+  return Synced_ || (SeedPeers_.empty() && Table_.presentCount() == 1);
+}
+
+} // namespace coltsfoot
--- /dev/null
+++ b/src/libcoordination/gossipwire.cpp
@@ -0,0 +1,113 @@
+#include "gossipwire.h"
+
+#include "coltsfoot_types.h"
+
+#include <cstring>
+
+namespace coltsfoot {
+
+namespace {
+
+constexpr size_t MaxAddressBytes = 64;
+constexpr size_t MaxNameBytes = 128;
+/// Leaves room to refute any generation that is let in.
+constexpr int64_t MaxGeneration = int64_t(1) << 53;
+
+/// The decoder stores any number in the enumeration, so it is read as the
+/// bytes that it is before it may be used as one.
+int rawState(const wire::WireMember &Message) {
+  static_assert(sizeof(Message.state) == sizeof(int));
+  int Raw = 0;
+  std::memcpy(&Raw, &Message.state, sizeof(Raw));
+  return Raw;
+}
+
+size_t varintSize(uint64_t Value) {
+  size_t Size = 1;
+  while (Value >= 0x80) {
+    Value >>= 7;
+    ++Size;
+  }
+  return Size;
+}
+
+/// A field of the compact protocol has a header of one byte.
+size_t integerSize(int64_t Value) {
+  auto Zigzag =
+      (static_cast<uint64_t>(Value) << 1) ^ static_cast<uint64_t>(Value >> 63);
+  return 1 + varintSize(Zigzag);
+}
+
+size_t textSize(const std::string &Text) {
+  return 1 + varintSize(Text.size()) + Text.size();
+}
+
+} // namespace
+
+wire::WireMember toWire(const Member &M) {
+  wire::WireMember Message;
+  Message.node = M.Node_;
+  Message.incarnation = static_cast<int64_t>(M.Incarnation_);
+  Message.generation = M.Generation_;
+  Message.state = static_cast<wire::WireMemberState::type>(M.State_);
+  Message.zone = M.Zone_;
+  Message.region = M.Region_;
+  Message.service_name = M.Service_;
+  Message.slots = M.Slots_;
+  Message.config_offset = M.ConfigOffset_;
+  return Message;
+}
+
+std::optional<Member> fromWire(const wire::WireMember &Message) {
+  int State = rawState(Message);
+  bool Valid = !Message.node.empty() &&
+               Message.node.size() <= MaxAddressBytes &&
+               Message.zone.size() <= MaxNameBytes &&
+               Message.region.size() <= MaxNameBytes &&
+               Message.service_name.size() <= MaxNameBytes &&
+               Message.generation >= 0 && Message.generation < MaxGeneration &&
+               State >= 0 && State <= static_cast<int>(MemberState::Dead) &&
+               Message.slots >= 0 && Message.config_offset >= 0;
+  if (!Valid)
+    return std::nullopt;
+  Member M;
+  M.Node_ = Message.node;
+  M.Incarnation_ = static_cast<Incarnation>(Message.incarnation);
+  M.Generation_ = Message.generation;
+  M.State_ = static_cast<MemberState>(State);
+  M.Zone_ = Message.zone;
+  M.Region_ = Message.region;
+  M.Service_ = Message.service_name;
+  M.Slots_ = Message.slots;
+  M.ConfigOffset_ = Message.config_offset;
+  return M;
+}
+
+wire::ConfigRecord toWire(const SpreadRecord &Record) {
+  wire::ConfigRecord Message;
+  Message.offset = Record.Offset_;
+  Message.data = Record.Data_;
+  return Message;
+}
+
+std::optional<SpreadRecord> fromWire(const wire::ConfigRecord &Message) {
+  if (Message.offset < 0)
+    return std::nullopt;
+  return SpreadRecord{Message.offset, Message.data};
+}
+
+size_t wireSize(const Member &M) {
+  constexpr size_t StateBytes = 2;
+  constexpr size_t StopBytes = 1;
+  return textSize(M.Node_) + integerSize(static_cast<int64_t>(M.Incarnation_)) +
+         integerSize(M.Generation_) + StateBytes + textSize(M.Zone_) +
+         textSize(M.Region_) + textSize(M.Service_) + integerSize(M.Slots_) +
+         integerSize(M.ConfigOffset_) + StopBytes;
+}
+
+size_t wireSize(const SpreadRecord &Record) {
+  constexpr size_t StopBytes = 1;
+  return integerSize(Record.Offset_) + textSize(Record.Data_) + StopBytes;
+}
+
+} // namespace coltsfoot
--- /dev/null
+++ b/src/libstate/member.cpp
@@ -0,0 +1,28 @@
+#include "member.h"
+
+#include <tuple>
+
+namespace coltsfoot {
+
+bool supersedes(const Member &Fresh, const Member &Known) {
+  auto Rank = [](const Member &M) {
+    return std::tuple(M.Generation_, M.State_, M.Incarnation_);
+  };
+  return Rank(Fresh) > Rank(Known);
+}
+
+const char *memberStateName(MemberState State) {
+  switch (State) {
+  case MemberState::Alive:
+    return "alive";
+  case MemberState::Leaving:
+    return "leaving";
+  case MemberState::Suspect:
+    return "suspect";
+  case MemberState::Dead:
+    return "dead";
+  }
+  return "unknown";
+}
+
+} // namespace coltsfoot
--- a/src/libstate/membertable.h
+++ b/src/libstate/membertable.h
@@ -55,7 +55,7 @@
   ApplyResult apply(const Member &Fresh, Millis Now);
 
   /// Replaces this node's own record; the caller has raised the generation.
-  void setSelf(const Member &Self);
+  void setSelf(const Member &Self, Millis Now);
   /// Returns this node's own record.
   const Member &self() const { return Self_->Member_; }
 
@@ -71,6 +71,8 @@
   /// Returns the record of a node, dead ones included, or null. The pointer
   /// is good until the table changes.
   const Member *find(std::string_view Node) const;
+  /// Returns the same, sharing ownership.
+  MemberPtr record(std::string_view Node) const;
 
   /// Returns the members of a service that are alive or leaving, by address.
   std::vector<Member> gatesOf(std::string_view Service) const;
@@ -80,8 +82,9 @@
   /// Returns the shared records of all members, dead ones included, in no
   /// particular order.
   const std::vector<MemberPtr> &records() const { return Records_; }
-  /// Returns the records of a bucket, dead ones included.
-  std::vector<MemberPtr> bucket(int Bucket) const;
+  /// Returns the records whose bucket is set in Wanted and whose death, if
+  /// any, was news to this node. The size of Wanted is DigestBucketCount.
+  std::vector<MemberPtr> inBuckets(const std::vector<bool> &Wanted) const;
 
   /// Returns the digests over the members that are not dead. Kept up to date
   /// with every change, so this costs nothing.
@@ -97,27 +100,27 @@
   }
 
   /// Returns a number that grows whenever a member's record changes, but not
-  /// with offset hints, and one that grows with offset hints too.
+  /// with offset hints.
   uint64_t version() const { return Version_; }
+  /// Returns a number that grows with every change, offset hints included.
   uint64_t hintVersion() const { return HintVersion_; }
 
 private:
   struct Slot {
     uint32_t Index_ = 0; ///< Into Records_.
-    /// When the member died by this node's clock; 0 while it lives.
-    double DeadSinceMs_ = 0;
+    /// Whether the death was learned of while the member was known.
+    bool DeathWitnessed_ = false;
+    Millis DeadSince_;
   };
   struct Hash {
-    using is_transparent = void;
     size_t operator()(std::string_view Node) const { return stableHash(Node); }
   };
-  using SlotMap =
-      std::unordered_map<std::string_view, Slot, Hash, std::equal_to<>>;
+  using SlotMap = std::unordered_map<std::string_view, Slot, Hash>;
 
-  void insert(MemberPtr Record, Millis Now);
-  void replace(Slot &Where, MemberPtr Record, Millis Now);
+  void insert(MemberPtr Fresh, Millis Now);
+  void replace(SlotMap::iterator Where, MemberPtr Fresh, Millis Now);
   void account(const Member &M, int Sign);
-  void erase(std::string_view Node);
+  ApplyResult applyToSelf(const Member &Fresh) const;
 
   Millis DeadRetention_;
   MemberPtr Self_;
