Implement admission, the entry's thresholds and the balancer

Cause: the interfaces had no code behind them. Ruled out: one ordered set over all requests, which can't serve kinds and clients fairly; flows with start-time fair queueing can in O(log n). Change: fair scheduler, flows by kind and client, ranked queue, threshold control, service time estimates, both behaviours of the admission queue, concurrency limit, entry thresholds, balancer.

--- a/src/libstate/balancer.h
+++ b/src/libstate/balancer.h
@@ -129,6 +129,7 @@
                                 const Scope &From,
                                 std::span<const NodeRef> Exclude) const;
   double load(const Option &Gate, const Scope &From, double Typical) const;
+  static double typicalLatency(std::span<const Option> Options);
   static void noteFailure(Stats &Known, Millis Now);
 
   mutable std::mutex Mutex_;
--- a/src/libstate/concurrencylimit.h
+++ b/src/libstate/concurrencylimit.h
@@ -48,20 +48,20 @@
   struct Sample {
     int Count_ = 0;
     double LatencySum_ = 0;
+    int Starts_ = 0;
+    /// Starts that reached the limit.
+    int Full_ = 0;
     Millis Start_;
-    bool Saturated_ = false;
-    double mean() const { return Count_ > 0 ? LatencySum_ / Count_ : 0; }
   };
   enum class Phase { Steady, Settling, Dipped };
 
-  bool full(const Sample &Window, Millis Now) const;
+  bool full(Millis Now) const;
   void restart(Millis Now);
   void shed(Millis Now);
   void closeWindow(Millis Now);
   void closeSteady(double Mean, Millis Now);
+  void startDip(Millis Now);
   void closeDip(double Mean, Millis Now);
-  void startDip(double Mean, Millis Now);
-  void grow(Millis Now);
 
   const Clock &Time_;
   int Slots_;
@@ -69,14 +69,20 @@
   int InFlight_ = 0;
   Phase Phase_ = Phase::Steady;
   Sample Window_;
-  /// Mean latency without a queue in the backend server; 0 before the first.
+  /// Mean latency lately, and without a queue in the backend server, in
+  /// milliseconds; 0 before the first.
+  double Smoothed_ = 0;
   double Baseline_ = 0;
+  /// Latency and limit before a dip.
   double BeforeDip_ = 0;
+  double BeforeDipLimit_ = 1;
+  /// Ends to wait for until only requests of the dip are in flight.
   int SettleLeft_ = 0;
   Millis NextCheck_;
-  Millis GrowAfter_;
-  Millis ShedHold_;
+  Millis CheckGap_;
   Millis NextShed_;
+  Millis Hold_;
+  Millis GrowAfter_;
 };
 
 } // namespace coltsfoot
--- a/src/libstate/entrythreshold.h
+++ b/src/libstate/entrythreshold.h
@@ -46,7 +46,8 @@
   /// Records the threshold on a gate's answer. Kind is that of the answered
   /// request; empty for a general one.
   void heard(std::string_view Service, const NodeRef &Gate,
-             AdmissionThreshold Heard, Millis Now, std::string_view Kind = {});
+             AdmissionThreshold Threshold, Millis Now,
+             std::string_view Kind = {});
   /// Drops what was heard from a gate that is gone.
   void forget(std::string_view Service, const NodeRef &Gate);
 
@@ -59,34 +60,36 @@
 
   /// Records the services that one call of a route went on to call. They join
   /// the learned path while most recent calls used them.
-  void learn(std::string_view Route, std::span<const std::string> Downstream);
+  void learn(std::string_view RouteKey,
+             std::span<const std::string> Downstream);
   /// Returns the learned path of a route: services in most recent calls.
-  std::vector<std::string> path(std::string_view Route) const;
+  std::vector<std::string> path(std::string_view RouteKey) const;
 
   /// Returns the tightest threshold along the route's learned path, for a
   /// gate to pass on with its own.
-  AdmissionThreshold tightest(std::string_view Route, Millis Now) const;
+  AdmissionThreshold tightest(std::string_view RouteKey, Millis Now) const;
 
 private:
   struct Heard {
     AdmissionThreshold Threshold_;
     Millis At_;
   };
-  struct Service {
+  struct ServiceEntry {
     /// By kind, then by gate; the empty kind holds general thresholds.
     std::map<std::string, std::map<NodeRef, Heard>, std::less<>> Kinds_;
   };
-  struct Route {
+  struct RouteEntry {
     /// Share of recent calls that used each service.
     std::map<std::string, double, std::less<>> Shares_;
   };
 
   bool serviceRefuses(std::string_view Name, const DoorRequest &Asked,
-                      int GateCount, Millis Now) const;
+                      std::string_view Kind, int GateCount, Millis Now) const;
+  AdmissionThreshold loosest(std::string_view Name, Millis Now) const;
 
   mutable std::mutex Mutex_;
-  std::map<std::string, Service, std::less<>> Services_;
-  std::map<std::string, Route, std::less<>> Routes_;
+  std::map<std::string, ServiceEntry, std::less<>> Services_;
+  std::map<std::string, RouteEntry, std::less<>> Routes_;
 };
 
 } // namespace coltsfoot
--- /dev/null
+++ b/src/libstate/fifoadmission.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "admissionqueue.h"
+#include "waiting.h"
+
+#include <boost/intrusive/list.hpp>
+
+namespace coltsfoot {
+
+/// The baseline behaviour of an AdmissionQueue: first in, first out, a fixed
+/// number of slots, and a queue of fixed size.
+class FifoAdmission {
+public:
+  FifoAdmission(const Clock &Time, int Slots, int QueueLimit)
+      : Time_(Time), Slots_(Slots), QueueLimit_(QueueLimit) {}
+
+  void offer(Waiting &Request);
+  void take(std::vector<AdmissionQueue::Decision> &Out);
+  void finish(const AdmissionRequest &Request, Millis Latency,
+              ServiceResult Result);
+  void abandon(const AdmissionRequest &Request);
+  bool cancel(Waiting &Request);
+  void tick() {}
+  void setSlots(int Slots) { Slots_ = Slots; }
+  AdmissionThreshold threshold() const { return {}; }
+  AdmissionThreshold threshold(std::string_view) const { return {}; }
+  int running() const { return Running_; }
+  int waiting() const { return static_cast<int>(Queue_.size()); }
+  int limit() const { return Slots_; }
+  bool overloaded() const { return false; }
+  Millis expectedService(std::string_view) const { return Millis(MeanMs_); }
+  Millis retryAfter() const;
+
+private:
+  using List = boost::intrusive::list<
+      Waiting,
+      boost::intrusive::member_hook<
+          Waiting, boost::intrusive::list_member_hook<>, &Waiting::ListHook_>>;
+
+  const Clock &Time_;
+  int Slots_;
+  int QueueLimit_;
+  int Running_ = 0;
+  double MeanMs_ = 0;
+  List Queue_;
+};
+
+} // namespace coltsfoot
--- a/src/libstate/waiting.h
+++ b/src/libstate/waiting.h
@@ -32,12 +32,11 @@
   Place place() const { return Place_; }
 
 private:
-  friend class AdmissionQueue;
+  friend class AdaptiveAdmission;
   friend class ClientFlow;
+  friend class FifoAdmission;
   friend class KindFlow;
   friend class RankedQueue;
-  friend class FifoQueue;
-  struct EarlierDeadline;
 
   boost::intrusive::list_member_hook<> ListHook_;
   boost::intrusive::set_member_hook<> DeadlineHook_;
