--- /dev/null
+++ b/src/include/coltsfootpoint/settings.h
@@ -0,0 +1,130 @@
+#pragma once
+
+#include "coltsfootpoint/log.h"
+#include "coltsfootpoint/time.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace coltsfoot {
+
+/// The way in which a node decides about overload.
+enum class Policy {
+  Adaptive, ///< Limits follow measured latency; see docs/DESIGN.md.
+  Static,   ///< Fixed limits.
+  None      ///< First in, first out, with three retries a hop.
+};
+
+/// Table `[node]`.
+struct NodeSettings {
+  std::string Address_;
+  uint16_t HttpPort_ = 0;
+  uint16_t PeerPort_ = 0;
+  /// `ip:port`; empty for the address and port that the node listens on.
+  std::string Advertise_;
+  std::string Zone_;
+  std::string Region_;
+  std::string Fleet_;
+  int Workers_ = 0;
+  Policy Policy_ = Policy::Adaptive;
+  bool operator==(const NodeSettings &) const = default;
+};
+
+/// Table `[log_service]`.
+struct LogServiceSettings {
+  /// `ip:port`; empty when the node has none and starts from its peers.
+  std::string Address_;
+  Millis RequestTimeout_;
+  Millis ReadWait_;
+  int SnapshotEveryRecords_ = 0;
+  Millis Retention_;
+  bool operator==(const LogServiceSettings &) const = default;
+};
+
+/// Table `[membership]`.
+struct MembershipSettings {
+  std::vector<std::string> Peers_;
+  Millis ProbeInterval_;
+  Millis ProbeTimeout_;
+  Millis Suspicion_;
+  Millis SpreadInterval_;
+  Millis DigestInterval_;
+  Millis Isolation_;
+  bool operator==(const MembershipSettings &) const = default;
+};
+
+/// Table `[limits]`.
+struct LimitSettings {
+  size_t HeaderBytes_ = 0;
+  size_t BodyBytes_ = 0;
+  Millis CallerIdle_;
+  Millis HeaderTimeout_;
+  int Callers_ = 0;
+  int Queue_ = 0;
+  int TicketEntries_ = 0;
+  size_t KeptAnswerBytes_ = 0;
+  bool operator==(const LimitSettings &) const = default;
+};
+
+/// Table `[timeouts]`.
+struct TimeoutSettings {
+  Millis Connect_;
+  Millis Heartbeat_;
+  Millis Silent_;
+  Millis Attempt_;
+  Millis Drain_;
+  bool operator==(const TimeoutSettings &) const = default;
+};
+
+/// Table `[security]`; file names, empty where not given.
+struct SecuritySettings {
+  std::string TicketKeyFile_;
+  std::string PreviousTicketKeyFile_;
+  std::string OperatorTokenFile_;
+  bool operator==(const SecuritySettings &) const = default;
+};
+
+/// Table `[logging]`.
+struct LoggingSettings {
+  LogLevel Level_ = LogLevel::Info;
+  bool operator==(const LoggingSettings &) const = default;
+};
+
+/// All settings of a node. What each means, its unit, default and range stand
+/// in one table, which settingsHelp() prints.
+struct Settings {
+  NodeSettings Node_;
+  LogServiceSettings LogService_;
+  MembershipSettings Membership_;
+  LimitSettings Limits_;
+  TimeoutSettings Timeouts_;
+  SecuritySettings Security_;
+  LoggingSettings Logging_;
+  bool operator==(const Settings &) const = default;
+};
+
+/// Returns the defaults, without a log service and peers; loadSettings() would
+/// refuse them for that.
+Settings defaultSettings();
+
+/// Parses TOML. File is used in errors alone. Throws SettingsError that lists
+/// all faults found.
+Settings parseSettings(std::string_view Text, const std::string &File);
+
+/// Reads and parses a file. Throws SettingsError, also when it can't be read.
+Settings loadSettings(const std::string &Path);
+
+/// Returns a text for a terminal that lists every key with its unit, default,
+/// range and meaning.
+std::string settingsHelp();
+
+/// Returns the same list as a Markdown table.
+std::string settingsMarkdown();
+
+/// Returns `adaptive`, `static` or `none`.
+std::string_view policyName(Policy Kind);
+
+} // namespace coltsfoot
