--- a/src/libcoordination/api.cpp
+++ b/src/libcoordination/api.cpp
@@ -228,7 +228,7 @@
   json::array Nodes;
   auto Known = Parts_.Gossip_.view();
   for (const auto &Node : Known->all())
-    Nodes.push_back(memberJson(*Node));
+    Nodes.push_back(memberJson(Node->Member_));
   json::object Out;
   Out["nodes"] = std::move(Nodes);
   Exchange->respond(jsonAnswer(200, json::serialize(Out)));
--- a/src/libcoordination/configsync.cpp
+++ b/src/libcoordination/configsync.cpp
@@ -72,7 +72,7 @@
   auto Members = Gossip_.view();
   bool Reader = false;
   for (const auto &Known : Members->readersOf(Zone_))
-    Reader = Reader || Known->Node_ == Node_;
+    Reader = Reader || Known->Member_.Node_ == Node_;
   Config_.setReader(Reader || Members->presentCount() <= 1);
 }
 
@@ -84,11 +84,11 @@
   auto Members = Gossip_.view();
   size_t Others = 0;
   for (const auto &Known : Members->all()) {
-    if (Known->Node_ == Node_ || Known->State_ == MemberState::Dead)
+    if (Known->Member_.Node_ == Node_ || Known->Member_.State_ == MemberState::Dead)
       continue;
     ++Others;
-    if (Asked_.size() < PeersToAsk && Asked_.insert(Known->Node_).second)
-      fetch(Known->Node_, Config_.current()->nextOffset(), true);
+    if (Asked_.size() < PeersToAsk && Asked_.insert(Known->Member_.Node_).second)
+      fetch(Known->Member_.Node_, Config_.current()->nextOffset(), true);
   }
   if (Others > 0 && Answered_.size() >= std::min(PeersToAsk, Others))
     Config_.peersSettled();
--- a/src/libcoordination/fleetquery.cpp
+++ b/src/libcoordination/fleetquery.cpp
@@ -102,8 +102,8 @@
               std::function<void(FleetAnswers)> OnEnd) {
   std::vector<std::string> Nodes;
   for (const auto &Known : Members.all())
-    if (Known->State_ != MemberState::Dead)
-      Nodes.push_back(Known->Node_);
+    if (Known->Member_.State_ != MemberState::Dead)
+      Nodes.push_back(Known->Member_.Node_);
   std::make_shared<FleetQuery>(Context, Peers, std::move(Nodes), What, Argument,
                                std::move(OnEnd))
       ->start();
--- a/src/libcoordination/node.cpp
+++ b/src/libcoordination/node.cpp
@@ -83,6 +83,7 @@
   void start(std::function<void()> Stopped);
   void drain();
   uint16_t httpPort() const { return Http_->port(); }
+  uint16_t peerPort() const { return Sockets_.Tcp_->port(); }
   const std::string &name() const { return Sockets_.Name_; }
 
 private:
@@ -477,6 +478,7 @@
 }
 void Node::drain() { Impl_->drain(); }
 uint16_t Node::httpPort() const { return Impl_->httpPort(); }
+uint16_t Node::peerPort() const { return Impl_->peerPort(); }
 const std::string &Node::name() const { return Impl_->name(); }
 
 } // namespace coltsfoot
--- a/src/libcoordination/node.h
+++ b/src/libcoordination/node.h
@@ -35,6 +35,8 @@
 
   /// Returns the port on which callers are taken.
   uint16_t httpPort() const;
+  /// Returns the port of the sockets for other nodes.
+  uint16_t peerPort() const;
   /// Returns the address that the node advertises to others.
   const std::string &name() const;
 
--- a/src/libcoordination/resourceapi.cpp
+++ b/src/libcoordination/resourceapi.cpp
@@ -125,10 +125,10 @@
   int Present = 0;
   auto Known = Members_();
   for (const auto &Node : Known->all()) {
-    if (Node->State_ == MemberState::Dead)
+    if (Node->Member_.State_ == MemberState::Dead)
       continue;
     ++Present;
-    if (Node->ConfigOffset_ >= Version)
+    if (Node->Member_.ConfigOffset_ >= Version)
       ++Applied;
   }
   return {Applied, Present};
--- a/src/libcoordination/seedkeeper.cpp
+++ b/src/libcoordination/seedkeeper.cpp
@@ -101,7 +101,7 @@
     return arm(JoinPause);
   bool Keeper = false;
   for (const auto &Known : Members->readersOf(Self_.Zone_))
-    Keeper = Keeper || Known->Node_ == Self_.Node_;
+    Keeper = Keeper || Known->Member_.Node_ == Self_.Node_;
   bool Due = !Written_ || Clock_.now() - WrittenAt_ > Retention_ * 0.5;
   if ((Keeper || Alone) && Due)
     appendSelf();
--- a/src/libcoordination/ticketoffice.cpp
+++ b/src/libcoordination/ticketoffice.cpp
@@ -72,10 +72,10 @@
   Millis Now = Knowledge_.Clock_->now();
   auto Members = Knowledge_.Members_();
   for (const auto &Known : Members->gatesOf(Service)) {
-    NodeRef Ref{Known->Node_, Known->Incarnation_};
+    NodeRef Ref{Known->Member_.Node_, Known->Member_.Incarnation_};
     Gates.push_back(
-        {Ref, Known->Zone_, Known->Region_, std::max(1, Known->Slots_),
-         Known->State_ == MemberState::Leaving, FirstSeen_->get(Ref, Now)});
+        {Ref, Known->Member_.Zone_, Known->Member_.Region_, std::max(1, Known->Member_.Slots_),
+         Known->Member_.State_ == MemberState::Leaving, FirstSeen_->get(Ref, Now)});
   }
   return Gates;
 }
--- /dev/null
+++ b/testsuite/thin_path/thin_path_test.cpp
@@ -0,0 +1,98 @@
+/// The whole path with separate processes: operators, callers, nodes and
+/// backend servers, with the stand-in log.
+
+#include "fleet.h"
+
+#include <boost/json/parse.hpp>
+#include <doctest/doctest.h>
+
+using namespace coltsfoot;
+
+namespace {
+
+/// Three nodes; backend servers of one service beside the first two.
+struct Shop {
+  Fleet Fleet_;
+  std::unique_ptr<TestNode> First_ = Fleet_.startNode();
+  std::unique_ptr<TestNode> Second_ = Fleet_.startNode();
+  std::unique_ptr<TestNode> Third_ = Fleet_.startNode();
+  std::unique_ptr<BackendServer> Backends_[2];
+
+  Shop() {
+    for (TestNode *Node : {First_.get(), Second_.get(), Third_.get()})
+      Node->waitServing();
+    BackendOptions Options;
+    Options.Service_ = "shop";
+    Backends_[0] = Fleet_.startBackend(*First_, Options);
+    Backends_[1] = Fleet_.startBackend(*Second_, Options);
+    int64_t Version = Fleet::put(*First_, "services/shop", shopService());
+    for (TestNode *Node : {First_.get(), Second_.get(), Third_.get()}) {
+      Node->waitGates("shop", 2);
+      waitUntil(
+          [&] {
+            HttpReply Reply = Node->operate("GET", "/v1/services/shop");
+            return Reply.Status_ == 200 &&
+                   boost::json::parse(Reply.Body_).at("version").as_int64() ==
+                       Version;
+          },
+          Millis(5000), "the service is in force");
+    }
+  }
+
+  size_t runs(std::string_view Tag) const {
+    return Backends_[0]->count(Tag) + Backends_[1]->count(Tag);
+  }
+};
+
+} // namespace
+
+TEST_CASE("a read enters at one node and is answered beside another") {
+  Shop Shop;
+  HttpReply Reply =
+      Shop.Third_->call("GET", "/items/1", fieldsOf("shop", "c", "read-1"));
+  CHECK(Reply.Status_ == 200);
+  CHECK(Reply.header("Coltsfoot-Verdict") == "ran");
+  CHECK(boost::json::parse(Reply.Body_).at("tag").as_string() == "read-1");
+  CHECK(Shop.runs("read-1") == 1);
+}
+
+TEST_CASE("a booking gets a ticket, runs once, and is joined by a repetition") {
+  Shop Shop;
+  std::vector<HttpField> Fields = fieldsOf("shop", "c", "book-1");
+  HttpReply First = Shop.First_->call("POST", "/bookings", Fields, "chair 7");
+  CHECK(First.Status_ == 428);
+  CHECK(First.header("Coltsfoot-Verdict") == "not-run");
+  CHECK(Shop.runs("book-1") == 0);
+
+  std::string Ticket = First.header("Coltsfoot-Ticket");
+  REQUIRE_FALSE(Ticket.empty());
+  Fields.push_back({"Coltsfoot-Ticket", Ticket});
+  HttpReply Booked = Shop.Second_->call("POST", "/bookings", Fields, "chair 7");
+  CHECK(Booked.Status_ == 200);
+  CHECK(Booked.header("Coltsfoot-Verdict") == "ran");
+
+  HttpReply Again = Shop.Third_->call("POST", "/bookings", Fields, "chair 7");
+  CHECK(Again.Status_ == 200);
+  CHECK(Again.Body_ == Booked.Body_);
+  CHECK(Shop.runs("book-1") == 1);
+}
+
+TEST_CASE("a ticket minted ahead is bound to its client and its request") {
+  Shop Shop;
+  HttpReply Minted = Shop.Third_->call(
+      "POST", "/v1/tickets", {{"Coltsfoot-Client", "c"}},
+      R"({"service":"shop","method":"POST","path":"/bookings"})");
+  CHECK(Minted.Status_ == 201);
+  auto Body = boost::json::parse(Minted.Body_);
+  CHECK(Body.at("expires_in_ms").as_int64() > 0);
+  std::string Ticket(Body.at("ticket").as_string());
+
+  auto Fields = fieldsOf("shop", "c", "book-2");
+  Fields.push_back({"Coltsfoot-Ticket", Ticket});
+  CHECK(Shop.First_->call("POST", "/bookings", Fields, "a").Status_ == 200);
+  CHECK(Shop.First_->call("POST", "/bookings", Fields, "b").Status_ == 422);
+  auto Foreign = fieldsOf("shop", "somebody", "book-2");
+  Foreign.push_back({"Coltsfoot-Ticket", Ticket});
+  CHECK(Shop.First_->call("POST", "/bookings", Foreign, "a").Status_ == 403);
+  CHECK(Shop.runs("book-2") == 1);
+}
