Add the configuration service of a node

Cause: nothing kept the configuration of a node up to date yet. Ruled out: applying what the log answers through the bounded buffer of early records, since one record larger than the buffer would stop the fold for good.

--- /dev/null
+++ b/src/libcoordination/configservice.cpp
@@ -0,0 +1,744 @@
+#include "configservice.h"
+
+#include "coltsfootpoint/ids.h"
+#include "coltsfootpoint/log.h"
+#include "coltsfootpoint/verdict.h"
+#include "logstore.h"
+#include "recordbuffer.h"
+#include "recordhistory.h"
+#include "snapshotreader.h"
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <chrono>
+#include <iterator>
+#include <map>
+#include <mutex>
+#include <stdexcept>
+#include <utility>
+
+namespace coltsfoot {
+
+namespace {
+
+namespace asio = boost::asio;
+
+/// A gap that was asked for is asked for again after this many delays.
+constexpr double RefetchFactor = 5;
+
+std::chrono::microseconds toDuration(Millis Span) {
+  return std::chrono::microseconds((Span * 1000).whole());
+}
+
+/// Returns a random part of the span.
+Millis randomPart(Millis Span) {
+  constexpr uint64_t Steps = 1U << 20U;
+  return Span * (static_cast<double>(randomBits() % Steps) / Steps);
+}
+
+ChangeOutcome outcomeOf(const ChangeResult &Result) {
+  return std::visit(
+      Overloaded{[](const Accepted &Done) -> ChangeOutcome { return Done; },
+                 [](const Void &Done) -> ChangeOutcome {
+                   if (Done.Cause_ == VoidCause::VersionMismatch)
+                     return LostRace{Done.Current_};
+                   return Done;
+                 }},
+      Result);
+}
+
+/// Returns why the change can't be accepted by any state, or an empty text.
+std::string changeError(const Change &Value) {
+  if (!decodeChange(encodeChange(Value)))
+    return "the change id is malformed or the change is too long";
+  if (Value.Delete_)
+    return "";
+  try {
+    parseResource(Value.Kind_, Value.Name_, Value.Body_);
+  } catch (const ResourceError &Error) {
+    return Error.what();
+  }
+  return "";
+}
+
+} // namespace
+
+// All members but the ones under the mutex belong to the strand. Handlers hold
+// a weak pointer, so that late answers of the log find nothing to call.
+class ConfigService::Impl : public std::enable_shared_from_this<Impl> {
+public:
+  using Handler = std::function<void(const ChangeOutcome &)>;
+
+  Impl(asio::io_context &Io, LogStore &Log, const Clock &TimeSource,
+       Options Settings)
+      : Settings_(std::move(Settings)), Log_(Log), Clock_(TimeSource),
+        Strand_(asio::make_strand(Io)), PauseTimer_(Strand_),
+        GapTimer_(Strand_), SnapshotTimer_(Strand_),
+        Waiting_(Settings_.WaitingRecords_, Settings_.WaitingBytes_),
+        State_(std::make_shared<const ConfigState>()),
+        History_(Settings_.KeptRecords_, Settings_.KeptBytes_) {}
+
+  /// Returns a handler that calls F on the strand while the service lives.
+  template <typename F> auto onStrand(F Call) {
+    return [Weak = weak_from_this(),
+            Call = std::move(Call)](const auto &...Arguments) {
+      auto Self = Weak.lock();
+      if (!Self)
+        return;
+      asio::post(Self->Strand_, [Weak, Call, Arguments...] {
+        if (auto Alive = Weak.lock())
+          Call(*Alive, Arguments...);
+      });
+    };
+  }
+
+  /// Calls F on the strand while the service lives.
+  template <typename F> void run(F Call) {
+    asio::post(Strand_,
+               [Weak = weak_from_this(), Call = std::move(Call)]() mutable {
+                 if (auto Alive = Weak.lock())
+                   Call(*Alive);
+               });
+  }
+
+  // Public side, any thread.
+  std::shared_ptr<const ConfigState> current() const {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    return State_;
+  }
+  bool ready() const {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    return Ready_;
+  }
+  std::vector<LogRecord> recordsFrom(int64_t Offset, size_t MaxBytes) const {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    return History_.from(Offset, MaxBytes);
+  }
+  bool keeps(int64_t Offset) const {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    return History_.covers(Offset);
+  }
+
+  // Strand side.
+  void start(const ConfigService &Hooks);
+  void stop();
+  void setReader(bool Reader);
+  void submit(Change Value, Handler Done);
+  void onPeerRecords(std::vector<LogRecord> Records);
+  void onPeerHead(int64_t NextOffset);
+  void onPeerSnapshot(const std::string &Snapshot);
+  void peersSettled();
+
+private:
+  struct PendingChange {
+    std::vector<Handler> Handlers_;
+    std::unique_ptr<asio::steady_timer> Timer_;
+    bool NeedsLog_ = false; ///< Reading the log decides what became of it.
+  };
+
+  // Reading the log.
+  void step();
+  bool wantsLog() const;
+  void readSnapshots();
+  void readSnapshotAt(int64_t Offset,
+                      std::function<void(const ReadResult &)> Done);
+  void onSnapshotsRead(bool Reached, std::optional<SnapshotRecord> Newest);
+  void readLog();
+  void onRead(const ReadResult &Result);
+  void onBatch(const LogBatch &Batch);
+  void onTrimmed(const LogTrimmed &Trimmed);
+  void onDown(const LogDown &Down);
+  void pause();
+
+  // Moving the state.
+  void take(std::vector<LogRecord> Records);
+  void apply(std::span<const LogRecord> Run);
+  void adopt(const std::shared_ptr<const ConfigState> &State);
+  void moved();
+  void updateReady();
+  void publish(std::shared_ptr<const ConfigState> State,
+               std::span<const LogRecord> Records);
+  int64_t next() const { return State_->nextOffset(); }
+
+  // Gaps.
+  int64_t knownHead() const { return std::max(PeerHead_, Waiting_.end()); }
+  void watchGap(Millis Delay);
+  void onGapTimer(int64_t SeenNext);
+  void fetchFromPeers();
+
+  // Changes.
+  void append(const std::string &Id, const std::string &Data);
+  void onAppend(const std::string &Id, const std::string &Data,
+                const AppendResult &Result);
+  void onAppended(const std::string &Id, LogRecord Record);
+  void needLog(const std::string &Id);
+  void settleChanges();
+  void finish(const std::string &Id, const ChangeOutcome &Outcome);
+
+  // Writing snapshots.
+  bool snapshotDue() const;
+  Millis untilSnapshotAge() const;
+  void planSnapshot();
+  void armSnapshotTimer(Millis Delay);
+  void onSnapshotTimer();
+  void retrySnapshot();
+  void noteSnapshot(const SnapshotRecord &Record);
+  void writeSnapshot();
+  void onSnapshotWritten(const SnapshotRecord &Record,
+                         const AppendResult &Result);
+
+  const Options Settings_;
+  LogStore &Log_;
+  const Clock &Clock_;
+  asio::strand<asio::io_context::executor_type> Strand_;
+  asio::steady_timer PauseTimer_;
+  asio::steady_timer GapTimer_;
+  asio::steady_timer SnapshotTimer_;
+  std::function<void(std::span<const LogRecord>)> OnApplied_;
+  std::function<void(int64_t)> FetchFromPeers_;
+  std::function<void(const ConfigState &)> OnChange_;
+
+  bool Running_ = false;
+  bool Reader_ = true;
+  bool Reading_ = false;       ///< A read of the log is under way.
+  bool Paused_ = false;        ///< The log was down; PauseTimer_ runs.
+  bool SnapshotsRead_ = false; ///< Before the first read of the log.
+  bool ReachedEnd_ = false;    ///< The end of the log was seen once.
+  bool PeersSettled_ = false;
+  Millis Pause_;
+  int64_t TrimmedNext_ = -1; ///< Where a trimmed log stopped the reading.
+  int64_t PeerHead_ = 0;
+  bool GapWatched_ = false;
+  int64_t FetchedFrom_ = -1;
+  RecordBuffer Waiting_;
+  std::map<std::string, PendingChange, std::less<>> Changes_;
+  SnapshotReader Snapshots_{
+      [this](int64_t From, std::function<void(const ReadResult &)> Done) {
+        readSnapshotAt(From, std::move(Done));
+      }};
+  int64_t NewestSnapshot_ = -1; ///< Its next offset; -1 when none is known.
+  Millis NewestSnapshotWall_;
+  bool SnapshotPlanned_ = false; ///< SnapshotTimer_ runs for a due snapshot.
+
+  mutable std::mutex Mutex_;
+  // Written on the strand with the mutex held; the strand reads without.
+  std::shared_ptr<const ConfigState> State_;
+  RecordHistory History_;
+  bool Ready_ = false;
+};
+
+void ConfigService::Impl::start(const ConfigService &Hooks) {
+  OnApplied_ = Hooks.OnApplied_;
+  FetchFromPeers_ = Hooks.FetchFromPeers_;
+  OnChange_ = Hooks.OnChange_;
+  run([](Impl &Self) {
+    Self.Running_ = true;
+    Self.Pause_ = Self.Settings_.RetryMin_;
+    Self.step();
+  });
+}
+
+void ConfigService::Impl::stop() {
+  Running_ = false;
+  PauseTimer_.cancel();
+  GapTimer_.cancel();
+  SnapshotTimer_.cancel();
+  while (!Changes_.empty()) {
+    std::string Id = Changes_.begin()->first;
+    finish(Id, OutcomeUnknown{Id});
+  }
+}
+
+void ConfigService::Impl::setReader(bool Reader) {
+  Reader_ = Reader;
+  step();
+  planSnapshot();
+}
+
+bool ConfigService::Impl::wantsLog() const {
+  if (!Running_ || Reading_ || Paused_)
+    return false;
+  if (Reader_ || !Ready_)
+    return true;
+  return std::any_of(Changes_.begin(), Changes_.end(),
+                     [](const auto &Each) { return Each.second.NeedsLog_; });
+}
+
+void ConfigService::Impl::step() {
+  if (!wantsLog())
+    return;
+  if (SnapshotsRead_)
+    readLog();
+  else if (!Snapshots_.busy())
+    readSnapshots();
+}
+
+void ConfigService::Impl::readSnapshots() {
+  Reading_ = true;
+  Snapshots_.readNewest(
+      [this](bool Reached, std::optional<SnapshotRecord> Newest) {
+        onSnapshotsRead(Reached, std::move(Newest));
+      });
+}
+
+void ConfigService::Impl::onSnapshotsRead(
+    bool Reached, std::optional<SnapshotRecord> Newest) {
+  Reading_ = false;
+  if (!Running_)
+    return;
+  if (Newest)
+    noteSnapshot(*Newest);
+  if (!Reached) {
+    pause();
+    return;
+  }
+  SnapshotsRead_ = true;
+  step();
+}
+
+void ConfigService::Impl::readSnapshotAt(
+    int64_t Offset, std::function<void(const ReadResult &)> Done) {
+  Log_.read(Settings_.SnapshotStream_, Offset, 1, Millis(0),
+            onStrand([Done = std::move(Done)](
+                         Impl &, const ReadResult &Result) { Done(Result); }));
+}
+
+// Until the end has been seen once the reads don't wait, so that an empty
+// answer shows the end at once.
+void ConfigService::Impl::readLog() {
+  Reading_ = true;
+  Millis Wait = ReachedEnd_ ? Settings_.PollWait_ : Millis(0);
+  Log_.read(Settings_.Stream_, next(), Settings_.BatchRecords_, Wait,
+            onStrand([](Impl &Self, const ReadResult &Result) {
+              Self.onRead(Result);
+            }));
+}
+
+void ConfigService::Impl::onRead(const ReadResult &Result) {
+  Reading_ = false;
+  if (!Running_)
+    return;
+  std::visit(Overloaded{[&](const LogBatch &Batch) { onBatch(Batch); },
+                        [&](const LogTrimmed &Trimmed) { onTrimmed(Trimmed); },
+                        [&](const LogDown &Down) { onDown(Down); }},
+             Result);
+}
+
+void ConfigService::Impl::onBatch(const LogBatch &Batch) {
+  Pause_ = Settings_.RetryMin_;
+  if (Batch.Records_.empty()) {
+    ReachedEnd_ = true;
+    updateReady();
+    planSnapshot();
+  } else {
+    take(Batch.Records_);
+  }
+  step();
+}
+
+// A newer snapshot may have been written since the last look. If there is none
+// only peers can help.
+void ConfigService::Impl::onTrimmed(const LogTrimmed &Trimmed) {
+  logEvent(LogLevel::Warning, "config_log_trimmed",
+           {{"next", next()}, {"first", Trimmed.FirstOffset_}});
+  if (Trimmed.FirstOffset_ > next() && TrimmedNext_ != next()) {
+    TrimmedNext_ = next();
+    SnapshotsRead_ = false;
+    step();
+    return;
+  }
+  TrimmedNext_ = -1;
+  fetchFromPeers();
+  pause();
+}
+
+void ConfigService::Impl::onDown(const LogDown &Down) {
+  logEvent(LogLevel::Warning, "config_log_down",
+           {{"next", next()}, {"why", Down.Why_}});
+  pause();
+}
+
+void ConfigService::Impl::pause() {
+  Paused_ = true;
+  PauseTimer_.expires_after(toDuration(Pause_ + randomPart(Pause_)));
+  PauseTimer_.async_wait(
+      onStrand([](Impl &Self, boost::system::error_code Error) {
+        Self.Paused_ = false;
+        if (!Error)
+          Self.step();
+      }));
+  Pause_ = std::min(Pause_ * 2, Settings_.RetryMax_);
+}
+
+// Only records ahead of a gap go through the bounded buffer, so that a long
+// batch of the log neither drops its own end nor is held up by its size.
+void ConfigService::Impl::take(std::vector<LogRecord> Records) {
+  std::vector<LogRecord> Run;
+  int64_t Next = next();
+  for (LogRecord &Record : Records) {
+    if (Record.Offset_ == Next) {
+      ++Next;
+      Run.push_back(std::move(Record));
+    } else if (Record.Offset_ > Next) {
+      Waiting_.add(std::move(Record));
+    }
+  }
+  std::vector<LogRecord> Rest = Waiting_.take(Next);
+  std::move(Rest.begin(), Rest.end(), std::back_inserter(Run));
+  apply(Run);
+}
+
+void ConfigService::Impl::apply(std::span<const LogRecord> Run) {
+  if (Run.empty()) {
+    watchGap(Settings_.GapDelay_);
+    return;
+  }
+  bool WasReady = Ready_;
+  publish(State_->apply(Run), Run);
+  if (WasReady && OnApplied_)
+    OnApplied_(Run);
+  moved();
+}
+
+void ConfigService::Impl::adopt(
+    const std::shared_ptr<const ConfigState> &State) {
+  if (State->nextOffset() == next() && State->digest() != State_->digest())
+    logEvent(LogLevel::Error, "config_divergence", {{"next", next()}});
+  if (State->nextOffset() <= next())
+    return;
+  publish(State, {});
+  moved();
+  take({});
+}
+
+void ConfigService::Impl::publish(std::shared_ptr<const ConfigState> State,
+                                  std::span<const LogRecord> Records) {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  State_ = std::move(State);
+  if (Records.empty())
+    History_.restart(State_->nextOffset());
+  else
+    History_.add(Records);
+}
+
+void ConfigService::Impl::moved() {
+  std::shared_ptr<const ConfigState> State = State_;
+  if (OnChange_)
+    OnChange_(*State);
+  settleChanges();
+  updateReady();
+  watchGap(Settings_.GapDelay_);
+  planSnapshot();
+}
+
+void ConfigService::Impl::updateReady() {
+  bool Settled = PeersSettled_ && next() >= PeerHead_;
+  if (Ready_ || !(ReachedEnd_ || Settled))
+    return;
+  {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    Ready_ = true;
+  }
+  logEvent(LogLevel::Info, "config_ready",
+           {{"next", next()}, {"from_log", ReachedEnd_}});
+}
+
+void ConfigService::Impl::onPeerRecords(std::vector<LogRecord> Records) {
+  take(std::move(Records));
+}
+
+void ConfigService::Impl::onPeerHead(int64_t NextOffset) {
+  PeerHead_ = std::max(PeerHead_, NextOffset);
+  watchGap(Settings_.GapDelay_);
+}
+
+void ConfigService::Impl::onPeerSnapshot(const std::string &Snapshot) {
+  try {
+    adopt(ConfigState::restore(Snapshot));
+  } catch (const std::invalid_argument &Error) {
+    logEvent(LogLevel::Warning, "config_peer_snapshot_damaged",
+             {{"why", Error.what()}});
+  }
+}
+
+void ConfigService::Impl::peersSettled() {
+  PeersSettled_ = true;
+  updateReady();
+}
+
+void ConfigService::Impl::watchGap(Millis Delay) {
+  if (!Running_ || GapWatched_ || next() >= knownHead())
+    return;
+  GapWatched_ = true;
+  GapTimer_.expires_after(toDuration(Delay));
+  GapTimer_.async_wait(onStrand(
+      [SeenNext = next()](Impl &Self, boost::system::error_code Error) {
+        Self.GapWatched_ = false;
+        if (!Error && Self.Running_)
+          Self.onGapTimer(SeenNext);
+      }));
+}
+
+// While the state moves the gap is being filled already.
+void ConfigService::Impl::onGapTimer(int64_t SeenNext) {
+  if (next() >= knownHead())
+    return;
+  bool Stays = next() == SeenNext;
+  if (Stays)
+    fetchFromPeers();
+  watchGap(Stays ? Settings_.GapDelay_ * RefetchFactor : Settings_.GapDelay_);
+}
+
+void ConfigService::Impl::fetchFromPeers() {
+  if (FetchFromPeers_)
+    FetchFromPeers_(next());
+}
+
+void ConfigService::Impl::submit(Change Value, Handler Done) {
+  if (!Running_) {
+    Done(NotWritten{"stopped"});
+    return;
+  }
+  if (auto Known = State_->result(Value.Id_)) {
+    Done(outcomeOf(*Known));
+    return;
+  }
+  if (std::string Error = changeError(Value); !Error.empty()) {
+    auto Present = State_->get(Value.Kind_, Value.Name_);
+    Done(Void{VoidCause::Invalid, Error, Present ? Present->Version_ : 0});
+    return;
+  }
+  PendingChange &Pending = Changes_[Value.Id_];
+  Pending.Handlers_.push_back(std::move(Done));
+  if (Pending.Handlers_.size() == 1)
+    append(Value.Id_, encodeChange(Value));
+}
+
+void ConfigService::Impl::append(const std::string &Id,
+                                 const std::string &Data) {
+  auto &Timer = Changes_.find(Id)->second.Timer_;
+  Timer = std::make_unique<asio::steady_timer>(Strand_);
+  Timer->expires_after(toDuration(Settings_.ChangeTimeout_));
+  Timer->async_wait(onStrand([Id](Impl &Self, boost::system::error_code Error) {
+    if (!Error)
+      Self.finish(Id, OutcomeUnknown{Id});
+  }));
+  Log_.append(Settings_.Stream_, Data,
+              onStrand([Id, Data](Impl &Self, const AppendResult &Result) {
+                Self.onAppend(Id, Data, Result);
+              }));
+}
+
+void ConfigService::Impl::onAppend(const std::string &Id,
+                                   const std::string &Data,
+                                   const AppendResult &Result) {
+  std::visit(Overloaded{[&](const Appended &Done) {
+                          onAppended(Id, LogRecord{Done.Offset_, Data});
+                        },
+                        [&](const AppendRefused &Refused) {
+                          finish(Id, NotWritten{Refused.Why_});
+                        },
+                        [&](const AppendUnknown &Unknown) {
+                          logEvent(LogLevel::Warning, "config_append_unknown",
+                                   {{"change", Id}, {"why", Unknown.Why_}});
+                          needLog(Id);
+                        }},
+             Result);
+}
+
+// The record is in the log at this offset, so that it can be folded without
+// reading it back as soon as those before it are.
+void ConfigService::Impl::onAppended(const std::string &Id, LogRecord Record) {
+  std::vector<LogRecord> Records;
+  Records.push_back(std::move(Record));
+  take(std::move(Records));
+  needLog(Id);
+}
+
+void ConfigService::Impl::needLog(const std::string &Id) {
+  auto Found = Changes_.find(Id);
+  if (Found == Changes_.end())
+    return;
+  Found->second.NeedsLog_ = true;
+  Pause_ = Settings_.RetryMin_;
+  step();
+}
+
+void ConfigService::Impl::settleChanges() {
+  std::vector<std::pair<std::string, ChangeResult>> Settled;
+  for (const auto &Each : Changes_)
+    if (auto Known = State_->result(Each.first))
+      Settled.emplace_back(Each.first, std::move(*Known));
+  for (const auto &Each : Settled)
+    finish(Each.first, outcomeOf(Each.second));
+}
+
+void ConfigService::Impl::finish(const std::string &Id,
+                                 const ChangeOutcome &Outcome) {
+  auto Node = Changes_.extract(Id);
+  if (!Node)
+    return;
+  Node.mapped().Timer_->cancel();
+  for (const Handler &Done : Node.mapped().Handlers_)
+    Done(Outcome);
+}
+
+bool ConfigService::Impl::snapshotDue() const {
+  if (next() == 0)
+    return false;
+  if (NewestSnapshot_ < 0)
+    return true;
+  return next() - NewestSnapshot_ >= Settings_.SnapshotEvery_ ||
+         untilSnapshotAge() <= Millis(0);
+}
+
+Millis ConfigService::Impl::untilSnapshotAge() const {
+  Millis Age = Clock_.wallNow() - NewestSnapshotWall_;
+  return Settings_.Retention_ * 0.5 - Age;
+}
+
+// Several readers find at the same time that a snapshot is due; the jitter lets
+// one write it while the others wait.
+void ConfigService::Impl::planSnapshot() {
+  if (!Running_ || !Reader_ || !Ready_ || !ReachedEnd_ || SnapshotPlanned_)
+    return;
+  if (snapshotDue()) {
+    SnapshotPlanned_ = true;
+    armSnapshotTimer(randomPart(Settings_.SnapshotJitter_));
+  } else if (NewestSnapshot_ >= 0) {
+    armSnapshotTimer(untilSnapshotAge());
+  }
+}
+
+void ConfigService::Impl::armSnapshotTimer(Millis Delay) {
+  SnapshotTimer_.expires_after(toDuration(Delay));
+  SnapshotTimer_.async_wait(
+      onStrand([](Impl &Self, boost::system::error_code Error) {
+        if (!Error && Self.Running_)
+          Self.onSnapshotTimer();
+      }));
+}
+
+void ConfigService::Impl::onSnapshotTimer() {
+  if (!SnapshotPlanned_) {
+    planSnapshot();
+    return;
+  }
+  if (Snapshots_.busy()) {
+    armSnapshotTimer(Settings_.RetryMin_);
+    return;
+  }
+  Snapshots_.readNewest(
+      [this](bool Reached, std::optional<SnapshotRecord> Newest) {
+        if (Newest)
+          noteSnapshot(*Newest);
+        if (Running_ && Reader_ && Reached && snapshotDue())
+          writeSnapshot();
+        else
+          retrySnapshot();
+      });
+}
+
+void ConfigService::Impl::retrySnapshot() {
+  SnapshotPlanned_ = false;
+  if (Running_)
+    armSnapshotTimer(Settings_.RetryMax_ +
+                     randomPart(Settings_.SnapshotJitter_));
+}
+
+void ConfigService::Impl::noteSnapshot(const SnapshotRecord &Record) {
+  if (Record.State_->nextOffset() >= NewestSnapshot_) {
+    NewestSnapshot_ = Record.State_->nextOffset();
+    NewestSnapshotWall_ = Record.WrittenWall_;
+  }
+  adopt(Record.State_);
+}
+
+void ConfigService::Impl::writeSnapshot() {
+  SnapshotRecord Record{Clock_.wallNow(), State_};
+  Log_.append(Settings_.SnapshotStream_, encodeSnapshotRecord(Record),
+              onStrand([Record](Impl &Self, const AppendResult &Result) {
+                Self.onSnapshotWritten(Record, Result);
+              }));
+}
+
+void ConfigService::Impl::onSnapshotWritten(const SnapshotRecord &Record,
+                                            const AppendResult &Result) {
+  if (!std::holds_alternative<Appended>(Result)) {
+    retrySnapshot();
+    return;
+  }
+  logEvent(LogLevel::Info, "config_snapshot_written",
+           {{"next", Record.State_->nextOffset()}});
+  SnapshotPlanned_ = false;
+  noteSnapshot(Record);
+  planSnapshot();
+}
+
+ConfigService::ConfigService(asio::io_context &Io, LogStore &Log,
+                             const Clock &TimeSource, Options Settings)
+    : Impl_(std::make_shared<Impl>(Io, Log, TimeSource, std::move(Settings))) {}
+
+ConfigService::~ConfigService() = default;
+
+void ConfigService::start() { Impl_->start(*this); }
+
+void ConfigService::stop() {
+  Impl_->run([](Impl &Self) { Self.stop(); });
+}
+
+std::shared_ptr<const ConfigState> ConfigService::current() const {
+  return Impl_->current();
+}
+
+void ConfigService::setReader(bool Reader) {
+  Impl_->run([Reader](Impl &Self) { Self.setReader(Reader); });
+}
+
+void ConfigService::submit(Change Value,
+                           std::function<void(const ChangeOutcome &)> Handler) {
+  Impl_->run([Value = std::move(Value),
+              Handler = std::move(Handler)](Impl &Self) mutable {
+    Self.submit(std::move(Value), std::move(Handler));
+  });
+}
+
+std::optional<ChangeResult> ConfigService::result(std::string_view Id) const {
+  return current()->result(Id);
+}
+
+void ConfigService::onPeerRecords(std::vector<LogRecord> Records) {
+  Impl_->run([Records = std::move(Records)](Impl &Self) mutable {
+    Self.onPeerRecords(std::move(Records));
+  });
+}
+
+void ConfigService::onPeerHead(int64_t NextOffset) {
+  Impl_->run([NextOffset](Impl &Self) { Self.onPeerHead(NextOffset); });
+}
+
+std::vector<LogRecord> ConfigService::recordsFrom(int64_t Offset,
+                                                  size_t MaxBytes) const {
+  return Impl_->recordsFrom(Offset, MaxBytes);
+}
+
+bool ConfigService::keeps(int64_t Offset) const { return Impl_->keeps(Offset); }
+
+std::string ConfigService::snapshot() const { return current()->snapshot(); }
+
+void ConfigService::onPeerSnapshot(std::string Snapshot) {
+  Impl_->run([Snapshot = std::move(Snapshot)](Impl &Self) {
+    Self.onPeerSnapshot(Snapshot);
+  });
+}
+
+bool ConfigService::ready() const { return Impl_->ready(); }
+
+void ConfigService::peersSettled() {
+  Impl_->run([](Impl &Self) { Self.peersSettled(); });
+}
+
+} // namespace coltsfoot
--- a/src/libcoordination/configservice.h
+++ b/src/libcoordination/configservice.h
@@ -1,10 +1,8 @@
 #pragma once
 
-#include "change.h"
 #include "coltsfootpoint/time.h"
 #include "configstate.h"
 
-#include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -15,6 +13,10 @@
 #include <variant>
 #include <vector>
 
+namespace boost::asio {
+class io_context;
+}
+
 namespace coltsfoot {
 
 class LogStore;
@@ -47,14 +49,15 @@
 ///
 /// Thread-safe. All work runs on one strand of the io_context; hooks and
 /// handlers are called there, one at a time, with no lock held. One mutex
-/// guards what current(), ready(), recordsFrom() and snapshot() read. Destroy
-/// the service only when no thread runs the io_context.
+/// guards what current(), ready(), recordsFrom() and snapshot() read. After the
+/// service is destroyed no new hook or handler is called; one may still be
+/// running then on another thread of the io_context.
 class ConfigService {
 public:
   struct Options {
     std::string Stream_ = "config";
     std::string SnapshotStream_ = "config-snapshots";
-    Millis PollWait_ = Millis(10000); ///< Longest wait of one read of the log.
+    Millis PollWait_ = Millis(2000); ///< Longest wait of one read of the log.
     Millis ChangeTimeout_ = Millis(4000);  ///< Until an outcome is unknown.
     int64_t SnapshotEvery_ = 1000;         ///< Records between two snapshots.
     Millis Retention_ = Millis(86400000);  ///< Age at which the log trims.
@@ -130,7 +133,7 @@
 
 private:
   class Impl;
-  std::unique_ptr<Impl> Impl_;
+  std::shared_ptr<Impl> Impl_;
 };
 
 } // namespace coltsfoot
--- a/src/libcoordination/placeholder.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-namespace coltsfoot {}
