--- /dev/null
+++ b/src/libcoordination/recordhistory_test.cpp
@@ -0,0 +1,31 @@
+#include "recordhistory.h"
+
+#include <doctest/doctest.h>
+
+using namespace coltsfoot;
+
+TEST_CASE("kept records are handed out from an offset on") {
+  RecordHistory History(3, 100);
+  CHECK(History.covers(0));
+  CHECK_FALSE(History.covers(1));
+  std::vector<LogRecord> Records = {{0, "a"}, {1, "b"}, {2, "c"}, {3, "d"}};
+  History.add(Records);
+  CHECK_FALSE(History.covers(0));
+  CHECK(History.from(0, 100).empty());
+  CHECK(History.from(2, 100) == std::vector<LogRecord>{{2, "c"}, {3, "d"}});
+  CHECK(History.from(1, 2) == std::vector<LogRecord>{{1, "b"}, {2, "c"}});
+  CHECK(History.from(1, 0) == std::vector<LogRecord>{{1, "b"}});
+  CHECK(History.covers(4));
+  CHECK(History.from(4, 100).empty());
+}
+
+TEST_CASE("a restart forgets what came before") {
+  RecordHistory History(3, 4);
+  History.add(std::vector<LogRecord>{{0, "a"}, {1, "b"}});
+  History.restart(9);
+  CHECK_FALSE(History.covers(1));
+  CHECK(History.covers(9));
+  History.add(std::vector<LogRecord>{{9, "12345"}});
+  CHECK_FALSE(History.covers(9));
+  CHECK(History.covers(10));
+}
--- /dev/null
+++ b/src/libstate/routepath_test.cpp
@@ -0,0 +1,36 @@
+#include "routepath.h"
+
+#include <doctest/doctest.h>
+
+using namespace coltsfoot;
+
+TEST_CASE("patterns match whole paths") {
+  CHECK(routePathMatches("/a/b", "/a/b"));
+  CHECK_FALSE(routePathMatches("/a/b", "/a/b/"));
+  CHECK_FALSE(routePathMatches("/a/b", "/a"));
+  CHECK_FALSE(routePathMatches("/a", ""));
+  CHECK_FALSE(routePathMatches("/a", "a"));
+  CHECK(routePathMatches("/a/{id}/c", "/a/7/c"));
+  CHECK_FALSE(routePathMatches("/a/{id}/c", "/a//c"));
+  CHECK_FALSE(routePathMatches("/a/{id}", "/a/7/c"));
+  CHECK(routePathMatches("/*", "/"));
+  CHECK(routePathMatches("/a/*", "/a/b/c"));
+  CHECK_FALSE(routePathMatches("/a/*", "/a"));
+  CHECK(routePathMatches("/a/v*", "/a/v2/x"));
+  CHECK_FALSE(routePathMatches("/a/v*", "/a/w"));
+}
+
+TEST_CASE("literal segments are more specific than named ones and rests") {
+  CHECK(routePathMoreSpecific("/a/b", "/a/{x}"));
+  CHECK(routePathMoreSpecific("/a/{x}", "/a/*"));
+  CHECK(routePathMoreSpecific("/a/b", "/*"));
+  CHECK(routePathMoreSpecific("/a/b*", "/a/*"));
+  CHECK(routePathMoreSpecific("/a/{x}/c", "/{y}/b/c"));
+  CHECK_FALSE(routePathMoreSpecific("/a/*", "/a/b"));
+  CHECK_FALSE(routePathMoreSpecific("/a", "/a"));
+}
+
+TEST_CASE("names of segments do not change a pattern's shape") {
+  CHECK(routePathShape("/a/{x}/b") == routePathShape("/a/{y}/b"));
+  CHECK(routePathShape("/a/x/b") != routePathShape("/a/{x}/b"));
+}
