Test gossip in virtual time and verify suspicions before a death

Change: last probes before a death is declared; nodes that only heard of a suspicion leave the death to those that raised it.

--- /dev/null
+++ b/src/libcoordination/gossip_test.cpp
@@ -0,0 +1,526 @@
+#include "gossip.h"
+
+#include "../../testsuite/common/gossipfleet.h"
+#include "codec.h"
+#include "coltsfoot_types.h"
+
+#include <doctest/doctest.h>
+
+using namespace coltsfoot;
+
+namespace {
+
+GossipOptions options() {
+  GossipOptions Options;
+  Options.Fleet_ = "test";
+  return Options;
+}
+
+/// Adds nodes to zones in turn; the first of each zone are the seeds of all.
+void populate(GossipFleet &Fleet, int Regions, int ZonesPerRegion,
+              int NodesPerZone) {
+  std::vector<std::string> Seeds;
+  for (int I = 0; I < NodesPerZone; ++I)
+    for (int R = 0; R < Regions; ++R)
+      for (int Z = 0; Z < ZonesPerRegion; ++Z) {
+        std::string Region = "region-" + std::to_string(R);
+        std::string Zone = Region + "-" + std::to_string(Z);
+        int Number = Fleet.add(Region, Zone, Seeds);
+        if (Seeds.size() < 3)
+          Seeds.push_back(Fleet.address(Number));
+      }
+}
+
+void settle(GossipFleet &Fleet, Millis Limit = Millis(60'000)) {
+  Millis Took = Fleet.runUntil([&] { return Fleet.converged(); }, Limit);
+  REQUIRE(Took >= Millis(0));
+  MESSAGE(Fleet.size(), " nodes settled within ", Took.whole(), " ms");
+}
+
+bool ofRegion(GossipFleet &Fleet, int Number, const std::string &Region) {
+  return Fleet.node(Number).Self_.Region_ == Region;
+}
+
+wire::WireMember wireMember(const std::string &Node) {
+  wire::WireMember M;
+  M.node = Node;
+  M.incarnation = 1;
+  M.generation = 1;
+  return M;
+}
+
+wire::Datagram datagramFrom(const std::string &Node) {
+  wire::Datagram Message;
+  Message.fleet = "test";
+  Message.sender = wireMember(Node);
+  return Message;
+}
+
+} // namespace
+
+TEST_CASE("200 nodes that start at once find one another") {
+  GossipFleet Fleet(options(), 1);
+  populate(Fleet, 2, 2, 50);
+  Millis Took =
+      Fleet.runUntil([&] { return Fleet.converged(); }, Millis(30'000));
+  REQUIRE(Took >= Millis(0));
+  MESSAGE("200 nodes joined within ", Took.whole(), " ms");
+  // Equality is found by the next exchange of digests.
+  Fleet.run(Millis(2000));
+  for (const auto &Node : Fleet.Nodes_)
+    CHECK(Node.Gossip_->synced());
+  Fleet.run(Millis(5000));
+  CHECK(Fleet.WrongDeaths_ == 0);
+}
+
+TEST_CASE("killed nodes are declared dead, and no others") {
+  GossipFleet Fleet(options(), 2);
+  populate(Fleet, 1, 3, 20);
+  settle(Fleet);
+  for (int Number : {5, 17, 33, 34, 35})
+    Fleet.kill(Number);
+  Millis Took =
+      Fleet.runUntil([&] { return Fleet.converged(); }, Millis(20'000));
+  REQUIRE(Took >= Millis(0));
+  MESSAGE("5 of 60 deaths known everywhere after ", Took.whole(), " ms");
+  CHECK(Fleet.WrongDeaths_ == 0);
+}
+
+TEST_CASE("the death of one of two nodes is found") {
+  GossipFleet Fleet(options(), 3);
+  populate(Fleet, 1, 1, 2);
+  settle(Fleet);
+  Fleet.kill(0);
+  CHECK(Fleet.runUntil([&] { return Fleet.allKnow(0, MemberState::Dead); },
+                       Millis(20'000)) >= Millis(0));
+}
+
+TEST_CASE("leaving is known everywhere within two seconds") {
+  GossipFleet Fleet(options(), 4);
+  populate(Fleet, 2, 2, 25);
+  settle(Fleet);
+  Fleet.gossip(42).setLeaving();
+  Millis Took = Fleet.runUntil(
+      [&] { return Fleet.allKnow(42, MemberState::Leaving); }, Millis(2000));
+  CHECK(Took >= Millis(0));
+  MESSAGE("leaving known by 99 others after ", Took.whole(), " ms");
+  Fleet.leave(42);
+  Took = Fleet.runUntil([&] { return Fleet.allKnow(42, MemberState::Dead); },
+                        Millis(2000));
+  CHECK(Took >= Millis(0));
+  MESSAGE("end known by 99 others after ", Took.whole(), " ms");
+}
+
+TEST_CASE("leaving is known within three seconds with one datagram in ten "
+          "lost") {
+  GossipFleet Fleet(options(), 5);
+  populate(Fleet, 2, 2, 25);
+  settle(Fleet);
+  Fleet.Loss_ = 0.1;
+  for (int Number : {7, 30, 61, 90}) {
+    Fleet.gossip(Number).setLeaving();
+    CHECK(Fleet.runUntil(
+              [&] { return Fleet.allKnow(Number, MemberState::Leaving); },
+              Millis(3000)) >= Millis(0));
+  }
+}
+
+TEST_CASE("what a node serves reaches all others") {
+  GossipFleet Fleet(options(), 6);
+  populate(Fleet, 2, 2, 5);
+  settle(Fleet);
+  Fleet.gossip(3).updateSelf("chairs", 40);
+  settle(Fleet, Millis(5000));
+  for (const auto &Node : Fleet.Nodes_) {
+    auto Gates = Node.Gossip_->table().gatesOf("chairs");
+    REQUIRE(Gates.size() == 1);
+    CHECK(Gates[0].Slots_ == 40);
+  }
+}
+
+TEST_CASE("no node is wrongly declared dead while 10% of datagrams are lost") {
+  GossipFleet Fleet(options(), 7);
+  Fleet.Loss_ = 0.1;
+  populate(Fleet, 2, 2, 50);
+  settle(Fleet);
+  Fleet.run(Millis(60'000));
+  CHECK(Fleet.WrongDeaths_ == 0);
+  uint64_t Suspicions = 0;
+  for (const auto &Node : Fleet.Nodes_)
+    Suspicions += Node.Gossip_->figures().Suspicions_;
+  MESSAGE("200 nodes, 60 s, 10% lost: ", Suspicions, " suspicions");
+  Fleet.kill(11);
+  Millis Took = Fleet.runUntil(
+      [&] { return Fleet.allKnow(11, MemberState::Dead); }, Millis(30'000));
+  CHECK(Took >= Millis(0));
+  MESSAGE("death known after ", Took.whole(), " ms");
+  CHECK(Fleet.WrongDeaths_ == 0);
+}
+
+TEST_CASE("a zone that was cut off comes back without false deaths on either "
+          "side") {
+  for (uint64_t Seed : {8, 9, 10}) {
+    CAPTURE(Seed);
+    GossipFleet Fleet(options(), Seed);
+    populate(Fleet, 1, 3, 15);
+    settle(Fleet);
+    for (int I = 0; I < Fleet.size(); ++I)
+      if (Fleet.node(I).Self_.Zone_ == "region-0-1")
+        Fleet.setSide(I, 1);
+    Fleet.run(Millis(60'000));
+    CHECK(Fleet.gossip(0).table().presentCount() == 30);
+    CHECK(Fleet.gossip(1).table().presentCount() == 15);
+    CHECK(Fleet.WrongDeaths_ == 0);
+    for (int I = 0; I < Fleet.size(); ++I)
+      Fleet.setSide(I, 0);
+    Millis Took =
+        Fleet.runUntil([&] { return Fleet.converged(); }, Millis(40'000));
+    REQUIRE(Took >= Millis(0));
+    MESSAGE("45 nodes healed within ", Took.whole(), " ms");
+    CHECK(Fleet.WrongDeaths_ == 0);
+  }
+}
+
+TEST_CASE("a region that is cut off is kept, and catches up afterwards") {
+  GossipFleet Fleet(options(), 11);
+  populate(Fleet, 3, 2, 6);
+  settle(Fleet);
+  for (int I = 0; I < Fleet.size(); ++I)
+    if (ofRegion(Fleet, I, "region-2"))
+      Fleet.setSide(I, 1);
+  Fleet.run(Millis(200'000));
+  int Relays = 0;
+  for (int I = 0; I < Fleet.size(); ++I) {
+    CHECK(Fleet.gossip(I).table().presentCount() == Fleet.size());
+    bool Inside = ofRegion(Fleet, I, "region-2");
+    Relays += Fleet.gossip(I).isRelay();
+    if (Fleet.gossip(I).isRelay())
+      CHECK(Fleet.gossip(I).regionSilent(Inside ? "region-0" : "region-2"));
+    else
+      CHECK_FALSE(Fleet.gossip(I).regionSilent("region-2"));
+  }
+  CHECK(Relays == 18);
+  // Changes on both sides during the cut.
+  Fleet.kill(0);
+  Fleet.gossip(5).updateSelf("plants", 9);
+  Fleet.run(Millis(30'000));
+  for (int I = 0; I < Fleet.size(); ++I)
+    Fleet.setSide(I, 0);
+  Millis Took =
+      Fleet.runUntil([&] { return Fleet.converged(); }, Millis(120'000));
+  CHECK(Took >= Millis(0));
+  MESSAGE("regions caught up within ", Took.whole(), " ms");
+  CHECK(Fleet.WrongDeaths_ == 0);
+}
+
+TEST_CASE("a region that stays silent for the retention is dropped") {
+  GossipOptions Options = options();
+  Options.RegionRetention_ = Millis(60'000);
+  GossipFleet Fleet(Options, 12);
+  populate(Fleet, 2, 1, 8);
+  settle(Fleet);
+  for (int I = 0; I < Fleet.size(); ++I)
+    if (ofRegion(Fleet, I, "region-1"))
+      Fleet.setSide(I, 1);
+  Fleet.run(Millis(50'000));
+  CHECK(Fleet.gossip(0).table().presentCount() == 16);
+  Fleet.run(Millis(30'000));
+  for (int I = 0; I < Fleet.size(); ++I)
+    CHECK(Fleet.gossip(I).table().presentCount() == 8);
+  for (int I = 0; I < Fleet.size(); ++I)
+    Fleet.setSide(I, 0);
+  CHECK(Fleet.runUntil([&] { return Fleet.converged(); }, Millis(90'000)) >=
+        Millis(0));
+  CHECK(Fleet.WrongDeaths_ == 0);
+}
+
+TEST_CASE("a paused node declares nobody dead and refutes its own death") {
+  GossipFleet Fleet(options(), 13);
+  populate(Fleet, 1, 2, 15);
+  settle(Fleet);
+  Fleet.pause(9);
+  Fleet.run(Millis(30'000));
+  CHECK(Fleet.allKnow(9, MemberState::Dead));
+  Fleet.resume(9);
+  // Its death is still on its way to it.
+  Fleet.WellTime_ = Millis(10'000);
+  settle(Fleet, Millis(20'000));
+  Fleet.run(Millis(20'000));
+  CHECK(Fleet.converged());
+  CHECK(Fleet.WrongDeaths_ == 0);
+  CHECK(Fleet.gossip(9).figures().Deaths_ == 0);
+  CHECK(Fleet.gossip(9).figures().LateTicks_ == 1);
+  CHECK(Fleet.gossip(9).figures().Refutes_ >= 1);
+}
+
+TEST_CASE("a pause shorter than the suspicion time costs no death") {
+  GossipFleet Fleet(options(), 14);
+  populate(Fleet, 1, 1, 20);
+  settle(Fleet);
+  for (int Round = 0; Round < 5; ++Round) {
+    Fleet.pause(3);
+    Fleet.run(Millis(1500));
+    Fleet.resume(3);
+    Fleet.run(Millis(3000));
+  }
+  for (const auto &Node : Fleet.Nodes_)
+    CHECK(Node.Gossip_->figures().Deaths_ == 0);
+}
+
+TEST_CASE("a node that hears nobody declares nobody dead") {
+  GossipFleet Fleet(options(), 15);
+  populate(Fleet, 1, 2, 10);
+  settle(Fleet);
+  Fleet.setSide(4, 1);
+  Fleet.run(Millis(60'000));
+  CHECK(Fleet.gossip(4).table().presentCount() == 20);
+  CHECK(Fleet.gossip(4).silence() > Millis(50'000));
+  CHECK(Fleet.allKnow(4, MemberState::Alive) == false);
+  Fleet.setSide(4, 0);
+  settle(Fleet, Millis(30'000));
+  CHECK(Fleet.gossip(4).figures().Deaths_ == 0);
+}
+
+TEST_CASE("a suspected leaving node stays leaving after it refuted") {
+  GossipFleet Fleet(options(), 16);
+  populate(Fleet, 1, 1, 10);
+  settle(Fleet);
+  Fleet.gossip(2).setLeaving();
+  settle(Fleet, Millis(5000));
+  wire::Datagram Claim = datagramFrom(Fleet.address(1));
+  const Member &Own = Fleet.gossip(2).table().self();
+  wire::WireMember Suspected = wireMember(Own.Node_);
+  Suspected.incarnation = int64_t(Own.Incarnation_);
+  Suspected.generation = Own.Generation_;
+  Suspected.state = wire::WireMemberState::SUSPECT;
+  Claim.members.push_back(Suspected);
+  int64_t Before = Own.Generation_;
+  Fleet.gossip(2).receive(encodeDatagram(Claim));
+  CHECK(Fleet.gossip(2).table().self().Generation_ > Before);
+  CHECK(Fleet.gossip(2).table().self().State_ == MemberState::Leaving);
+  settle(Fleet, Millis(5000));
+  CHECK(Fleet.allKnow(2, MemberState::Leaving));
+}
+
+TEST_CASE("a process that replaces another at its address is taken over, even "
+          "with a clock that is behind") {
+  GossipFleet Fleet(options(), 17);
+  populate(Fleet, 1, 1, 10);
+  settle(Fleet);
+  int64_t Before = Fleet.gossip(6).table().self().Generation_;
+  Fleet.kill(6);
+  Fleet.start(6, {Fleet.address(1)}, Before - 100'000);
+  settle(Fleet, Millis(20'000));
+  CHECK(Fleet.gossip(6).table().self().Generation_ > Before);
+  CHECK(Fleet.gossip(1).table().find(Fleet.address(6))->Incarnation_ ==
+        Fleet.node(6).Self_.Incarnation_);
+}
+
+TEST_CASE("a node contacts its peers until they answer") {
+  GossipFleet Fleet(options(), 18);
+  int First = Fleet.add("r", "z");
+  Fleet.kill(First);
+  int Second = Fleet.add("r", "z", {Fleet.address(First)});
+  Fleet.run(Millis(20'000));
+  CHECK_FALSE(Fleet.gossip(Second).synced());
+  Fleet.start(First, {});
+  CHECK(Fleet.runUntil([&] { return Fleet.converged(); }, Millis(5000)) >=
+        Millis(0));
+}
+
+TEST_CASE("configuration records reach every node once within five seconds") {
+  GossipFleet Fleet(options(), 19);
+  Fleet.Loss_ = 0.05;
+  populate(Fleet, 3, 2, 20);
+  settle(Fleet);
+  Fleet.run(Millis(5000));
+  std::vector<SpreadRecord> Records;
+  for (int64_t Offset = 1; Offset <= 5; ++Offset)
+    Records.push_back({Offset, std::string(300, 'x')});
+  Fleet.gossip(33).spread(Records);
+  Fleet.gossip(33).setConfigOffset(6);
+  // A node that holds all of them has applied them; one that is told of a
+  // peer ahead fetches them.
+  auto Apply = [&] {
+    int Pushed = 0;
+    int Done = 0;
+    for (auto &Node : Fleet.Nodes_) {
+      if (Node.Records_.size() == Records.size())
+        Node.Gossip_->setConfigOffset(6);
+      Pushed += Node.Gossip_->table().self().ConfigOffset_ == 6;
+      if (!Node.Aheads_.empty())
+        Node.Gossip_->setConfigOffset(Node.Aheads_.back().Offset_);
+      Done += Node.Gossip_->table().self().ConfigOffset_ == 6;
+    }
+    return std::pair(Pushed, Done);
+  };
+  Fleet.runUntil([&] { return Apply().first == Fleet.size(); }, Millis(3000));
+  auto [Pushed, Done] = Apply();
+  MESSAGE(Pushed, " of 120 nodes hold all records after 3 s");
+  CHECK(Pushed >= 114);
+  CHECK(Fleet.runUntil([&] { return Apply().second == Fleet.size(); },
+                       Millis(2000)) >= Millis(0));
+  for (auto &Node : Fleet.Nodes_) {
+    auto &Got = Node.Records_;
+    std::sort(Got.begin(), Got.end(), [](const auto &A, const auto &B) {
+      return A.Offset_ < B.Offset_;
+    });
+    CHECK(std::adjacent_find(Got.begin(), Got.end()) == Got.end());
+  }
+}
+
+TEST_CASE("a record too big for a datagram makes peers fetch it") {
+  GossipFleet Fleet(options(), 20);
+  populate(Fleet, 1, 2, 10);
+  settle(Fleet);
+  SpreadRecord Big{7, std::string(5000, 'x')};
+  Fleet.gossip(3).spread(std::span(&Big, 1));
+  Fleet.gossip(3).setConfigOffset(8);
+  // Each node fetches as soon as it is told.
+  auto Fetch = [&] {
+    bool All = true;
+    for (auto &Node : Fleet.Nodes_) {
+      if (!Node.Aheads_.empty())
+        Node.Gossip_->setConfigOffset(8);
+      All = All && Node.Gossip_->table().self().ConfigOffset_ == 8;
+    }
+    return All;
+  };
+  Millis Took = Fleet.runUntil(Fetch, Millis(3000));
+  CHECK(Took >= Millis(0));
+  for (auto &Node : Fleet.Nodes_) {
+    CHECK(Node.Records_.empty());
+    for (const PeerAhead &Ahead : Node.Aheads_)
+      CHECK(Ahead.Offset_ == 8);
+  }
+}
+
+TEST_CASE("a peer that is ahead is reported after the grace, not before") {
+  ManualClock Time;
+  Member Self;
+  Self.Node_ = "10.0.0.1:1";
+  Gossip Node(options(), Self, Time, 1);
+  wire::Datagram Message = datagramFrom("10.0.0.2:1");
+  Message.sender.config_offset = 12;
+  Node.receive(encodeDatagram(Message));
+  Time.advance(Millis(500));
+  Node.tick();
+  CHECK_FALSE(Node.takeEvents().Ahead_.has_value());
+  Time.advance(Millis(600));
+  Node.tick();
+  auto Ahead = Node.takeEvents().Ahead_;
+  REQUIRE(Ahead.has_value());
+  CHECK(Ahead->Node_ == "10.0.0.2:1");
+  CHECK(Ahead->Offset_ == 12);
+  Node.receive(encodeDatagram(Message));
+  Node.setConfigOffset(12);
+  Time.advance(Millis(2000));
+  Node.tick();
+  CHECK_FALSE(Node.takeEvents().Ahead_.has_value());
+}
+
+TEST_CASE("a death that nobody had suspected is held back to be refuted") {
+  ManualClock Time;
+  Member Self;
+  Self.Node_ = "10.0.0.1:1";
+  Gossip Node(options(), Self, Time, 1);
+  wire::WireMember Third = wireMember("10.0.0.3:1");
+  wire::Datagram Message = datagramFrom("10.0.0.2:1");
+  Message.members.push_back(Third);
+  Node.receive(encodeDatagram(Message));
+  Third.state = wire::WireMemberState::DEAD;
+  Message.members = {Third};
+  auto Sent = Node.receive(encodeDatagram(Message));
+  REQUIRE(Sent.size() == 1);
+  CHECK(Sent[0].Node_ == "10.0.0.3:1");
+  CHECK(Node.table().find("10.0.0.3:1")->State_ == MemberState::Alive);
+  // Without an answer the death is believed.
+  for (int I = 0; I < 60; ++I) {
+    Time.advance(Millis(50));
+    Node.tick();
+  }
+  CHECK(Node.table().find("10.0.0.3:1")->State_ == MemberState::Dead);
+}
+
+TEST_CASE("a node doesn't probe strangers for others") {
+  ManualClock Time;
+  Member Self;
+  Self.Node_ = "10.0.0.1:1";
+  Gossip Node(options(), Self, Time, 1);
+  wire::Datagram Message = datagramFrom("10.0.0.2:1");
+  wire::Probe Probe;
+  Probe.sequence = 5;
+  Probe.target = "192.0.2.1:53";
+  Message.__set_probe(Probe);
+  CHECK(Node.receive(encodeDatagram(Message)).empty());
+}
+
+TEST_CASE("no datagram is bigger than the limit") {
+  GossipFleet Fleet(options(), 21);
+  size_t Largest = 0;
+  populate(Fleet, 2, 2, 20);
+  Fleet.OnUnknown_ = [&](int, const Outgoing &Sent) {
+    Largest = std::max(Largest, Sent.Bytes_.size());
+  };
+  // A node outside of the fleet joins and takes everything over.
+  wire::Datagram Join = datagramFrom("192.0.2.9:1");
+  Join.sender.region = "region-0";
+  Join.sender.zone = "region-0-0";
+  wire::TableDigest Digest;
+  Digest.digests = std::string(size_t(DigestBucketCount) * 4, '\0');
+  Join.__set_digest(Digest);
+  settle(Fleet);
+  std::vector<SpreadRecord> Records;
+  for (int64_t I = 0; I < 40; ++I)
+    Records.push_back({I, std::string(size_t(20 * I), 'x')});
+  Fleet.gossip(0).spread(Records);
+  Fleet.post(0, Fleet.gossip(0).receive(encodeDatagram(Join)));
+  Fleet.run(Millis(3000));
+  CHECK(Largest > 900);
+  CHECK(Largest <= 1200);
+}
+
+TEST_CASE("garbage is counted and ignored") {
+  ManualClock Time;
+  Member Self;
+  Self.Node_ = "10.0.0.1:1";
+  Self.Region_ = "r";
+  Gossip Node(options(), Self, Time, 1);
+  wire::Datagram Foreign = datagramFrom("10.0.0.2:1");
+  Foreign.fleet = "other";
+  CHECK(Node.receive(encodeDatagram(Foreign)).empty());
+  CHECK(Node.receive("").empty());
+  CHECK(Node.figures().Ignored_ == 2);
+  CHECK(Node.table().presentCount() == 1);
+
+  wire::Datagram Valid = datagramFrom("10.0.0.2:1");
+  Valid.members.push_back(wireMember("10.0.0.3:1"));
+  wire::Probe Probe;
+  Probe.sequence = 9;
+  Probe.target = "10.0.0.3:1";
+  Valid.__set_probe(Probe);
+  wire::TableDigest Digest;
+  Digest.digests = std::string(64, 'd');
+  Valid.__set_digest(Digest);
+  wire::ConfigRecord Record;
+  Record.offset = 3;
+  Record.data = "data";
+  Valid.records.push_back(Record);
+  std::string Bytes = encodeDatagram(Valid);
+  std::mt19937_64 Random(20261204);
+  for (int Round = 0; Round < 20'000; ++Round) {
+    std::string Mutated = Bytes;
+    for (int Flips = 1 + int(Random() % 4); Flips > 0; --Flips)
+      Mutated[Random() % Mutated.size()] = static_cast<char>(Random());
+    if (Round % 4 == 0)
+      Mutated.resize(Random() % Mutated.size());
+    Node.receive(Mutated);
+    if (Round % 100 == 0) {
+      Time.advance(Millis(50));
+      Node.tick();
+    }
+    Node.takeEvents();
+  }
+  CHECK(Node.figures().Ignored_ > 5000);
+  CHECK(Node.table().self().Node_ == "10.0.0.1:1");
+}
--- a/src/libcoordination/gossipimpl.h
+++ b/src/libcoordination/gossipimpl.h
@@ -54,9 +54,9 @@
     Millis Expires_;
   };
   struct Suspicion {
-    int64_t Generation_ = 0;
     Millis Deadline_;
-    bool Raised_ = false; ///< By this node.
+    bool Raised_ = false; ///< By this node, or found true by it.
+    int Checks_ = 0;      ///< Last probes sent since the deadline.
   };
   /// A death that contradicts this node's own knowledge and is held back
   /// until the member has had the time to refute it.
@@ -112,6 +112,7 @@
   void suspect(const PendingProbe &Probe);
   void trackSuspicion(const Member &New, const Member *Old);
   void expireSuspicions();
+  void restartSuspicion(Suspicion &Pending) const;
   void expireDisputes();
   bool dispute(const Member &Fresh, const Member &Sender);
   void takeProbe(const wire::Probe &Probe, const Member &Sender);
--- a/src/libcoordination/gossipprobe.cpp
+++ b/src/libcoordination/gossipprobe.cpp
@@ -16,6 +16,12 @@
 /// How many probe intervals may pass without any datagram before a node takes
 /// itself, and not the others, for cut off.
 constexpr double CutOffProbes = 2.5;
+/// How many last probes a suspected member is sent before it is declared
+/// dead, as its refutation may have been lost.
+constexpr int LastChecks = 3;
+/// Nodes that have only heard of a suspicion leave it to those that raised it
+/// to declare the death, and do so themselves after this many times the time.
+constexpr double HearsayFactor = 2;
 
 } // namespace
 
@@ -31,7 +37,7 @@
   Health_ = std::min(Health_ + 1, MaxHealth);
   Probes_.clear();
   for (auto &[Node, Pending] : Suspicions_)
-    Pending.Deadline_ = Now + suspicionTime();
+    restartSuspicion(Pending);
   for (auto &[Node, Pending] : Disputes_)
     Pending.Deadline_ = Now + suspicionTime();
   for (auto &[Region, Heard] : RegionHeard_)
@@ -138,17 +144,31 @@
 
 void Gossip::Impl::suspect(const PendingProbe &Probe) {
   const Member *Target = Table_.find(Probe.Node_);
-  if (cutOff() || !Target || Target->State_ >= MemberState::Suspect ||
+  if (cutOff() || !Target || !isPresent(*Target) ||
       Target->Generation_ != Probe.Generation_)
     return;
-  ++Figures_.Suspicions_;
-  Member Suspected = *Target;
-  Suspected.State_ = MemberState::Suspect;
-  MemberPtr Old = Table_.record(Probe.Node_);
-  Table_.apply(Suspected, Time_.now());
-  noteChange(std::move(Old), Table_.record(Probe.Node_), true);
-  Suspicions_[Probe.Node_].Raised_ = true;
-  sendRecordOf(Suspected, Probe.Node_);
+  if (Target->State_ <= MemberState::Leaving) {
+    ++Figures_.Suspicions_;
+    Member Suspected = *Target;
+    Suspected.State_ = MemberState::Suspect;
+    MemberPtr Old = Table_.record(Probe.Node_);
+    Table_.apply(Suspected, Time_.now());
+    noteChange(std::move(Old), Table_.record(Probe.Node_), true);
+    sendRecordOf(Suspected, Probe.Node_);
+  }
+  Suspicion &Pending = Suspicions_[Probe.Node_];
+  if (Pending.Raised_)
+    return;
+  Millis Earlier = Pending.Deadline_;
+  Pending.Raised_ = true;
+  restartSuspicion(Pending);
+  Pending.Deadline_ = std::min(Pending.Deadline_, Earlier);
+}
+
+void Gossip::Impl::restartSuspicion(Suspicion &Pending) const {
+  double Factor = Pending.Raised_ ? 1 : HearsayFactor;
+  Pending.Deadline_ = Time_.now() + suspicionTime() * Factor;
+  Pending.Checks_ = 0;
 }
 
 void Gossip::Impl::trackSuspicion(const Member &New, const Member *Old) {
@@ -163,18 +183,25 @@
   Disputes_.erase(New.Node_);
   if (New.State_ == MemberState::Suspect &&
       New.Region_ == Table_.self().Region_)
-    Suspicions_[New.Node_] = {New.Generation_, Time_.now() + suspicionTime(),
-                              false};
+    restartSuspicion(Suspicions_[New.Node_]);
 }
 
 void Gossip::Impl::expireSuspicions() {
+  if (Suspicions_.empty())
+    return;
   Millis Now = Time_.now();
+  bool Hold = cutOff();
   std::vector<MemberPtr> Expired;
   for (auto &[Node, Pending] : Suspicions_) {
-    if (cutOff())
-      Pending.Deadline_ = Now + suspicionTime();
-    else if (Now >= Pending.Deadline_)
+    if (Hold) {
+      restartSuspicion(Pending);
+    } else if (Now >= Pending.Deadline_ && Pending.Checks_ < LastChecks) {
+      ++Pending.Checks_;
+      Pending.Deadline_ = Now + probeTimeout();
+      sendProbe(Node, ++NextSequence_);
+    } else if (Now >= Pending.Deadline_) {
       Expired.push_back(Table_.record(Node));
+    }
   }
   for (const MemberPtr &Record : Expired)
     if (Record)
--- /dev/null
+++ b/testsuite/common/gossipfleet.h
@@ -0,0 +1,237 @@
+#pragma once
+
+#include "coltsfootpoint/time.h"
+#include "gossip.h"
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace coltsfoot {
+
+/// Gossip objects that exchange datagrams in virtual time, for unit tests and
+/// measurements. Datagrams take one to three steps; they can be lost, cut by
+/// side, and nodes can be killed or paused.
+class GossipFleet {
+public:
+  static constexpr double StepMs = 10;
+  static constexpr int StepsPerTick = 5;
+
+  struct Node {
+    Member Self_;
+    std::unique_ptr<Gossip> Gossip_;
+    bool Up_ = true;
+    bool Paused_ = false;
+    int Side_ = 0;
+    /// Since when nothing has been wrong with the node.
+    Millis HealthySince_;
+    std::vector<std::string> Inbox_; ///< While paused.
+    std::vector<SpreadRecord> Records_;
+    std::vector<PeerAhead> Aheads_;
+  };
+
+  GossipFleet(GossipOptions Options, uint64_t Seed)
+      : Options_(std::move(Options)), Random_(Seed) {}
+
+  /// Adds a node, which contacts the given peers. Returns its number.
+  int add(const std::string &Region, const std::string &Zone,
+          std::vector<std::string> Peers = {}) {
+    auto Number = static_cast<int>(Nodes_.size());
+    Node Fresh;
+    Fresh.Self_.Node_ = "10." + std::to_string(Number / 65536) + "." +
+                        std::to_string(Number / 256 % 256) + "." +
+                        std::to_string(Number % 256) + ":7400";
+    Fresh.Self_.Region_ = Region;
+    Fresh.Self_.Zone_ = Zone;
+    Nodes_.push_back(std::move(Fresh));
+    Numbers_[Nodes_.back().Self_.Node_] = Number;
+    start(Number, std::move(Peers));
+    return Number;
+  }
+
+  /// Starts a node's process anew at the same address.
+  void start(int Number, std::vector<std::string> Peers,
+             int64_t Generation = 0) {
+    Node &N = Nodes_[size_t(Number)];
+    GossipOptions Options = Options_;
+    Options.Peers_ = std::move(Peers);
+    N.Self_.Incarnation_ = Random_();
+    N.Self_.Generation_ = Generation;
+    N.Gossip_ =
+        std::make_unique<Gossip>(std::move(Options), N.Self_, Time_, Random_());
+    N.Up_ = true;
+    N.Paused_ = false;
+    N.HealthySince_ = Time_.now();
+  }
+
+  void kill(int Number) { node(Number).Up_ = false; }
+
+  void leave(int Number) {
+    post(Number, gossip(Number).leave());
+    kill(Number);
+  }
+
+  void pause(int Number) { node(Number).Paused_ = true; }
+
+  void resume(int Number) {
+    Node &N = node(Number);
+    N.Paused_ = false;
+    N.HealthySince_ = Time_.now();
+    for (const std::string &Bytes : std::exchange(N.Inbox_, {}))
+      post(Number, N.Gossip_->receive(Bytes));
+  }
+
+  void setSide(int Number, int Side) { node(Number).Side_ = Side; }
+
+  /// Runs for a span of virtual time.
+  void run(Millis Span) {
+    for (double Left = Span.count(); Left > 0; Left -= StepMs)
+      step();
+  }
+
+  /// Runs until the condition holds. Returns the time that took, or a
+  /// negative one when the limit was reached before.
+  Millis runUntil(const std::function<bool()> &Condition, Millis Limit) {
+    Millis Start = Time_.now();
+    while (!Condition()) {
+      if (Time_.now() - Start >= Limit)
+        return Millis(-1);
+      run(Millis(100));
+    }
+    return Time_.now() - Start;
+  }
+
+  /// Returns whether all running nodes hold the same table, in which just the
+  /// running nodes are present, each by its own newest record.
+  bool converged() const {
+    const Gossip *First = nullptr;
+    int Running = 0;
+    for (const Node &N : Nodes_) {
+      if (!N.Up_)
+        continue;
+      ++Running;
+      if (!First)
+        First = N.Gossip_.get();
+      if (N.Gossip_->table().digests() != First->table().digests())
+        return false;
+      const Member *Seen = First->table().find(N.Self_.Node_);
+      const Member &Own = N.Gossip_->table().self();
+      if (!Seen || Seen->Generation_ != Own.Generation_ ||
+          Seen->State_ != Own.State_ || Seen->Incarnation_ != Own.Incarnation_)
+        return false;
+    }
+    return !First || First->table().presentCount() == Running;
+  }
+
+  /// Returns whether all running nodes but the subject know it in a state.
+  bool allKnow(int Number, MemberState State) const {
+    const std::string &Subject = Nodes_[size_t(Number)].Self_.Node_;
+    for (const Node &N : Nodes_) {
+      if (!N.Up_ || N.Paused_ || N.Self_.Node_ == Subject)
+        continue;
+      const Member *Known = N.Gossip_->table().find(Subject);
+      if (!Known || Known->State_ != State)
+        return false;
+    }
+    return true;
+  }
+
+  Node &node(int Number) { return Nodes_[size_t(Number)]; }
+  Gossip &gossip(int Number) { return *node(Number).Gossip_; }
+  int size() const { return static_cast<int>(Nodes_.size()); }
+  std::string address(int Number) { return node(Number).Self_.Node_; }
+
+  /// Sends datagrams that were made outside of tick and receive.
+  void post(int From, std::vector<Outgoing> Datagrams) {
+    for (Outgoing &Datagram : Datagrams) {
+      auto Target = Numbers_.find(Datagram.Node_);
+      if (Target == Numbers_.end()) {
+        if (OnUnknown_)
+          OnUnknown_(From, Datagram);
+        continue;
+      }
+      if (double(Random_() % 10'000) / 10'000 < Loss_)
+        continue;
+      Wire_[(Step_ + 1 + Random_() % 3) % WireSlots].push_back(
+          {From, Target->second, std::move(Datagram.Bytes_)});
+    }
+  }
+
+  ManualClock Time_;
+  double Loss_ = 0;
+  /// Deaths of nodes that had been well, in the view of a node that was well,
+  /// on the same side, for a while.
+  int WrongDeaths_ = 0;
+  /// How long a node has to be well before its death counts as wrong.
+  Millis WellTime_ = Millis(0);
+  /// Takes datagrams to addresses that are no node of the fleet.
+  std::function<void(int From, const Outgoing &)> OnUnknown_;
+  std::vector<Node> Nodes_;
+
+private:
+  static constexpr size_t WireSlots = 4;
+  struct InFlight {
+    int From_;
+    int To_;
+    std::string Bytes_;
+  };
+
+  void step() {
+    Time_.advance(Millis(StepMs));
+    ++Step_;
+    for (InFlight &Datagram : std::exchange(Wire_[Step_ % WireSlots], {}))
+      deliver(Datagram);
+    for (int I = 0; I < size(); ++I) {
+      Node &N = node(I);
+      if (!N.Up_ || N.Paused_)
+        continue;
+      if ((Step_ + size_t(I)) % StepsPerTick == 0) {
+        post(I, N.Gossip_->tick());
+        takeEvents(N);
+      }
+    }
+  }
+
+  void deliver(InFlight &Datagram) {
+    Node &To = node(Datagram.To_);
+    if (!To.Up_ || To.Side_ != node(Datagram.From_).Side_)
+      return;
+    if (To.Paused_)
+      To.Inbox_.push_back(std::move(Datagram.Bytes_));
+    else
+      post(Datagram.To_, To.Gossip_->receive(Datagram.Bytes_));
+  }
+
+  void takeEvents(Node &Observer) {
+    GossipEvents Events = Observer.Gossip_->takeEvents();
+    for (const MemberChange &Change : Events.Changes_) {
+      if (Change.New_.State_ != MemberState::Dead)
+        continue;
+      auto Where = Numbers_.find(Change.New_.Node_);
+      if (Where == Numbers_.end())
+        continue;
+      const Node &Subject = node(Where->second);
+      if (Subject.Up_ && !Subject.Paused_ && Subject.Side_ == Observer.Side_ &&
+          Time_.now() - Subject.HealthySince_ >= WellTime_)
+        ++WrongDeaths_;
+    }
+    for (SpreadRecord &Record : Events.Records_)
+      Observer.Records_.push_back(std::move(Record));
+    if (Events.Ahead_)
+      Observer.Aheads_.push_back(*Events.Ahead_);
+  }
+
+  GossipOptions Options_;
+  std::mt19937_64 Random_;
+  std::unordered_map<std::string, int> Numbers_;
+  std::vector<InFlight> Wire_[WireSlots];
+  size_t Step_ = 0;
+};
+
+} // namespace coltsfoot
