--- a/src/libcoordination/gossipwire.cpp
+++ b/src/libcoordination/gossipwire.cpp
@@ -2,8 +2,6 @@
 
 #include "coltsfoot_types.h"
 
-#include <cstring>
-
 namespace coltsfoot {
 
 namespace {
@@ -13,15 +11,6 @@
 /// Leaves room to refute any generation that is let in.
 constexpr int64_t MaxGeneration = int64_t(1) << 53;
 
-/// The decoder stores any number in the enumeration, so it is read as the
-/// bytes that it is before it may be used as one.
-int rawState(const wire::WireMember &Message) {
-  static_assert(sizeof(Message.state) == sizeof(int));
-  int Raw = 0;
-  std::memcpy(&Raw, &Message.state, sizeof(Raw));
-  return Raw;
-}
-
 size_t varintSize(uint64_t Value) {
   size_t Size = 1;
   while (Value >= 0x80) {
@@ -49,7 +38,7 @@
   Message.node = M.Node_;
   Message.incarnation = static_cast<int64_t>(M.Incarnation_);
   Message.generation = M.Generation_;
-  Message.state = static_cast<wire::WireMemberState::type>(M.State_);
+  Message.state = static_cast<int>(M.State_);
   Message.zone = M.Zone_;
   Message.region = M.Region_;
   Message.service_name = M.Service_;
@@ -59,7 +48,7 @@
 }
 
 std::optional<Member> fromWire(const wire::WireMember &Message) {
-  int State = rawState(Message);
+  int State = Message.state;
   bool Valid = !Message.node.empty() &&
                Message.node.size() <= MaxAddressBytes &&
                Message.zone.size() <= MaxNameBytes &&
--- a/src/libprotocol/coltsfoot.thrift
+++ b/src/libprotocol/coltsfoot.thrift
@@ -133,7 +133,7 @@
   1: string node          // ip:port that the member advertises
   2: i64 incarnation      // identifies the process
   3: i64 generation       // orders records of one node; only it raises it
-  4: WireMemberState state
+  4: i32 state            // WireMemberState; a number, as any may arrive
   5: string zone
   6: string region
   7: string service_name       // empty until a backend server has announced itself
--- a/src/libprotocol/gen-cpp/coltsfoot_types.cpp
+++ b/src/libprotocol/gen-cpp/coltsfoot_types.cpp
@@ -2822,7 +2822,7 @@
   this->generation = val;
 }
 
-void WireMember::__set_state(const WireMemberState::type val) {
+void WireMember::__set_state(const int32_t val) {
   this->state = val;
 }
 
@@ -2899,9 +2899,7 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast75;
-          xfer += iprot->readI32(ecast75);
-          this->state = static_cast<WireMemberState::type>(ecast75);
+          xfer += iprot->readI32(this->state);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -2977,7 +2975,7 @@
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I32, 4);
-  xfer += oprot->writeI32(static_cast<int32_t>(this->state));
+  xfer += oprot->writeI32(this->state);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 5);
@@ -3019,56 +3017,56 @@
   swap(a.__isset, b.__isset);
 }
 
-WireMember::WireMember(const WireMember& other76) {
-  node = other76.node;
+WireMember::WireMember(const WireMember& other75) {
+  node = other75.node;
+  incarnation = other75.incarnation;
+  generation = other75.generation;
+  state = other75.state;
+  zone = other75.zone;
+  region = other75.region;
+  service_name = other75.service_name;
+  slots = other75.slots;
+  config_offset = other75.config_offset;
+  __isset = other75.__isset;
+}
+WireMember::WireMember(WireMember&& other76) noexcept {
+  node = std::move(other76.node);
   incarnation = other76.incarnation;
   generation = other76.generation;
   state = other76.state;
-  zone = other76.zone;
-  region = other76.region;
-  service_name = other76.service_name;
+  zone = std::move(other76.zone);
+  region = std::move(other76.region);
+  service_name = std::move(other76.service_name);
   slots = other76.slots;
   config_offset = other76.config_offset;
   __isset = other76.__isset;
 }
-WireMember::WireMember(WireMember&& other77) noexcept {
-  node = std::move(other77.node);
+WireMember& WireMember::operator=(const WireMember& other77) {
+  node = other77.node;
   incarnation = other77.incarnation;
   generation = other77.generation;
   state = other77.state;
-  zone = std::move(other77.zone);
-  region = std::move(other77.region);
-  service_name = std::move(other77.service_name);
+  zone = other77.zone;
+  region = other77.region;
+  service_name = other77.service_name;
   slots = other77.slots;
   config_offset = other77.config_offset;
   __isset = other77.__isset;
+  return *this;
 }
-WireMember& WireMember::operator=(const WireMember& other78) {
-  node = other78.node;
+WireMember& WireMember::operator=(WireMember&& other78) noexcept {
+  node = std::move(other78.node);
   incarnation = other78.incarnation;
   generation = other78.generation;
   state = other78.state;
-  zone = other78.zone;
-  region = other78.region;
-  service_name = other78.service_name;
+  zone = std::move(other78.zone);
+  region = std::move(other78.region);
+  service_name = std::move(other78.service_name);
   slots = other78.slots;
   config_offset = other78.config_offset;
   __isset = other78.__isset;
   return *this;
 }
-WireMember& WireMember::operator=(WireMember&& other79) noexcept {
-  node = std::move(other79.node);
-  incarnation = other79.incarnation;
-  generation = other79.generation;
-  state = other79.state;
-  zone = std::move(other79.zone);
-  region = std::move(other79.region);
-  service_name = std::move(other79.service_name);
-  slots = other79.slots;
-  config_offset = other79.config_offset;
-  __isset = other79.__isset;
-  return *this;
-}
 void WireMember::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "WireMember(";
@@ -3177,28 +3175,28 @@
   swap(a.__isset, b.__isset);
 }
 
-Probe::Probe(const Probe& other80) {
+Probe::Probe(const Probe& other79) {
+  sequence = other79.sequence;
+  target = other79.target;
+  __isset = other79.__isset;
+}
+Probe::Probe(Probe&& other80) noexcept {
   sequence = other80.sequence;
-  target = other80.target;
+  target = std::move(other80.target);
   __isset = other80.__isset;
 }
-Probe::Probe(Probe&& other81) noexcept {
+Probe& Probe::operator=(const Probe& other81) {
   sequence = other81.sequence;
-  target = std::move(other81.target);
+  target = other81.target;
   __isset = other81.__isset;
+  return *this;
 }
-Probe& Probe::operator=(const Probe& other82) {
+Probe& Probe::operator=(Probe&& other82) noexcept {
   sequence = other82.sequence;
-  target = other82.target;
+  target = std::move(other82.target);
   __isset = other82.__isset;
   return *this;
 }
-Probe& Probe::operator=(Probe&& other83) noexcept {
-  sequence = other83.sequence;
-  target = std::move(other83.target);
-  __isset = other83.__isset;
-  return *this;
-}
 void Probe::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "Probe(";
@@ -3300,28 +3298,28 @@
   swap(a.__isset, b.__isset);
 }
 
-ProbeAck::ProbeAck(const ProbeAck& other84) {
+ProbeAck::ProbeAck(const ProbeAck& other83) {
+  sequence = other83.sequence;
+  target = other83.target;
+  __isset = other83.__isset;
+}
+ProbeAck::ProbeAck(ProbeAck&& other84) noexcept {
   sequence = other84.sequence;
-  target = other84.target;
+  target = std::move(other84.target);
   __isset = other84.__isset;
 }
-ProbeAck::ProbeAck(ProbeAck&& other85) noexcept {
+ProbeAck& ProbeAck::operator=(const ProbeAck& other85) {
   sequence = other85.sequence;
-  target = std::move(other85.target);
+  target = other85.target;
   __isset = other85.__isset;
+  return *this;
 }
-ProbeAck& ProbeAck::operator=(const ProbeAck& other86) {
+ProbeAck& ProbeAck::operator=(ProbeAck&& other86) noexcept {
   sequence = other86.sequence;
-  target = other86.target;
+  target = std::move(other86.target);
   __isset = other86.__isset;
   return *this;
 }
-ProbeAck& ProbeAck::operator=(ProbeAck&& other87) noexcept {
-  sequence = other87.sequence;
-  target = std::move(other87.target);
-  __isset = other87.__isset;
-  return *this;
-}
 void ProbeAck::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "ProbeAck(";
@@ -3423,28 +3421,28 @@
   swap(a.__isset, b.__isset);
 }
 
-TableDigest::TableDigest(const TableDigest& other88) {
-  digests = other88.digests;
+TableDigest::TableDigest(const TableDigest& other87) {
+  digests = other87.digests;
+  answer = other87.answer;
+  __isset = other87.__isset;
+}
+TableDigest::TableDigest(TableDigest&& other88) noexcept {
+  digests = std::move(other88.digests);
   answer = other88.answer;
   __isset = other88.__isset;
 }
-TableDigest::TableDigest(TableDigest&& other89) noexcept {
-  digests = std::move(other89.digests);
+TableDigest& TableDigest::operator=(const TableDigest& other89) {
+  digests = other89.digests;
   answer = other89.answer;
   __isset = other89.__isset;
+  return *this;
 }
-TableDigest& TableDigest::operator=(const TableDigest& other90) {
-  digests = other90.digests;
+TableDigest& TableDigest::operator=(TableDigest&& other90) noexcept {
+  digests = std::move(other90.digests);
   answer = other90.answer;
   __isset = other90.__isset;
   return *this;
 }
-TableDigest& TableDigest::operator=(TableDigest&& other91) noexcept {
-  digests = std::move(other91.digests);
-  answer = other91.answer;
-  __isset = other91.__isset;
-  return *this;
-}
 void TableDigest::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "TableDigest(";
@@ -3552,14 +3550,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size92;
-            ::apache::thrift::protocol::TType _etype95;
-            xfer += iprot->readListBegin(_etype95, _size92);
-            this->members.resize(_size92);
-            uint32_t _i96;
-            for (_i96 = 0; _i96 < _size92; ++_i96)
+            uint32_t _size91;
+            ::apache::thrift::protocol::TType _etype94;
+            xfer += iprot->readListBegin(_etype94, _size91);
+            this->members.resize(_size91);
+            uint32_t _i95;
+            for (_i95 = 0; _i95 < _size91; ++_i95)
             {
-              xfer += this->members[_i96].read(iprot);
+              xfer += this->members[_i95].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3572,14 +3570,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size97;
-            ::apache::thrift::protocol::TType _etype100;
-            xfer += iprot->readListBegin(_etype100, _size97);
-            this->records.resize(_size97);
-            uint32_t _i101;
-            for (_i101 = 0; _i101 < _size97; ++_i101)
+            uint32_t _size96;
+            ::apache::thrift::protocol::TType _etype99;
+            xfer += iprot->readListBegin(_etype99, _size96);
+            this->records.resize(_size96);
+            uint32_t _i100;
+            for (_i100 = 0; _i100 < _size96; ++_i100)
             {
-              xfer += this->records[_i101].read(iprot);
+              xfer += this->records[_i100].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3634,10 +3632,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<WireMember> ::const_iterator _iter102;
-    for (_iter102 = this->members.begin(); _iter102 != this->members.end(); ++_iter102)
+    std::vector<WireMember> ::const_iterator _iter101;
+    for (_iter101 = this->members.begin(); _iter101 != this->members.end(); ++_iter101)
     {
-      xfer += (*_iter102).write(oprot);
+      xfer += (*_iter101).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3646,10 +3644,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<ConfigRecord> ::const_iterator _iter103;
-    for (_iter103 = this->records.begin(); _iter103 != this->records.end(); ++_iter103)
+    std::vector<ConfigRecord> ::const_iterator _iter102;
+    for (_iter102 = this->records.begin(); _iter102 != this->records.end(); ++_iter102)
     {
-      xfer += (*_iter103).write(oprot);
+      xfer += (*_iter102).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3677,46 +3675,46 @@
   swap(a.__isset, b.__isset);
 }
 
-Datagram::Datagram(const Datagram& other104) {
-  fleet = other104.fleet;
-  sender = other104.sender;
-  probe = other104.probe;
-  ack = other104.ack;
-  members = other104.members;
-  records = other104.records;
-  digest = other104.digest;
+Datagram::Datagram(const Datagram& other103) {
+  fleet = other103.fleet;
+  sender = other103.sender;
+  probe = other103.probe;
+  ack = other103.ack;
+  members = other103.members;
+  records = other103.records;
+  digest = other103.digest;
+  __isset = other103.__isset;
+}
+Datagram::Datagram(Datagram&& other104) noexcept {
+  fleet = std::move(other104.fleet);
+  sender = std::move(other104.sender);
+  probe = std::move(other104.probe);
+  ack = std::move(other104.ack);
+  members = std::move(other104.members);
+  records = std::move(other104.records);
+  digest = std::move(other104.digest);
   __isset = other104.__isset;
 }
-Datagram::Datagram(Datagram&& other105) noexcept {
-  fleet = std::move(other105.fleet);
-  sender = std::move(other105.sender);
-  probe = std::move(other105.probe);
-  ack = std::move(other105.ack);
-  members = std::move(other105.members);
-  records = std::move(other105.records);
-  digest = std::move(other105.digest);
+Datagram& Datagram::operator=(const Datagram& other105) {
+  fleet = other105.fleet;
+  sender = other105.sender;
+  probe = other105.probe;
+  ack = other105.ack;
+  members = other105.members;
+  records = other105.records;
+  digest = other105.digest;
   __isset = other105.__isset;
-}
-Datagram& Datagram::operator=(const Datagram& other106) {
-  fleet = other106.fleet;
-  sender = other106.sender;
-  probe = other106.probe;
-  ack = other106.ack;
-  members = other106.members;
-  records = other106.records;
-  digest = other106.digest;
-  __isset = other106.__isset;
   return *this;
 }
-Datagram& Datagram::operator=(Datagram&& other107) noexcept {
-  fleet = std::move(other107.fleet);
-  sender = std::move(other107.sender);
-  probe = std::move(other107.probe);
-  ack = std::move(other107.ack);
-  members = std::move(other107.members);
-  records = std::move(other107.records);
-  digest = std::move(other107.digest);
-  __isset = other107.__isset;
+Datagram& Datagram::operator=(Datagram&& other106) noexcept {
+  fleet = std::move(other106.fleet);
+  sender = std::move(other106.sender);
+  probe = std::move(other106.probe);
+  ack = std::move(other106.ack);
+  members = std::move(other106.members);
+  records = std::move(other106.records);
+  digest = std::move(other106.digest);
+  __isset = other106.__isset;
   return *this;
 }
 void Datagram::printTo(std::ostream& out) const {
@@ -3859,36 +3857,36 @@
   swap(a.__isset, b.__isset);
 }
 
-SeedRecord::SeedRecord(const SeedRecord& other108) {
-  node = other108.node;
-  zone = other108.zone;
-  region = other108.region;
+SeedRecord::SeedRecord(const SeedRecord& other107) {
+  node = other107.node;
+  zone = other107.zone;
+  region = other107.region;
+  expires_wall_ms = other107.expires_wall_ms;
+  __isset = other107.__isset;
+}
+SeedRecord::SeedRecord(SeedRecord&& other108) noexcept {
+  node = std::move(other108.node);
+  zone = std::move(other108.zone);
+  region = std::move(other108.region);
   expires_wall_ms = other108.expires_wall_ms;
   __isset = other108.__isset;
 }
-SeedRecord::SeedRecord(SeedRecord&& other109) noexcept {
-  node = std::move(other109.node);
-  zone = std::move(other109.zone);
-  region = std::move(other109.region);
+SeedRecord& SeedRecord::operator=(const SeedRecord& other109) {
+  node = other109.node;
+  zone = other109.zone;
+  region = other109.region;
   expires_wall_ms = other109.expires_wall_ms;
   __isset = other109.__isset;
+  return *this;
 }
-SeedRecord& SeedRecord::operator=(const SeedRecord& other110) {
-  node = other110.node;
-  zone = other110.zone;
-  region = other110.region;
+SeedRecord& SeedRecord::operator=(SeedRecord&& other110) noexcept {
+  node = std::move(other110.node);
+  zone = std::move(other110.zone);
+  region = std::move(other110.region);
   expires_wall_ms = other110.expires_wall_ms;
   __isset = other110.__isset;
   return *this;
 }
-SeedRecord& SeedRecord::operator=(SeedRecord&& other111) noexcept {
-  node = std::move(other111.node);
-  zone = std::move(other111.zone);
-  region = std::move(other111.region);
-  expires_wall_ms = other111.expires_wall_ms;
-  __isset = other111.__isset;
-  return *this;
-}
 void SeedRecord::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "SeedRecord(";
--- a/src/libprotocol/gen-cpp/coltsfoot_types.h
+++ b/src/libprotocol/gen-cpp/coltsfoot_types.h
@@ -1146,7 +1146,7 @@
              : node(),
                incarnation(0),
                generation(0),
-               state(static_cast<WireMemberState::type>(0)),
+               state(0),
                zone(),
                region(),
                service_name(),
@@ -1158,11 +1158,7 @@
   std::string node;
   int64_t incarnation;
   int64_t generation;
-  /**
-   * 
-   * @see WireMemberState
-   */
-  WireMemberState::type state;
+  int32_t state;
   std::string zone;
   std::string region;
   std::string service_name;
@@ -1177,7 +1173,7 @@
 
   void __set_generation(const int64_t val);
 
-  void __set_state(const WireMemberState::type val);
+  void __set_state(const int32_t val);
 
   void __set_zone(const std::string& val);
 
