Test the limit, thresholds, fair scheduler and balancer

Cause: these had no tests; the model of a server showed three faults. Change: after a dip the limit is set from Little's law, a rejected dip sets the baseline to what it measured, the wait after shed answers starts above zero, equal gates of the balancer are chosen alike.

--- a/src/libstate/admissionqueue_test.cpp
+++ b/src/libstate/admissionqueue_test.cpp
@@ -3,6 +3,7 @@
 #include "waiting.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <doctest/doctest.h>
 #include <functional>
@@ -104,6 +105,7 @@
   void add(Stream Added) {
     Streams_.push_back(Added);
     Tallies_.emplace_back();
+    Buckets_.emplace_back();
     size_t Index = Streams_.size() - 1;
     schedule(Begin_ + Added.From_, [this, Index] { arrive(Index); });
   }
@@ -141,8 +143,17 @@
     return Sum * 1000 / (Until - From).count();
   }
 
+  /// Returns the share of a stream's requests of some buckets that succeeded.
+  double bucketShare(size_t Index, int FromBucket, int UntilBucket) const {
+    Tally Sum;
+    for (int Bucket = FromBucket; Bucket < UntilBucket; ++Bucket) {
+      Sum.Offered_ += Buckets_[Index][Bucket].Offered_;
+      Sum.Succeeded_ += Buckets_[Index][Bucket].Succeeded_;
+    }
+    return Sum.share();
+  }
+
   AdmissionQueue &queue() { return Queue_; }
-  int undecided() const { return static_cast<int>(Queued_.size()); }
 
 private:
   static constexpr double SlotMs = 100;
@@ -182,6 +193,7 @@
     Made->Stream_ = Index;
     Made->Slot_ = static_cast<int64_t>(Now.count() / SlotMs);
     ++Tallies_[Index][Made->Slot_].Offered_;
+    ++Buckets_[Index][Made->Request_.Bucket_].Offered_;
     Job *Offered = Made.release();
     Queued_.insert(Offered);
     Queue_.offer(*Offered);
@@ -210,8 +222,10 @@
     schedule(Time_.now() + Latency, [this, Served, Latency] {
       std::unique_ptr<Job> Ended(Served);
       Queue_.finish(Ended->Request_, Latency, ServiceResult::Ok);
-      if (Time_.now() <= Ended->Request_.Deadline_)
+      if (Time_.now() <= Ended->Request_.Deadline_) {
         ++Tallies_[Ended->Stream_][Ended->Slot_].Succeeded_;
+        ++Buckets_[Ended->Stream_][Ended->Request_.Bucket_].Succeeded_;
+      }
       act();
     });
   }
@@ -223,6 +237,7 @@
   AdmissionQueue Queue_;
   std::vector<Stream> Streams_;
   std::vector<std::map<int64_t, Tally>> Tallies_;
+  std::vector<std::array<Tally, BucketCount>> Buckets_;
   std::priority_queue<Event> Events_;
   std::set<Job *> Queued_;
   int64_t Serial_ = 0;
--- a/src/libstate/balancer.cpp
+++ b/src/libstate/balancer.cpp
@@ -64,13 +64,15 @@
   double Load_ = 0;
 };
 
-/// Returns the less loaded gate of a pair; ties go to the first.
+/// Returns the less loaded gate of a pair; ties go to either.
 template <typename T, typename LoadOf>
-Choice better(const RandomPair<T> &Pair, const LoadOf &Load) {
+Choice better(const RandomPair<T> &Pair, const LoadOf &Load,
+              Balancer::Generator &Random) {
   Choice Best;
   for (const T &Item : Pair.items()) {
     double Now = Load(Item);
-    if (!Best.Gate_ || Now < Best.Load_)
+    bool Tie = Now == Best.Load_ && Random() % 2 == 0;
+    if (!Best.Gate_ || Now < Best.Load_ || Tie)
       Best = {Item.Gate_, Now};
   }
   return Best;
@@ -171,13 +173,14 @@
       Elsewhere.offer(Gate, Random);
   }
   auto Load = [&](const Option &Gate) { return load(Gate, From, Typical); };
-  Choice InZone = better(Zone, Load);
-  Choice InRegion = better(Region, Load);
+  Choice InZone = better(Zone, Load, Random);
+  Choice InRegion = better(Region, Load, Random);
   if (InZone.Gate_ && InRegion.Gate_)
     return InZone.Load_ > InRegion.Load_ * SpillOverFactor
                ? InRegion.Gate_->Ref_
                : InZone.Gate_->Ref_;
-  for (const Choice &Found : {InZone, InRegion, better(Elsewhere, Load)})
+  for (const Choice &Found :
+       {InZone, InRegion, better(Elsewhere, Load, Random)})
     if (Found.Gate_)
       return Found.Gate_->Ref_;
   return std::nullopt;
@@ -222,7 +225,7 @@
         Region.offer(Gate, Random);
     }
     for (const RandomPair<Option> *Tier : {&FreshZone, &Region, &Elsewhere}) {
-      Choice Next = better(*Tier, Load);
+      Choice Next = better(*Tier, Load, Random);
       if (!Next.Gate_)
         continue;
       NodeRef Ref = Next.Gate_->Ref_;
--- a/src/libstate/concurrencylimit.cpp
+++ b/src/libstate/concurrencylimit.cpp
@@ -18,6 +18,10 @@
 /// Latency during a dip, against that before, below which a queue inside the
 /// backend server is taken to have shrunk: half way between none and all.
 constexpr double QueueShrunk = (1 + DipShare) / 2;
+/// Ratio below which the dip itself still held a queue.
+constexpr double QueueRemains = 0.77;
+/// The limit over the capacity that a dip has found.
+constexpr double CapacityMargin = 1.1;
 /// Latency over the baseline up to which the limit may grow, and from which it
 /// is checked.
 constexpr double NearBaseline = 1.25;
@@ -25,7 +29,7 @@
 constexpr double GrowShare = 0.05;
 constexpr double SmoothGain = 0.5;
 constexpr double FallGain = 0.3;
-constexpr double RiseGain = 0.01;
+constexpr double RiseGain = 0.003;
 constexpr Millis FirstCheckGap(2500);
 constexpr Millis LongestCheckGap(10000);
 /// The lowest part of the limit that stays after one shed answer.
@@ -108,7 +112,8 @@
   Limit_ = std::max({1.0, Held, Limit_ * ShedShare});
   NextShed_ = Now + std::max(ShortestShedGap, Millis(Smoothed_));
   bool Soon = Now < GrowAfter_ + LongestHold;
-  Hold_ = Soon ? std::min(Hold_ * 2, LongestHold) : ShortestHold;
+  Hold_ =
+      Soon ? std::clamp(Hold_ * 2, ShortestHold, LongestHold) : ShortestHold;
   GrowAfter_ = Now + Hold_;
 }
 
@@ -158,19 +163,25 @@
 void ConcurrencyLimit::closeDip(double Mean, Millis Now) {
   Phase_ = Phase::Steady;
   restart(Now);
-  if (Mean < BeforeDip_ * QueueShrunk) {
-    // The server held a queue: stay here, and look at once for more of it.
-    Smoothed_ = Mean;
-    Baseline_ = std::min(Baseline_, Mean);
-    CheckGap_ = FirstCheckGap;
-    NextCheck_ = Now;
-    return;
-  }
-  Limit_ = BeforeDipLimit_;
-  Baseline_ = (BeforeDip_ + Mean) / 2;
-  Smoothed_ = Baseline_;
+  double Ratio = Mean / BeforeDip_;
   NextCheck_ = Now + CheckGap_;
   CheckGap_ = std::min(CheckGap_ * 2, LongestCheckGap);
+  if (Ratio >= QueueShrunk) {
+    Limit_ = BeforeDipLimit_;
+    Baseline_ = Mean;
+    Smoothed_ = BeforeDip_;
+    return;
+  }
+  // The server held a queue. By Little's law its capacity is the throughput
+  // before the dip times the latency without a queue.
+  Limit_ = std::max(Limit_, BeforeDipLimit_ * Ratio * CapacityMargin);
+  Smoothed_ = Mean;
+  Baseline_ = std::min(Baseline_, Mean);
+  if (Ratio < QueueRemains) {
+    // There is a queue even at the dip: look at once for more of it.
+    NextCheck_ = Now;
+    CheckGap_ = FirstCheckGap;
+  }
 }
 
 } // namespace coltsfoot
--- a/src/libstate/entrythreshold.h
+++ b/src/libstate/entrythreshold.h
@@ -44,7 +44,8 @@
   using Generator = std::mt19937_64;
 
   /// Records the threshold on a gate's answer. Kind is that of the answered
-  /// request; empty for a general one.
+  /// request; empty for the general one, which alone counts for services
+  /// further down a path.
   void heard(std::string_view Service, const NodeRef &Gate,
              AdmissionThreshold Threshold, Millis Now,
              std::string_view Kind = {});
