Add the fault proxy, child processes and HTTP client of the test suite

Cause: the end-to-end cases need faults between real processes, and answers whose failures can be told apart. Ruled out: Boost.Process's limit_handles, which closes the child's own pipes in 1.81 (the child printed nothing); close-on-exec pipes made under a lock do it. Change: FaultProxy, Process, HttpSession, IpPort, and a case of their own. Conclusion: ready for use by the other cases.

--- /dev/null
+++ b/testsuite/common/process.cpp
@@ -0,0 +1,284 @@
+#include "process.h"
+
+#include <boost/process.hpp>
+#include <chrono>
+#include <condition_variable>
+#include <csignal>
+#include <fcntl.h>
+#include <mutex>
+#include <optional>
+#include <sys/wait.h>
+#include <thread>
+
+namespace coltsfoot {
+
+namespace {
+
+using SteadyClock = std::chrono::steady_clock;
+
+constexpr auto PollTime = std::chrono::milliseconds(2);
+constexpr int SignalExitBase = 128;
+
+std::mutex StartLock;
+
+SteadyClock::time_point deadline(Millis Timeout) {
+  return SteadyClock::now() +
+         std::chrono::duration_cast<SteadyClock::duration>(
+             std::chrono::duration<double, std::milli>(Timeout.count()));
+}
+
+} // namespace
+
+class Process::Impl {
+public:
+  Impl(const std::string &Program, const std::vector<std::string> &Arguments);
+  ~Impl();
+
+  void collect(boost::process::ipstream &Stream, bool Standard);
+  std::string waitFor(const std::function<bool(const std::string &)> &Fits,
+                      const std::string &What, Millis Timeout, size_t From);
+  std::string outputLocked() const;
+  /// Takes the exit status when the process has ended; needs ChildLock_.
+  bool reap();
+  /// Sends a signal while the id is surely still the child's.
+  void signal(int Number);
+
+  std::string Program_;
+  /// Held from the pipes' creation to the child's start, so that no sibling
+  /// inherits them and holds them open.
+  std::unique_lock<std::mutex> StartGuard_{StartLock};
+  boost::process::ipstream Out_;
+  boost::process::ipstream Err_;
+  int Pid_ = 0;
+
+  mutable std::mutex LinesLock_;
+  std::condition_variable Changed_;
+  std::vector<std::string> Lines_;
+  std::string StandardOutput_;
+  int OpenStreams_ = 2;
+
+  std::mutex ChildLock_;
+  std::optional<int> ExitCode_;
+
+  std::thread OutReader_;
+  std::thread ErrReader_;
+};
+
+Process::Impl::Impl(const std::string &Program,
+                    const std::vector<std::string> &Arguments)
+    : Program_(Program) {
+  for (int Handle : {Out_.pipe().native_source(), Out_.pipe().native_sink(),
+                     Err_.pipe().native_source(), Err_.pipe().native_sink()})
+    ::fcntl(Handle, F_SETFD, FD_CLOEXEC);
+  boost::process::child Child(
+      boost::process::exe = Program, boost::process::args = Arguments,
+      boost::process::std_in<boost::process::null, boost::process::std_out>
+          Out_,
+      boost::process::std_err > Err_);
+  StartGuard_.unlock();
+  Pid_ = Child.id();
+  Child.detach();
+  OutReader_ = std::thread([this] { collect(Out_, true); });
+  ErrReader_ = std::thread([this] { collect(Err_, false); });
+}
+
+Process::Impl::~Impl() {
+  signal(SIGKILL);
+  {
+    std::lock_guard Guard(ChildLock_);
+    if (!ExitCode_)
+      ::waitpid(Pid_, nullptr, 0);
+  }
+  OutReader_.join();
+  ErrReader_.join();
+}
+
+void Process::Impl::collect(boost::process::ipstream &Stream, bool Standard) {
+  std::string Line;
+  while (std::getline(Stream, Line)) {
+    std::lock_guard Guard(LinesLock_);
+    if (Standard)
+      StandardOutput_ += Line + "\n";
+    Lines_.push_back(Line);
+    Changed_.notify_all();
+  }
+  std::lock_guard Guard(LinesLock_);
+  --OpenStreams_;
+  Changed_.notify_all();
+}
+
+std::string
+Process::Impl::waitFor(const std::function<bool(const std::string &)> &Fits,
+                       const std::string &What, Millis Timeout, size_t From) {
+  auto End = deadline(Timeout);
+  std::unique_lock Guard(LinesLock_);
+  for (size_t Next = From;;) {
+    for (; Next < Lines_.size(); ++Next)
+      if (Fits(Lines_[Next]))
+        return Lines_[Next];
+    bool Ended = OpenStreams_ == 0;
+    if (Ended || Changed_.wait_until(Guard, End) == std::cv_status::timeout)
+      throw WaitTimeout(Program_ + " printed no line with '" + What + "' " +
+                        (Ended ? "before its end" : "in time") +
+                        "; its output:\n" + outputLocked());
+  }
+}
+
+std::string Process::Impl::outputLocked() const {
+  std::string All;
+  for (const std::string &Line : Lines_)
+    All += Line + "\n";
+  return All;
+}
+
+bool Process::Impl::reap() {
+  if (ExitCode_)
+    return true;
+  int Status = 0;
+  if (::waitpid(Pid_, &Status, WNOHANG) != Pid_)
+    return false;
+  ExitCode_ = WIFEXITED(Status) ? WEXITSTATUS(Status)
+                                : SignalExitBase + WTERMSIG(Status);
+  return true;
+}
+
+void Process::Impl::signal(int Number) {
+  std::lock_guard Guard(ChildLock_);
+  if (!reap())
+    ::kill(Pid_, Number);
+}
+
+Process::Process(const std::string &Program,
+                 const std::vector<std::string> &Arguments)
+    : Impl_(std::make_unique<Impl>(Program, Arguments)) {}
+
+Process::~Process() = default;
+
+std::string Process::waitForLine(std::string_view Text, Millis Timeout,
+                                 size_t From) {
+  return Impl_->waitFor(
+      [Text](const std::string &Line) {
+        return Line.find(Text) != std::string::npos;
+      },
+      std::string(Text), Timeout, From);
+}
+
+std::string Process::waitForMatch(const std::regex &Pattern, Millis Timeout,
+                                  size_t From) {
+  return Impl_->waitFor(
+      [&Pattern](const std::string &Line) {
+        return std::regex_search(Line, Pattern);
+      },
+      "a pattern", Timeout, From);
+}
+
+std::vector<std::string> Process::lines() const {
+  std::lock_guard Guard(Impl_->LinesLock_);
+  return Impl_->Lines_;
+}
+
+size_t Process::lineCount() const {
+  std::lock_guard Guard(Impl_->LinesLock_);
+  return Impl_->Lines_.size();
+}
+
+std::string Process::standardOutput() const {
+  std::lock_guard Guard(Impl_->LinesLock_);
+  return Impl_->StandardOutput_;
+}
+
+std::string Process::output() const {
+  std::lock_guard Guard(Impl_->LinesLock_);
+  return Impl_->outputLocked();
+}
+
+int Process::pid() const { return Impl_->Pid_; }
+
+bool Process::running() {
+  std::lock_guard Guard(Impl_->ChildLock_);
+  return !Impl_->reap();
+}
+
+void Process::kill(int Signal) { Impl_->signal(Signal); }
+
+void Process::pause() { Impl_->signal(SIGSTOP); }
+
+void Process::resume() { Impl_->signal(SIGCONT); }
+
+int Process::wait(Millis Timeout) {
+  auto End = deadline(Timeout);
+  while (running()) {
+    if (SteadyClock::now() > End)
+      throw WaitTimeout(Impl_->Program_ + " has not ended; its output:\n" +
+                        output());
+    std::this_thread::sleep_for(PollTime);
+  }
+  std::unique_lock Guard(Impl_->LinesLock_);
+  Impl_->Changed_.wait_until(Guard, End,
+                             [this] { return Impl_->OpenStreams_ == 0; });
+  return *Impl_->ExitCode_;
+}
+
+void waitUntil(const std::function<bool()> &Condition, Millis Timeout,
+               std::string_view What) {
+  auto End = deadline(Timeout);
+  while (!Condition()) {
+    if (SteadyClock::now() > End)
+      throw WaitTimeout("waited in vain until " + std::string(What));
+    std::this_thread::sleep_for(PollTime);
+  }
+}
+
+namespace {
+
+int hexDigit(char C) {
+  constexpr std::string_view Digits = "0123456789abcdef";
+  return static_cast<int>(Digits.find(C));
+}
+
+/// Reads a quoted value, without its opening quote, up to its closing one.
+std::string unquote(std::string_view Rest) {
+  std::string Value;
+  for (size_t I = 0; I < Rest.size() && Rest[I] != '"'; ++I) {
+    bool Escape = Rest[I] == '\\' && I + 1 < Rest.size();
+    if (Escape && Rest[++I] == 'x' && I + 2 < Rest.size()) {
+      Value +=
+          static_cast<char>(hexDigit(Rest[I + 1]) * 16 + hexDigit(Rest[I + 2]));
+      I += 2;
+    } else {
+      Value += Rest[I];
+    }
+  }
+  return Value;
+}
+
+/// Returns the length of the pair that the text begins with.
+size_t pairLength(std::string_view Text) {
+  bool Quoted = false;
+  size_t I = 0;
+  for (; I < Text.size() && (Quoted || Text[I] != ' '); ++I) {
+    if (Quoted && Text[I] == '\\')
+      ++I;
+    else if (Text[I] == '"')
+      Quoted = !Quoted;
+  }
+  return std::min(I, Text.size());
+}
+
+} // namespace
+
+std::string field(std::string_view Line, std::string_view Key) {
+  while (!Line.empty()) {
+    std::string_view Pair = Line.substr(0, pairLength(Line));
+    Line.remove_prefix(std::min(Pair.size() + 1, Line.size()));
+    size_t Equals = Pair.find('=');
+    if (Equals == std::string_view::npos || Pair.substr(0, Equals) != Key)
+      continue;
+    std::string_view Value = Pair.substr(Equals + 1);
+    bool Quoted = !Value.empty() && Value.front() == '"';
+    return Quoted ? unquote(Value.substr(1)) : std::string(Value);
+  }
+  return {};
+}
+
+} // namespace coltsfoot
--- /dev/null
+++ b/testsuite/scaffolding/scaffolding_test.cpp
@@ -0,0 +1,356 @@
+#include "faultproxy.h"
+#include "httpclient.h"
+#include "process.h"
+
+#include <boost/asio.hpp>
+#include <csignal>
+#include <doctest/doctest.h>
+#include <thread>
+
+using namespace coltsfoot;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using asio::ip::udp;
+
+namespace {
+
+constexpr Millis Short(150);
+constexpr Millis Long(5000);
+
+/// A TCP server for one connection after the other that sends back what it
+/// reads, and a UDP socket on the same port that does the same.
+class EchoServer {
+public:
+  EchoServer() {
+    accept();
+    receive();
+    Thread_ = std::thread([this] { Io_.run(); });
+  }
+  ~EchoServer() {
+    Io_.stop();
+    Thread_.join();
+  }
+  uint16_t port() const { return Port_; }
+  /// Returns the connections that were closed or reset by the other side.
+  int ended() const { return Ended_; }
+
+private:
+  struct Connection {
+    explicit Connection(tcp::socket Socket) : Socket_(std::move(Socket)) {}
+    tcp::socket Socket_;
+    std::array<char, 4096> Buffer_;
+  };
+
+  void accept() {
+    Acceptor_.async_accept([this](auto Error, tcp::socket Socket) {
+      if (!Error)
+        read(std::make_shared<Connection>(std::move(Socket)));
+      accept();
+    });
+  }
+  void read(const std::shared_ptr<Connection> &Peer) {
+    Peer->Socket_.async_read_some(
+        asio::buffer(Peer->Buffer_), [this, Peer](auto Error, size_t Size) {
+          if (Error) {
+            ++Ended_;
+            return;
+          }
+          asio::write(Peer->Socket_, asio::buffer(Peer->Buffer_, Size), Error);
+          read(Peer);
+        });
+  }
+  void receive() {
+    Datagrams_.async_receive_from(
+        asio::buffer(Buffer_), Source_, [this](auto Error, size_t Size) {
+          if (!Error)
+            Datagrams_.send_to(asio::buffer(Buffer_, Size), Source_);
+          receive();
+        });
+  }
+
+  asio::io_context Io_;
+  tcp::acceptor Acceptor_{Io_,
+                          tcp::endpoint(asio::ip::address_v4::loopback(), 0)};
+  uint16_t Port_ = Acceptor_.local_endpoint().port();
+  udp::socket Datagrams_{
+      Io_, udp::endpoint(asio::ip::address_v4::loopback(), Port_)};
+  std::array<char, 4096> Buffer_;
+  udp::endpoint Source_;
+  std::atomic<int> Ended_ = 0;
+  std::thread Thread_;
+};
+
+/// A client's side of a connection to the proxy, with reads that time out.
+class Caller {
+public:
+  explicit Caller(const FaultProxy &Proxy, const char *Ip = "127.0.0.1") {
+    Socket_.open(tcp::v4());
+    Socket_.bind(tcp::endpoint(asio::ip::make_address(Ip), 0));
+    // A reset right after the proxy's accept may already show here.
+    Socket_.connect(
+        tcp::endpoint(asio::ip::address_v4::loopback(), Proxy.port()),
+        ConnectError_);
+    if (ConnectError_ && ConnectError_ != asio::error::connection_reset)
+      throw boost::system::system_error(ConnectError_);
+  }
+  void write(std::string_view Text) {
+    asio::write(Socket_, asio::buffer(Text.data(), Text.size()));
+  }
+  /// Returns `data`, `closed`, `reset` or `nothing`, whichever comes first.
+  std::string read(Millis Timeout) {
+    if (ConnectError_)
+      return "reset";
+    std::string Seen = "nothing";
+    Socket_.async_read_some(asio::buffer(Buffer_), [&](auto Error, size_t N) {
+      if (!Error)
+        Data_.append(Buffer_.data(), N);
+      if (Error == asio::error::operation_aborted)
+        return;
+      Seen = !Error ? "data" : Error == asio::error::eof ? "closed" : "reset";
+    });
+    Io_.restart();
+    Io_.run_for(std::chrono::milliseconds(Timeout.whole()));
+    Socket_.cancel();
+    Io_.restart();
+    Io_.run();
+    return Seen;
+  }
+  std::string readAll(size_t Count) {
+    while (Data_.size() < Count && read(Long) == "data") {
+    }
+    return Data_;
+  }
+  void close() { Socket_.close(); }
+
+private:
+  asio::io_context Io_;
+  tcp::socket Socket_{Io_};
+  boost::system::error_code ConnectError_;
+  std::array<char, 4096> Buffer_;
+  std::string Data_;
+};
+
+/// Sends datagrams through the proxy and counts what comes back.
+class DatagramCaller {
+public:
+  explicit DatagramCaller(const FaultProxy &Proxy, const char *Ip = "127.0.0.1")
+      : Socket_(Io_, udp::endpoint(asio::ip::make_address(Ip), 0)),
+        Target_(asio::ip::address_v4::loopback(), Proxy.port()) {}
+  int exchange(int Count, Millis Timeout) {
+    for (int I = 0; I < Count; ++I)
+      Socket_.send_to(asio::buffer("x", 1), Target_);
+    int Received = 0;
+    receive(Received);
+    Io_.restart();
+    Io_.run_for(std::chrono::milliseconds(Timeout.whole()));
+    Socket_.cancel();
+    Io_.restart();
+    Io_.run();
+    return Received;
+  }
+
+private:
+  void receive(int &Received) {
+    Socket_.async_receive(asio::buffer(Buffer_), [&](auto Error, size_t) {
+      if (Error)
+        return;
+      ++Received;
+      receive(Received);
+    });
+  }
+  asio::io_context Io_;
+  udp::socket Socket_;
+  udp::endpoint Target_;
+  std::array<char, 64> Buffer_;
+};
+
+struct Fixture {
+  Fixture() { Proxy_.setTarget("127.0.0.1", Server_.port()); }
+  EchoServer Server_;
+  FaultProxy Proxy_;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(Fixture, "the proxy passes bytes and datagrams on") {
+  Caller First(Proxy_);
+  First.write("hello");
+  CHECK(First.readAll(5) == "hello");
+  CHECK(Proxy_.connections() == 1);
+  CHECK(Proxy_.accepted() == 1);
+  CHECK(Proxy_.passedBytes(Direction::ToTarget) == 5);
+  CHECK(Proxy_.passedBytes(Direction::Both) == 10);
+  DatagramCaller Second(Proxy_);
+  CHECK(Second.exchange(3, Short) == 3);
+  CHECK(Proxy_.passedDatagrams() == 6);
+  First.close();
+  waitUntil([&] { return Server_.ended() == 1; }, Long, "the server's end");
+}
+
+TEST_CASE("without a target connections are reset") {
+  FaultProxy Proxy;
+  Caller Lone(Proxy);
+  CHECK(Lone.read(Long) == "reset");
+}
+
+TEST_CASE_FIXTURE(Fixture, "a delay holds bytes back in order") {
+  Proxy_.delay(Millis(100), Direction::FromTarget);
+  Caller Slow(Proxy_);
+  SystemClock Clock;
+  Millis Start = Clock.now();
+  Slow.write("one");
+  Slow.write("two");
+  CHECK(Slow.readAll(6) == "onetwo");
+  CHECK(Clock.now() - Start >= Millis(99));
+  CHECK(DatagramCaller(Proxy_).exchange(1, Millis(30)) == 0);
+  Proxy_.heal();
+  CHECK(DatagramCaller(Proxy_).exchange(1, Short) == 1);
+}
+
+TEST_CASE_FIXTURE(Fixture,
+                  "existing connections go silent while new ones work") {
+  Caller Old(Proxy_);
+  Old.write("a");
+  CHECK(Old.readAll(1) == "a");
+  Proxy_.swallow(Direction::Both, Which::Existing);
+  Old.write("b");
+  CHECK(Old.read(Short) == "nothing");
+  Caller Fresh(Proxy_);
+  Fresh.write("c");
+  CHECK(Fresh.readAll(1) == "c");
+  CHECK(DatagramCaller(Proxy_).exchange(1, Short) == 1);
+  // The caller's end is swallowed as well: the target never learns of it.
+  Old.close();
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  CHECK(Server_.ended() == 0);
+  Proxy_.heal();
+  waitUntil([&] { return Server_.ended() == 1; }, Long, "the lost one's end");
+  Fresh.write("d");
+  CHECK(Fresh.readAll(2) == "cd");
+}
+
+TEST_CASE_FIXTURE(Fixture, "one direction can be swallowed by itself") {
+  Caller Half(Proxy_);
+  Half.write("a");
+  CHECK(Half.readAll(1) == "a");
+  Proxy_.swallow(Direction::FromTarget, Which::All);
+  Half.write("bc");
+  waitUntil([&] { return Proxy_.passedBytes(Direction::ToTarget) == 3; }, Long,
+            "the request's way to the target");
+  CHECK(Half.read(Short) == "nothing");
+  CHECK(DatagramCaller(Proxy_).exchange(1, Short) == 0);
+  Proxy_.heal();
+  CHECK(Half.read(Long) == "reset");
+}
+
+TEST_CASE_FIXTURE(Fixture, "connections are cut and refused") {
+  Caller Old(Proxy_);
+  Old.write("a");
+  CHECK(Old.readAll(1) == "a");
+  Proxy_.cut(Which::Existing);
+  CHECK(Old.read(Long) == "reset");
+  Caller Next(Proxy_);
+  Next.write("b");
+  CHECK(Next.readAll(1) == "b");
+  Proxy_.refuseNew(true);
+  Caller Refused(Proxy_);
+  CHECK(Refused.read(Long) == "reset");
+  Next.write("c");
+  CHECK(Next.readAll(2) == "bc");
+  Proxy_.refuseNew(false);
+  Caller Last(Proxy_);
+  Last.write("d");
+  CHECK(Last.readAll(1) == "d");
+}
+
+TEST_CASE_FIXTURE(Fixture, "an answer is cut in its middle") {
+  Proxy_.cutAfterBytes(Direction::FromTarget, 4);
+  Caller Torn(Proxy_);
+  Torn.write("abcdefgh");
+  CHECK(Torn.readAll(8) == "abcd");
+  Proxy_.cutAfterBytes(Direction::FromTarget, 0);
+  Caller Lost(Proxy_);
+  Lost.write("abc");
+  CHECK(Lost.read(Long) == "reset");
+  CHECK(Proxy_.passedBytes(Direction::ToTarget) == 11);
+}
+
+TEST_CASE_FIXTURE(Fixture, "faults can be limited to source addresses") {
+  Proxy_.onlyFrom({"127.0.0.9"});
+  Proxy_.swallow(Direction::Both, Which::All);
+  Caller Free(Proxy_);
+  Free.write("a");
+  CHECK(Free.readAll(1) == "a");
+  Caller Held(Proxy_, "127.0.0.9");
+  Held.write("a");
+  CHECK(Held.read(Short) == "nothing");
+  CHECK(DatagramCaller(Proxy_).exchange(1, Short) == 1);
+  CHECK(DatagramCaller(Proxy_, "127.0.0.9").exchange(1, Short) == 0);
+}
+
+TEST_CASE_FIXTURE(Fixture, "datagrams are doubled and dropped") {
+  Proxy_.duplicateUdp(true);
+  CHECK(DatagramCaller(Proxy_).exchange(1, Short) == 4);
+  Proxy_.heal();
+  Proxy_.dropUdp(0.5, 7);
+  int Received = DatagramCaller(Proxy_).exchange(200, Millis(300));
+  CHECK(Received > 20);
+  CHECK(Received < 90);
+}
+
+TEST_CASE("a process is started, read, paused and ended") {
+  Process Shell("/bin/sh", {"-c", "echo out a=1; echo err b=2 >&2; exec cat "
+                                  "/dev/zero >/dev/null"});
+  CHECK(Shell.waitForLine("a=", Long) == "out a=1");
+  CHECK(Shell.waitForMatch(std::regex("b=[0-9]"), Long) == "err b=2");
+  CHECK(Shell.standardOutput() == "out a=1\n");
+  CHECK(Shell.running());
+  CHECK_THROWS_AS(Shell.waitForLine("never", Short), WaitTimeout);
+  CHECK_THROWS_AS(Shell.wait(Short), WaitTimeout);
+  Shell.pause();
+  Shell.resume();
+  Shell.kill(SIGTERM);
+  CHECK(Shell.wait(Long) == 128 + SIGTERM);
+  CHECK(!Shell.running());
+}
+
+TEST_CASE("a process that ends gives its exit code and its output") {
+  Process Shell("/bin/sh", {"-c", "echo last; exit 3"});
+  CHECK(Shell.wait(Long) == 3);
+  CHECK(Shell.output() == "last\n");
+  CHECK_THROWS_AS(Shell.waitForLine("more", Long), WaitTimeout);
+  CHECK_THROWS(Process("/nowhere/program"));
+}
+
+TEST_CASE("a sibling doesn't hold a process's output open") {
+  Process First("/bin/sh", {"-c", "sleep 0.2; echo done"});
+  Process Second("/bin/sleep", {"20"});
+  CHECK(First.wait(Long) == 0);
+  CHECK_THROWS_WITH_AS(First.waitForLine("more", Millis(10000)),
+                       doctest::Contains("before its end"), WaitTimeout);
+}
+
+TEST_CASE("fields of log lines are found by key") {
+  std::string Line = R"(time_ms=5 event=x text="a b=\"c\" \x0a" last=9)";
+  CHECK(field(Line, "time_ms") == "5");
+  CHECK(field(Line, "text") == "a b=\"c\" \n");
+  CHECK(field(Line, "last") == "9");
+  CHECK(field(Line, "b").empty());
+  CHECK(field(Line, "none").empty());
+}
+
+TEST_CASE_FIXTURE(Fixture, "the http client tells its failures apart") {
+  // The echo server answers a request with the request, which is no answer.
+  CHECK_THROWS_AS(request("127.0.0.1", Proxy_.port(), "GET", "/"),
+                  HttpCutAnswer);
+  Proxy_.swallow(Direction::Both, Which::New);
+  CHECK_THROWS_AS(
+      request("127.0.0.1", Proxy_.port(), "GET", "/", {}, {}, Short),
+      HttpTimeout);
+  Proxy_.heal();
+  Proxy_.cutAfterBytes(Direction::FromTarget, 0);
+  CHECK_THROWS_AS(request("127.0.0.1", Proxy_.port(), "GET", "/"),
+                  HttpNoAnswer);
+  uint16_t Free = FaultProxy().port();
+  CHECK_THROWS_AS(request("127.0.0.1", Free, "GET", "/"), HttpNotConnected);
+}
