Seal tickets and retry tokens

Cause: any node must be able to tell a ticket that another one minted. Ruled out: JSON payloads, which make a ticket with three candidates longer than 250 characters; node addresses as text, for the same reason. Conclusion: a ticket carries its placement within the size of a header.

--- /dev/null
+++ b/src/libstate/bytereader.cpp
@@ -0,0 +1,81 @@
+#include "bytereader.h"
+
+#include "ipv4address.h"
+
+#include <algorithm>
+
+namespace coltsfoot {
+
+uint64_t ByteReader::number() {
+  uint64_t Value = 0;
+  for (unsigned Shift = 0; Shift < 64; Shift += 7) {
+    std::string_view Next = take(1);
+    if (Next.empty())
+      return 0;
+    uint64_t Byte = static_cast<unsigned char>(Next.front());
+    uint64_t Bits = Byte & 0x7fU;
+    Value |= Bits << Shift;
+    if ((Byte & 0x80U) != 0)
+      continue;
+    // A needless last byte or bits beyond the 64th are not canonical.
+    bool Needless = Shift > 0 && Bits == 0;
+    if (Needless || (Value >> Shift) != Bits)
+      fail();
+    return Failed_ ? 0 : Value;
+  }
+  fail();
+  return 0;
+}
+
+uint64_t ByteReader::fixed64() {
+  uint64_t Value = 0;
+  std::string_view Bytes = take(8);
+  for (size_t I = 0; I < Bytes.size(); ++I)
+    Value |= static_cast<uint64_t>(static_cast<unsigned char>(Bytes[I]))
+             << (8 * I);
+  return Value;
+}
+
+std::string ByteReader::text() {
+  uint64_t Size = number();
+  if (Size <= Rest_.size())
+    return std::string(take(Size));
+  fail();
+  return {};
+}
+
+std::string ByteReader::address() {
+  uint64_t Short = number();
+  if (Short == 0) {
+    std::string Text = text();
+    // What has a short form must use it.
+    if (parseIpv4Address(Text))
+      fail();
+    return Failed_ ? std::string() : Text;
+  }
+  Ipv4Address Address{};
+  std::string_view Bytes = take(Address.size());
+  if (Short != 1 || Bytes.empty()) {
+    fail();
+    return {};
+  }
+  std::copy(Bytes.begin(), Bytes.end(), Address.begin());
+  return formatIpv4Address(Address);
+}
+
+std::string_view ByteReader::take(size_t Size) {
+  if (Failed_ || Size > Rest_.size()) {
+    fail();
+    return {};
+  }
+  std::string_view Taken = Rest_.substr(0, Size);
+  Rest_.remove_prefix(Size);
+  return Taken;
+}
+
+void ByteReader::fail() {
+  Failed_ = true;
+  Rest_ = {};
+}
+
+} // namespace coltsfoot
--- /dev/null
+++ b/src/libstate/bytereader.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace coltsfoot {
+
+/// Reads what ByteWriter wrote. A read past the end or of a form that
+/// ByteWriter does not write marks the reader as failed and returns an empty
+/// value, as do all reads after it. Not thread-safe; the bytes must outlive
+/// the reader.
+class ByteReader {
+public:
+  explicit ByteReader(std::string_view Bytes) : Rest_(Bytes) {}
+
+  uint64_t number();
+  uint64_t fixed64();
+  std::string text();
+  std::string address();
+
+  /// Returns whether every read succeeded and no byte is left.
+  bool complete() const { return !Failed_ && Rest_.empty(); }
+
+private:
+  std::string_view take(size_t Size);
+  void fail();
+
+  std::string_view Rest_;
+  bool Failed_ = false;
+};
+
+} // namespace coltsfoot
--- /dev/null
+++ b/src/libstate/retrytoken.cpp
@@ -0,0 +1,56 @@
+#include "retrytoken.h"
+
+#include "bytereader.h"
+#include "bytewriter.h"
+
+#include <limits>
+#include <stdexcept>
+#include <utility>
+
+namespace coltsfoot {
+
+namespace {
+
+constexpr std::string_view Domain = "retry-token";
+constexpr uint64_t FormatVersion = 1;
+constexpr uint64_t MaxCredits = std::numeric_limits<int>::max();
+
+} // namespace
+
+std::string sealRetryToken(const RetryToken &Sealed, const SealingKeys &Keys) {
+  if (Sealed.Credits_ < 0)
+    throw std::invalid_argument("retry credits must not be negative");
+  ByteWriter Out;
+  Out.number(FormatVersion);
+  Out.text(Sealed.RequestId_);
+  Out.text(Sealed.Client_);
+  Out.text(Sealed.Service_);
+  Out.text(Sealed.Route_);
+  Out.number(static_cast<uint64_t>(Sealed.Credits_));
+  Out.number(static_cast<uint64_t>(Sealed.ExpiryWall_.whole()));
+  return Keys.seal(Domain, Out.bytes());
+}
+
+std::optional<RetryToken> openRetryToken(std::string_view Text,
+                                         const SealingKeys &Keys) {
+  std::optional<std::string> Payload = Keys.open(Domain, Text);
+  if (!Payload)
+    return std::nullopt;
+  ByteReader In(*Payload);
+  if (In.number() != FormatVersion)
+    return std::nullopt;
+  RetryToken Opened;
+  Opened.RequestId_ = In.text();
+  Opened.Client_ = In.text();
+  Opened.Service_ = In.text();
+  Opened.Route_ = In.text();
+  uint64_t Credits = In.number();
+  if (Credits > MaxCredits)
+    return std::nullopt;
+  Opened.Credits_ = static_cast<int>(Credits);
+  Opened.ExpiryWall_ =
+      Millis(static_cast<double>(static_cast<int64_t>(In.number())));
+  return In.complete() ? std::optional(std::move(Opened)) : std::nullopt;
+}
+
+} // namespace coltsfoot
