--- a/src/libstate/tickettable.h
+++ b/src/libstate/tickettable.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -112,8 +113,13 @@
   /// An unknown ticket past its expiry is MayHaveRun(TicketExpired). When the
   /// table is too full to record the close, the answer is
   /// MayHaveRun(Overload), since a late offer could still run.
+  ///
+  /// Pass the digest of the request whenever it is known: it is checked and
+  /// bound as an offer's is. Without it, the answer to another request under
+  /// the same ticket is given out.
   void inquire(const Ticket &Asked, bool CloseIfUnknown, Reason Why,
-               const SuccessorMint &Successor, OutcomeHandler Handler);
+               const SuccessorMint &Successor, OutcomeHandler Handler,
+               std::optional<std::string_view> Digest = std::nullopt);
 
   /// Records an unknown ticket as closed. Returns false, and changes nothing,
   /// when it is known or expired or the table is full.
