Conserve retry credits and keep the parents of nested calls

Cause: retries anywhere below a request must stay within its credits, and a backend server's retry of a step must find the same ticket. Ruled out: a counter in the middle; counting lent credits by child, which the callers know already. Change: CreditPool, AttemptTable.

--- /dev/null
+++ b/src/libstate/attempttable.cpp
@@ -0,0 +1,186 @@
+#include "attempttable.h"
+
+#include "credits.h"
+
+#include <boost/intrusive/list.hpp>
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <map>
+#include <mutex>
+#include <stdexcept>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace coltsfoot {
+
+namespace {
+
+namespace intrusive = boost::intrusive;
+
+struct Step {
+  bool Started_ = false;
+  std::string Ticket_; // Empty until one is remembered.
+};
+
+struct Parent : boost::intrusive_ref_counter<Parent> {
+  Parent(ParentCall Call, int Credits)
+      : Call_(std::move(Call)), Credits_(Credits) {}
+
+  const ParentCall Call_;
+  CreditPool Credits_;
+  std::map<std::string, Step, std::less<>> Steps_;
+  std::vector<std::function<void()>> CloseHandlers_;
+  std::optional<Millis> EndedAt_;
+  intrusive::list_member_hook<> EndedHook_; // Linked once it has ended.
+};
+
+using ParentPtr = boost::intrusive_ptr<Parent>;
+
+using EndedList = intrusive::list<
+    Parent,
+    intrusive::member_hook<Parent, intrusive::list_member_hook<>,
+                           &Parent::EndedHook_>,
+    intrusive::constant_time_size<true>>;
+
+} // namespace
+
+// All methods are called with the mutex held.
+struct AttemptTable::State {
+  explicit State(const Clock &Time) : Time_(Time) {}
+
+  Parent *find(std::string_view Key) const;
+  Parent *findOpen(std::string_view Key) const;
+  void forgetEnded();
+
+  const Clock &Time_;
+  mutable std::mutex Mutex_;
+  std::unordered_map<std::string_view, ParentPtr> Parents_; // Key is in Parent.
+  EndedList Ended_; // Longest ago first.
+};
+
+Parent *AttemptTable::State::find(std::string_view Key) const {
+  auto Found = Parents_.find(Key);
+  return Found == Parents_.end() ? nullptr : Found->second.get();
+}
+
+Parent *AttemptTable::State::findOpen(std::string_view Key) const {
+  Parent *Found = find(Key);
+  return Found != nullptr && !Found->EndedAt_ ? Found : nullptr;
+}
+
+void AttemptTable::State::forgetEnded() {
+  Millis Now = Time_.now();
+  while (!Ended_.empty() &&
+         *Ended_.front().EndedAt_ + EndedParentGrace <= Now) {
+    Parent &Due = Ended_.front();
+    Ended_.pop_front();
+    Parents_.erase(Parents_.find(Due.Call_.AttemptKey_));
+  }
+}
+
+AttemptTable::AttemptTable(const Clock &Time)
+    : State_(std::make_unique<State>(Time)) {}
+
+AttemptTable::~AttemptTable() = default;
+
+void AttemptTable::open(ParentCall Call, int Credits) {
+  ParentPtr Opened(new Parent(std::move(Call), Credits));
+  std::lock_guard Lock(State_->Mutex_);
+  State_->forgetEnded();
+  std::string_view Key = Opened->Call_.AttemptKey_;
+  if (!State_->Parents_.emplace(Key, Opened).second)
+    throw std::invalid_argument("the attempt key is known already");
+}
+
+std::optional<ParentCall> AttemptTable::find(std::string_view Key) const {
+  std::lock_guard Lock(State_->Mutex_);
+  const Parent *Found = State_->findOpen(Key);
+  return Found != nullptr ? std::optional(Found->Call_) : std::nullopt;
+}
+
+NestedStart AttemptTable::startNested(std::string_view Key,
+                                      std::string_view StepName) {
+  std::lock_guard Lock(State_->Mutex_);
+  Parent *Found = State_->find(Key);
+  if (Found == nullptr)
+    return NestedRefused{Reason::BadRequest};
+  if (Found->EndedAt_)
+    return NestedRefused{Reason::Cancelled};
+  Step &Started = Found->Steps_[std::string(StepName)];
+  if (Started.Started_ && !Found->Credits_.spendOne())
+    return NestedRefused{Reason::BudgetSpent};
+  bool Repeat = std::exchange(Started.Started_, true);
+  return NestedLent{.Credits_ = Found->Credits_.lend(), .Repeat_ = Repeat};
+}
+
+void AttemptTable::endNested(std::string_view Key, int Unspent) {
+  std::lock_guard Lock(State_->Mutex_);
+  if (Parent *Found = State_->findOpen(Key))
+    Found->Credits_.takeBack(Unspent);
+}
+
+std::optional<std::string>
+AttemptTable::stepTicket(std::string_view Key,
+                         std::string_view StepName) const {
+  std::lock_guard Lock(State_->Mutex_);
+  const Parent *Found = State_->findOpen(Key);
+  if (Found == nullptr)
+    return std::nullopt;
+  auto Known = Found->Steps_.find(StepName);
+  if (Known == Found->Steps_.end() || Known->second.Ticket_.empty())
+    return std::nullopt;
+  return Known->second.Ticket_;
+}
+
+std::string AttemptTable::rememberTicket(std::string_view Key,
+                                         std::string_view StepName,
+                                         std::string Ticket) {
+  std::lock_guard Lock(State_->Mutex_);
+  Parent *Found = State_->findOpen(Key);
+  if (Found == nullptr)
+    return {};
+  Step &Known = Found->Steps_[std::string(StepName)];
+  if (Known.Ticket_.empty())
+    Known.Ticket_ = std::move(Ticket);
+  return Known.Ticket_;
+}
+
+void AttemptTable::onClose(std::string_view Key,
+                           std::function<void()> Handler) {
+  {
+    std::lock_guard Lock(State_->Mutex_);
+    if (Parent *Found = State_->findOpen(Key)) {
+      Found->CloseHandlers_.push_back(std::move(Handler));
+      return;
+    }
+  }
+  Handler();
+}
+
+int AttemptTable::close(std::string_view Key) {
+  std::vector<std::function<void()>> Handlers;
+  int Left = 0;
+  {
+    std::lock_guard Lock(State_->Mutex_);
+    State_->forgetEnded();
+    Parent *Found = State_->findOpen(Key);
+    if (Found == nullptr)
+      return 0;
+    Found->EndedAt_ = State_->Time_.now();
+    State_->Ended_.push_back(*Found);
+    Found->Steps_.clear();
+    Handlers.swap(Found->CloseHandlers_);
+    Left = Found->Credits_.held();
+  }
+  for (const std::function<void()> &Handler : Handlers)
+    Handler();
+  return Left;
+}
+
+size_t AttemptTable::openCount() const {
+  std::lock_guard Lock(State_->Mutex_);
+  return State_->Parents_.size() - State_->Ended_.size();
+}
+
+} // namespace coltsfoot
--- /dev/null
+++ b/src/libstate/attempttable_test.cpp
@@ -0,0 +1,162 @@
+#include "attempttable.h"
+
+#include <atomic>
+#include <doctest/doctest.h>
+#include <set>
+#include <stdexcept>
+#include <thread>
+#include <vector>
+
+using namespace coltsfoot;
+
+namespace {
+
+ParentCall parent(std::string Key) {
+  return {.AttemptKey_ = std::move(Key),
+          .RequestId_ = "root",
+          .Client_ = "shop",
+          .Depth_ = 2,
+          .Deadline_ = Millis(5000)};
+}
+
+} // namespace
+
+TEST_CASE("a parent is found until it ends") {
+  ManualClock Time;
+  AttemptTable Table(Time);
+  Table.open(parent("k"), 3);
+  CHECK(Table.find("k") == parent("k"));
+  CHECK(!Table.find("other"));
+  CHECK(Table.openCount() == 1);
+  CHECK_THROWS_AS(Table.open(parent("k"), 3), std::invalid_argument);
+  CHECK(Table.close("k") == 3);
+  CHECK(!Table.find("k"));
+  CHECK(Table.openCount() == 0);
+  CHECK(Table.close("k") == 0);
+}
+
+TEST_CASE("the first call of a step is lent credits, a repeat costs one") {
+  ManualClock Time;
+  AttemptTable Table(Time);
+  Table.open(parent("k"), 3);
+  CHECK(Table.startNested("k", "pay") == NestedStart(NestedLent{2, false}));
+  CHECK(Table.startNested("k", "log") == NestedStart(NestedLent{1, false}));
+  CHECK(Table.startNested("k", "pay") ==
+        NestedStart(NestedRefused{Reason::BudgetSpent}));
+  Table.endNested("k", 2);
+  CHECK(Table.startNested("k", "pay") == NestedStart(NestedLent{1, true}));
+  CHECK(Table.startNested("k", "third") == NestedStart(NestedLent{0, false}));
+  Table.endNested("k", 1);
+  CHECK(Table.close("k") == 1);
+}
+
+TEST_CASE("a refused repeat costs nothing and stays a repeat") {
+  ManualClock Time;
+  AttemptTable Table(Time);
+  Table.open(parent("k"), 0);
+  CHECK(Table.startNested("k", "a") == NestedStart(NestedLent{0, false}));
+  for (int I = 0; I < 3; ++I)
+    CHECK(Table.startNested("k", "a") ==
+          NestedStart(NestedRefused{Reason::BudgetSpent}));
+}
+
+TEST_CASE("nested calls of an ended or unknown parent are refused") {
+  ManualClock Time;
+  AttemptTable Table(Time);
+  CHECK(Table.startNested("k", "a") ==
+        NestedStart(NestedRefused{Reason::BadRequest}));
+  Table.open(parent("k"), 3);
+  Table.startNested("k", "a");
+  CHECK(Table.close("k") == 1);
+  Table.endNested("k", 2);
+  CHECK(Table.startNested("k", "a") ==
+        NestedStart(NestedRefused{Reason::Cancelled}));
+  CHECK(Table.rememberTicket("k", "a", "t").empty());
+  CHECK(!Table.stepTicket("k", "a"));
+  CHECK(Table.close("k") == 0);
+}
+
+TEST_CASE("an ended parent is forgotten after the grace") {
+  ManualClock Time;
+  AttemptTable Table(Time);
+  Table.open(parent("k"), 0);
+  Table.close("k");
+  Time.advance(EndedParentGrace - Millis(1));
+  Table.open(parent("l"), 0);
+  CHECK(Table.startNested("k", "a") ==
+        NestedStart(NestedRefused{Reason::Cancelled}));
+  Time.advance(Millis(1));
+  Table.open(parent("m"), 0);
+  CHECK(Table.startNested("k", "a") ==
+        NestedStart(NestedRefused{Reason::BadRequest}));
+  CHECK(Table.openCount() == 2);
+}
+
+TEST_CASE("the first ticket of a step counts") {
+  ManualClock Time;
+  AttemptTable Table(Time);
+  Table.open(parent("k"), 0);
+  CHECK(!Table.stepTicket("k", "a"));
+  Table.startNested("k", "a");
+  CHECK(!Table.stepTicket("k", "a"));
+  CHECK(Table.rememberTicket("k", "a", "one") == "one");
+  CHECK(Table.rememberTicket("k", "a", "two") == "one");
+  CHECK(Table.rememberTicket("k", "b", "three") == "three");
+  CHECK(Table.stepTicket("k", "a") == "one");
+}
+
+TEST_CASE("close handlers are called once, without the lock") {
+  ManualClock Time;
+  AttemptTable Table(Time);
+  Table.open(parent("k"), 0);
+  int Calls = 0;
+  auto Handler = [&] {
+    ++Calls;
+    CHECK(Table.openCount() == 0);
+  };
+  Table.onClose("k", Handler);
+  Table.onClose("k", Handler);
+  CHECK(Calls == 0);
+  Table.close("k");
+  CHECK(Calls == 2);
+  Table.close("k");
+  CHECK(Calls == 2);
+  Table.onClose("k", Handler);
+  Table.onClose("unknown", Handler);
+  CHECK(Calls == 4);
+}
+
+TEST_CASE("threads agree on tickets and never exceed the credits") {
+  constexpr int ThreadCount = 4;
+  constexpr int Rounds = 200;
+  constexpr int Credits = 6;
+  ManualClock Time;
+  AttemptTable Table(Time);
+  for (int Round = 0; Round < Rounds; ++Round) {
+    std::string Key = "k" + std::to_string(Round);
+    Table.open(parent(Key), Credits);
+    std::atomic<int> Repeats = 0;
+    std::atomic<int> Closed = 0;
+    std::vector<std::string> Tickets(ThreadCount);
+    std::vector<std::thread> Threads;
+    Threads.reserve(ThreadCount);
+    for (int I = 0; I < ThreadCount; ++I)
+      Threads.emplace_back([&, I] {
+        Table.onClose(Key, [&] { ++Closed; });
+        Tickets[I] = Table.rememberTicket(Key, "step", std::to_string(I));
+        for (int Call = 0; Call < Credits; ++Call) {
+          NestedStart Start = Table.startNested(Key, "step");
+          const auto *Lent = std::get_if<NestedLent>(&Start);
+          Repeats += Lent != nullptr && Lent->Repeat_ ? 1 : 0;
+          if (Lent != nullptr)
+            Table.endNested(Key, Lent->Credits_);
+        }
+      });
+    for (std::thread &Thread : Threads)
+      Thread.join();
+    int Left = Table.close(Key);
+    CHECK(Repeats + Left == Credits);
+    CHECK(Closed == ThreadCount);
+    CHECK(std::set(Tickets.begin(), Tickets.end()).size() == 1);
+  }
+}
