--- a/src/coltsfootd/coltsfootd.cpp
+++ b/src/coltsfootd/coltsfootd.cpp
@@ -99,7 +99,7 @@
   } catch (const SettingsError &Error) {
     std::cerr << "coltsfootd: " << Error.what() << '\n';
     return ExitUsage;
-  } catch (const cxxopts::OptionException &Error) {
+  } catch (const cxxopts::exceptions::exception &Error) {
     std::cerr << "coltsfootd: " << Error.what() << "; see --help\n";
     return ExitUsage;
   } catch (const std::exception &Error) {
