--- a/src/libcoordination/configsync.cpp
+++ b/src/libcoordination/configsync.cpp
@@ -84,10 +84,12 @@
   auto Members = Gossip_.view();
   size_t Others = 0;
   for (const auto &Known : Members->all()) {
-    if (Known->Member_.Node_ == Node_ || Known->Member_.State_ == MemberState::Dead)
+    if (Known->Member_.Node_ == Node_ ||
+        Known->Member_.State_ == MemberState::Dead)
       continue;
     ++Others;
-    if (Asked_.size() < PeersToAsk && Asked_.insert(Known->Member_.Node_).second)
+    if (Asked_.size() < PeersToAsk &&
+        Asked_.insert(Known->Member_.Node_).second)
       fetch(Known->Member_.Node_, Config_.current()->nextOffset(), true);
   }
   if (Others > 0 && Answered_.size() >= std::min(PeersToAsk, Others))
--- a/src/libcoordination/entrycall.cpp
+++ b/src/libcoordination/entrycall.cpp
@@ -350,15 +350,21 @@
   after(ReconnectPause, [Self, Candidate] { Self->inquire(Candidate); });
 }
 
-void EntryCall::inquire(size_t Candidate) {
+wire::Frame EntryCall::newInquiry(bool Close) const {
+  const HttpRequest &Caller = Exchange_->request();
   wire::Inquiry Inquiry;
   Inquiry.ticket = Request_.TicketText_;
-  Inquiry.close = true;
+  Inquiry.close = Close;
+  Inquiry.digest = requestDigest(Caller.Method_, Caller.Target_, Caller.Body_);
   wire::Frame Message;
   Message.__set_inquiry(Inquiry);
+  return Message;
+}
+
+void EntryCall::inquire(size_t Candidate) {
   Pointer Self(this);
   send(
-      Request_.Ticket_->Candidates_[Candidate], std::move(Message), true,
+      Request_.Ticket_->Candidates_[Candidate], newInquiry(true), true,
       [Self, Candidate](const wire::Reply &Reply) {
         Self->onCandidateReply(Candidate, Reply);
       },
@@ -374,14 +380,9 @@
   const auto &Candidates = Request_.Ticket_->Candidates_;
   if (Candidate >= Candidates.size())
     return end(MayHaveRun{Reason::CandidateGone});
-  wire::Inquiry Inquiry;
-  Inquiry.ticket = Request_.TicketText_;
-  Inquiry.close = false;
-  wire::Frame Message;
-  Message.__set_inquiry(Inquiry);
   Pointer Self(this);
   send(
-      Candidates[Candidate], std::move(Message), true,
+      Candidates[Candidate], newInquiry(false), true,
       [Self, Candidate](const wire::Reply &Reply) {
         Self->onSearchReply(Candidate, Reply);
       },
--- a/src/libcoordination/entrycall.h
+++ b/src/libcoordination/entrycall.h
@@ -117,6 +117,7 @@
                 const OnReply &Replied, const OnLost &LostIt);
   void begin();
   wire::Offer newOffer(int Lent) const;
+  wire::Frame newInquiry(bool Close) const;
   void after(Millis Pause, std::function<void()> Step);
   void heard(const NodeRef &Gate, const wire::Reply &Reply, Millis Latency);
   void onDeadline();
--- a/src/libcoordination/gate.cpp
+++ b/src/libcoordination/gate.cpp
@@ -541,7 +541,8 @@
         Reply.closed = Result.Closed_;
         Reply.successor = Result.Successor_;
         Answer(std::move(Reply));
-      });
+      },
+      Asked.digest);
 }
 
 void Gate::Impl::cancel(uint64_t Connection, int64_t Attempt) {
--- a/src/libcoordination/ticketoffice.cpp
+++ b/src/libcoordination/ticketoffice.cpp
@@ -73,9 +73,10 @@
   auto Members = Knowledge_.Members_();
   for (const auto &Known : Members->gatesOf(Service)) {
     NodeRef Ref{Known->Member_.Node_, Known->Member_.Incarnation_};
-    Gates.push_back(
-        {Ref, Known->Member_.Zone_, Known->Member_.Region_, std::max(1, Known->Member_.Slots_),
-         Known->Member_.State_ == MemberState::Leaving, FirstSeen_->get(Ref, Now)});
+    Gates.push_back({Ref, Known->Member_.Zone_, Known->Member_.Region_,
+                     std::max(1, Known->Member_.Slots_),
+                     Known->Member_.State_ == MemberState::Leaving,
+                     FirstSeen_->get(Ref, Now)});
   }
   return Gates;
 }
--- a/src/libprotocol/coltsfoot.thrift
+++ b/src/libprotocol/coltsfoot.thrift
@@ -72,7 +72,7 @@
   3: i64 asked_incarnation // of the process that sent that offer
   4: string ticket
   5: bool close
-  6: i32 remaining_ms
+  6: string digest        // of method, target and body of the call asked for
 }
 
 struct Cancel {
--- a/src/libprotocol/gen-cpp/coltsfoot_types.cpp
+++ b/src/libprotocol/gen-cpp/coltsfoot_types.cpp
@@ -1397,8 +1397,8 @@
   this->close = val;
 }
 
-void Inquiry::__set_remaining_ms(const int32_t val) {
-  this->remaining_ms = val;
+void Inquiry::__set_digest(const std::string& val) {
+  this->digest = val;
 }
 std::ostream& operator<<(std::ostream& out, const Inquiry& obj)
 {
@@ -1469,9 +1469,9 @@
         }
         break;
       case 6:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->remaining_ms);
-          this->__isset.remaining_ms = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->digest);
+          this->__isset.digest = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1513,8 +1513,8 @@
   xfer += oprot->writeBool(this->close);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("remaining_ms", ::apache::thrift::protocol::T_I32, 6);
-  xfer += oprot->writeI32(this->remaining_ms);
+  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->digest);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -1529,7 +1529,7 @@
   swap(a.asked_incarnation, b.asked_incarnation);
   swap(a.ticket, b.ticket);
   swap(a.close, b.close);
-  swap(a.remaining_ms, b.remaining_ms);
+  swap(a.digest, b.digest);
   swap(a.__isset, b.__isset);
 }
 
@@ -1539,7 +1539,7 @@
   asked_incarnation = other33.asked_incarnation;
   ticket = other33.ticket;
   close = other33.close;
-  remaining_ms = other33.remaining_ms;
+  digest = other33.digest;
   __isset = other33.__isset;
 }
 Inquiry::Inquiry(Inquiry&& other34) noexcept {
@@ -1548,7 +1548,7 @@
   asked_incarnation = other34.asked_incarnation;
   ticket = std::move(other34.ticket);
   close = other34.close;
-  remaining_ms = other34.remaining_ms;
+  digest = std::move(other34.digest);
   __isset = other34.__isset;
 }
 Inquiry& Inquiry::operator=(const Inquiry& other35) {
@@ -1557,7 +1557,7 @@
   asked_incarnation = other35.asked_incarnation;
   ticket = other35.ticket;
   close = other35.close;
-  remaining_ms = other35.remaining_ms;
+  digest = other35.digest;
   __isset = other35.__isset;
   return *this;
 }
@@ -1567,7 +1567,7 @@
   asked_incarnation = other36.asked_incarnation;
   ticket = std::move(other36.ticket);
   close = other36.close;
-  remaining_ms = other36.remaining_ms;
+  digest = std::move(other36.digest);
   __isset = other36.__isset;
   return *this;
 }
@@ -1579,7 +1579,7 @@
   out << ", " << "asked_incarnation=" << to_string(asked_incarnation);
   out << ", " << "ticket=" << to_string(ticket);
   out << ", " << "close=" << to_string(close);
-  out << ", " << "remaining_ms=" << to_string(remaining_ms);
+  out << ", " << "digest=" << to_string(digest);
   out << ")";
 }
 
--- a/src/libprotocol/gen-cpp/coltsfoot_types.h
+++ b/src/libprotocol/gen-cpp/coltsfoot_types.h
@@ -555,13 +555,13 @@
 std::ostream& operator<<(std::ostream& out, const Reply& obj);
 
 typedef struct _Inquiry__isset {
-  _Inquiry__isset() : attempt(false), asked_attempt(false), asked_incarnation(false), ticket(false), close(false), remaining_ms(false) {}
+  _Inquiry__isset() : attempt(false), asked_attempt(false), asked_incarnation(false), ticket(false), close(false), digest(false) {}
   bool attempt :1;
   bool asked_attempt :1;
   bool asked_incarnation :1;
   bool ticket :1;
   bool close :1;
-  bool remaining_ms :1;
+  bool digest :1;
 } _Inquiry__isset;
 
 class Inquiry : public virtual ::apache::thrift::TBase {
@@ -577,7 +577,7 @@
             asked_incarnation(0),
             ticket(),
             close(0),
-            remaining_ms(0) {
+            digest() {
   }
 
   virtual ~Inquiry() noexcept;
@@ -586,7 +586,7 @@
   int64_t asked_incarnation;
   std::string ticket;
   bool close;
-  int32_t remaining_ms;
+  std::string digest;
 
   _Inquiry__isset __isset;
 
@@ -600,7 +600,7 @@
 
   void __set_close(const bool val);
 
-  void __set_remaining_ms(const int32_t val);
+  void __set_digest(const std::string& val);
 
   bool operator == (const Inquiry & rhs) const
   {
@@ -614,7 +614,7 @@
       return false;
     if (!(close == rhs.close))
       return false;
-    if (!(remaining_ms == rhs.remaining_ms))
+    if (!(digest == rhs.digest))
       return false;
     return true;
   }
