--- a/src/coltsfootd/coltsfootd.cpp
+++ b/src/coltsfootd/coltsfootd.cpp
@@ -43,10 +43,11 @@
     Self.drain();
   });
   Self.start([&] { Context.stop(); });
-  logEvent(
-      LogLevel::Info, "listening",
-      {{"node", Self.name()},
-       {"http", Given.Node_.Address_ + ":" + std::to_string(Self.httpPort())}});
+  std::string Ip = Given.Node_.Address_ + ":";
+  logEvent(LogLevel::Info, "listening",
+           {{"node", Self.name()},
+            {"http", Ip + std::to_string(Self.httpPort())},
+            {"peer", Ip + std::to_string(Self.peerPort())}});
   runWorkers(Context, Given.Node_.Workers_);
   logEvent(LogLevel::Info, "stopped", {{"node", Self.name()}});
   return ExitOk;
--- a/src/libcoordination/entry.cpp
+++ b/src/libcoordination/entry.cpp
@@ -11,6 +11,7 @@
 
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
+#include <boost/json/value_to.hpp>
 #include <charconv>
 #include <random>
 #include <unordered_map>
--- a/src/libcoordination/seedkeeper.cpp
+++ b/src/libcoordination/seedkeeper.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
+#include <boost/json/value_to.hpp>
 
 namespace coltsfoot {
 
--- a/src/libtransport/httpserver.cpp
+++ b/src/libtransport/httpserver.cpp
@@ -315,10 +315,11 @@
     return refuse(413, "the body is larger than the limit");
   if (Error == beast::error::timeout)
     return refuse(408, "the request did not arrive whole in time");
-  if (Error == http::error::end_of_stream ||
-      Error == http::error::partial_message ||
-      Error.category() == asio::error::get_system_category() ||
-      Error == asio::error::eof)
+  bool Gone = Error == http::error::end_of_stream ||
+              Error == http::error::partial_message ||
+              Error == asio::error::eof ||
+              Error.category() == asio::error::get_system_category();
+  if (Error && Gone)
     return close();
   if (Error)
     return refuse(400, "the request is malformed: " + Error.message());
