Measure what two nodes add to a call

Cause: the added time and the cost of a call were unknown. Ruled out: one thread a caller, which can't keep an open loop under overload. Change: asynchronous load client for the test suite and bench_latency, which makes direct and passed-on calls in turn at fixed rates and then saturates.

--- /dev/null
+++ b/testsuite/bench_latency/bench_latency.cpp
@@ -0,0 +1,183 @@
+/// Measures what entry and gate on two nodes add to a call, against the same
+/// call made directly, at fixed rates in one run; and the processor time and
+/// memory that a call costs.
+/// Usage: bench_latency [SECONDS_PER_RATE]
+
+#include "fleet.h"
+#include "loadclient.h"
+
+#include <algorithm>
+#include <atomic>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <mutex>
+#include <sstream>
+#include <thread>
+#include <unistd.h>
+
+using namespace coltsfoot;
+
+namespace {
+
+constexpr int Connections = 16;
+
+/// Latencies of one series in milliseconds.
+class Series {
+public:
+  void add(double Ms) {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    Values_.push_back(Ms);
+  }
+  double at(double Share) {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    if (Values_.empty())
+      return 0;
+    std::sort(Values_.begin(), Values_.end());
+    return Values_[std::min(
+        Values_.size() - 1,
+        static_cast<size_t>(Share * double(Values_.size())))];
+  }
+  size_t size() {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    return Values_.size();
+  }
+
+private:
+  std::mutex Mutex_;
+  std::vector<double> Values_;
+};
+
+/// Returns user and system time of a process in microseconds.
+double cpuMicros(int Pid) {
+  std::ifstream In("/proc/" + std::to_string(Pid) + "/stat");
+  std::string Text((std::istreambuf_iterator<char>(In)), {});
+  std::istringstream Fields(Text.substr(Text.rfind(')') + 2));
+  std::string Skip;
+  for (int I = 0; I < 11; ++I)
+    Fields >> Skip;
+  double User = 0;
+  double System = 0;
+  Fields >> User >> System;
+  return (User + System) * 1e6 / double(sysconf(_SC_CLK_TCK));
+}
+
+/// Returns the resident memory of a process in kilobytes.
+long residentKb(int Pid) {
+  std::ifstream In("/proc/" + std::to_string(Pid) + "/statm");
+  long Size = 0;
+  long Resident = 0;
+  In >> Size >> Resident;
+  return Resident * (sysconf(_SC_PAGESIZE) / 1024);
+}
+
+struct Setup {
+  Fleet Fleet_;
+  std::unique_ptr<TestNode> Entry_ = Fleet_.startNode();
+  std::unique_ptr<TestNode> Gate_ = Fleet_.startNode();
+  std::unique_ptr<BackendServer> Backend_;
+
+  Setup() {
+    Entry_->waitServing();
+    Gate_->waitServing();
+    BackendOptions Options;
+    Options.Service_ = "shop";
+    Options.Slots_ = 64;
+    Options.Work_ = Millis(0);
+    Backend_ = Fleet_.startBackend(*Gate_, Options);
+    Fleet::put(*Gate_, "services/shop", shopService());
+    Entry_->waitGates("shop", 1);
+  }
+};
+
+/// Makes direct and passed-on calls in turn at a total of twice the rate, so
+/// that both meet the same state of the machine.
+void measure(Setup &Now, int Rate, double Seconds) {
+  LoadClient Client;
+  Series Direct;
+  Series Added;
+  std::atomic<int> Open = 0;
+  std::atomic<int> Failed = 0;
+  double Before = cpuMicros(Now.Entry_->process().pid()) +
+                  cpuMicros(Now.Gate_->process().pid());
+  auto Start = std::chrono::steady_clock::now();
+  int Total = static_cast<int>(Rate * Seconds);
+  for (int I = 0; I < 2 * Total; ++I) {
+    std::this_thread::sleep_until(
+        Start + std::chrono::microseconds(int64_t(1e6) * I / (2 * Rate)));
+    bool Through = I % 2 == 1;
+    LoadRequest Request;
+    Request.Port_ = Through ? Now.Entry_->httpPort() : Now.Backend_->port();
+    Request.Target_ = "/items/1";
+    Request.Fields_ = fieldsOf("shop", "client", "t" + std::to_string(I));
+    ++Open;
+    Client.send(std::move(Request), [&, Through](const LoadResult &Result) {
+      if (Result.Status_ == 200)
+        (Through ? Added : Direct).add(Result.Latency_.count());
+      else
+        ++Failed;
+      --Open;
+    });
+  }
+  waitUntil([&] { return Open == 0; }, Millis(10000), "all calls end");
+  double Cpu = (cpuMicros(Now.Entry_->process().pid()) +
+                cpuMicros(Now.Gate_->process().pid()) - Before) /
+               double(Total);
+  std::printf("%6d/s  ", Rate);
+  for (double Share : {0.5, 0.99, 0.999})
+    std::printf("p%-5g direct %.3f through %.3f added %.3f ms  ", Share * 100,
+                Direct.at(Share), Added.at(Share),
+                Added.at(Share) - Direct.at(Share));
+  std::printf("cpu %.1f us/call  failed %d\n", Cpu, Failed.load());
+}
+
+/// Closed loop: how many calls a second the two nodes carry.
+void saturate(Setup &Now, double Seconds, int Callers) {
+  LoadClient Client(2);
+  std::atomic<int64_t> Done = 0;
+  std::atomic<int> Open = Callers;
+  std::atomic<bool> Stop = false;
+  std::function<void()> Next = [&] {
+    LoadRequest Request;
+    Request.Port_ = Now.Entry_->httpPort();
+    Request.Target_ = "/items/1";
+    Request.Fields_ = fieldsOf("shop", "client", "s");
+    Client.send(std::move(Request), [&](const LoadResult &) {
+      ++Done;
+      if (Stop)
+        --Open;
+      else
+        Next();
+    });
+  };
+  double Before = cpuMicros(Now.Entry_->process().pid()) +
+                  cpuMicros(Now.Gate_->process().pid());
+  long KbBefore = residentKb(Now.Entry_->process().pid()) +
+                  residentKb(Now.Gate_->process().pid());
+  for (int I = 0; I < Callers; ++I)
+    Next();
+  std::this_thread::sleep_for(std::chrono::duration<double>(Seconds));
+  int64_t Count = Done;
+  double Cpu = cpuMicros(Now.Entry_->process().pid()) +
+               cpuMicros(Now.Gate_->process().pid()) - Before;
+  Stop = true;
+  waitUntil([&] { return Open == 0; }, Millis(10000), "all calls end");
+  long KbAfter = residentKb(Now.Entry_->process().pid()) +
+                 residentKb(Now.Gate_->process().pid());
+  std::printf("saturation with %d callers: %.0f calls/s, %.1f us/call, "
+              "memory of both %ld kB before, %ld kB after %lld calls\n",
+              Callers, double(Count) / Seconds, Cpu / double(Count), KbBefore,
+              KbAfter, static_cast<long long>(Count));
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  double Seconds = Argc > 1 ? std::stod(Argv[1]) : 5;
+  Setup Now;
+  measure(Now, 200, 1);
+  for (int Rate : {200, 2000})
+    measure(Now, Rate, Seconds);
+  saturate(Now, Seconds, Connections);
+  return 0;
+}
--- a/testsuite/common/fleet.h
+++ b/testsuite/common/fleet.h
@@ -23,7 +23,7 @@
   std::string Advertise_;
   /// 0 for any free port.
   int PeerPort_ = 0;
-  int Workers_ = 2;
+  int Workers_ = 1;
   std::string Policy_ = "adaptive";
   bool UseLog_ = true;
   std::vector<std::string> Peers_;
--- /dev/null
+++ b/testsuite/common/loadclient.cpp
@@ -0,0 +1,185 @@
+#include "loadclient.h"
+
+#include "timer.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <thread>
+
+namespace coltsfoot {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+using Target = std::pair<std::string, uint16_t>;
+using Stream = std::unique_ptr<beast::tcp_stream>;
+
+/// Kept connections by target.
+class Pool {
+public:
+  Stream take(const Target &To) {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    auto &Idle = Idle_[To];
+    if (Idle.empty())
+      return nullptr;
+    Stream Latest = std::move(Idle.back());
+    Idle.pop_back();
+    return Latest;
+  }
+  void keep(const Target &To, Stream Kept) {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    Idle_[To].push_back(std::move(Kept));
+  }
+
+private:
+  std::mutex Mutex_;
+  std::map<Target, std::vector<Stream>> Idle_;
+};
+
+class Exchange : public std::enable_shared_from_this<Exchange> {
+public:
+  Exchange(asio::io_context &Context, Pool &Kept, LoadRequest Request,
+           LoadClient::Handler OnEnd)
+      : Context_(Context), Pool_(Kept), To_(Request.Ip_, Request.Port_),
+        Timeout_(Request.Timeout_), Handler_(std::move(OnEnd)),
+        Started_(Clock_.now()) {
+    Request_.method_string(Request.Method_);
+    Request_.target(Request.Target_);
+    Request_.version(11);
+    Request_.set(http::field::host, Request.Ip_);
+    for (const HttpField &Field : Request.Fields_)
+      Request_.insert(Field.Name_, Field.Value_);
+    Request_.body() = std::move(Request.Body_);
+    Request_.prepare_payload();
+  }
+
+  void run() {
+    Stream_ = Pool_.take(To_);
+    if (Stream_)
+      return write();
+    Stream_ = std::make_unique<beast::tcp_stream>(asio::make_strand(Context_));
+    Stream_->expires_after(toChrono(Timeout_));
+    Stream_->async_connect(
+        tcp::endpoint(asio::ip::make_address(To_.first), To_.second),
+        [Self = shared_from_this()](const error_code &Error) {
+          if (Error)
+            return Self->end(false);
+          error_code Ignored;
+          Self->Stream_->socket().set_option(tcp::no_delay(true), Ignored);
+          Self->write();
+        });
+  }
+
+private:
+  void write() {
+    Stream_->expires_after(toChrono(Timeout_));
+    http::async_write(
+        *Stream_, Request_,
+        [Self = shared_from_this()](const error_code &Error, size_t) {
+          if (Error)
+            return Self->end(false);
+          Self->read();
+        });
+  }
+
+  void read() {
+    http::async_read(
+        *Stream_, Buffer_, Response_,
+        [Self = shared_from_this()](const error_code &Error, size_t) {
+          Self->end(!Error);
+        });
+  }
+
+  void end(bool Whole) {
+    LoadResult Result;
+    Result.Latency_ = Clock_.now() - Started_;
+    if (Whole) {
+      Result.Status_ = static_cast<int>(Response_.result_int());
+      for (const auto &Field : Response_)
+        Result.Fields_.push_back(
+            {std::string(Field.name_string()), std::string(Field.value())});
+      Result.Body_ = std::move(Response_.body());
+      if (Response_.keep_alive()) {
+        Stream_->expires_never();
+        Pool_.keep(To_, std::move(Stream_));
+      }
+    }
+    Handler_(Result);
+  }
+
+  asio::io_context &Context_;
+  Pool &Pool_;
+  const Target To_;
+  const Millis Timeout_;
+  const LoadClient::Handler Handler_;
+  const SystemClock Clock_;
+  const Millis Started_;
+  http::request<http::string_body> Request_;
+  http::response<http::string_body> Response_;
+  beast::flat_buffer Buffer_;
+  Stream Stream_;
+};
+
+} // namespace
+
+std::string LoadResult::header(std::string_view Name) const {
+  beast::string_view Wanted(Name.data(), Name.size());
+  for (const HttpField &Field : Fields_)
+    if (beast::iequals(Field.Name_, Wanted))
+      return Field.Value_;
+  return {};
+}
+
+class LoadClient::Impl {
+public:
+  explicit Impl(int Threads) : Work_(asio::make_work_guard(Context_)) {
+    for (int I = 0; I < Threads; ++I)
+      Threads_.emplace_back([this] { Context_.run(); });
+  }
+  ~Impl() {
+    Context_.stop();
+    for (std::thread &Worker : Threads_)
+      Worker.join();
+  }
+  Impl(const Impl &) = delete;
+  Impl &operator=(const Impl &) = delete;
+
+  asio::io_context Context_;
+  Pool Pool_;
+  asio::executor_work_guard<asio::io_context::executor_type> Work_;
+  std::vector<std::thread> Threads_;
+};
+
+LoadClient::LoadClient(int Threads) : Impl_(std::make_unique<Impl>(Threads)) {}
+
+LoadClient::~LoadClient() = default;
+
+void LoadClient::send(LoadRequest Request, Handler OnEnd) {
+  std::make_shared<Exchange>(Impl_->Context_, Impl_->Pool_, std::move(Request),
+                             std::move(OnEnd))
+      ->run();
+}
+
+void LoadClient::after(Millis Span, std::function<void()> Step) {
+  auto Timer = std::make_shared<asio::steady_timer>(Impl_->Context_);
+  Timer->expires_after(toChrono(Span));
+  Timer->async_wait([Timer, Step = std::move(Step)](const error_code &Error) {
+    if (!Error)
+      Step();
+  });
+}
+
+} // namespace coltsfoot
