Test the configuration service against the log stand-in

Cause: lost answers, outages, trims and races decide whether a change is kept. Ruled out: a faked log alone, since the HTTP client's own faults count too.

--- a/testsuite/common/logserver.cpp
+++ b/testsuite/common/logserver.cpp
@@ -12,6 +12,7 @@
 #include <boost/json.hpp>
 #include <charconv>
 #include <chrono>
+#include <future>
 #include <list>
 #include <map>
 #include <mutex>
@@ -127,7 +128,10 @@
   }
 
   void stop() {
-    asio::post(Io_, [this] { closeAll(); });
+    asio::post(Io_, [this] {
+      Acceptor_.close();
+      closeSessions();
+    });
     Thread_.join();
   }
 
@@ -138,6 +142,8 @@
     return Change(*this);
   }
 
+  void dropConnections();
+
   /// Lets the reads that wait look again.
   void wakeAll();
 
@@ -186,7 +192,7 @@
 
 private:
   void accept();
-  void closeAll();
+  void closeSessions();
 
   asio::io_context Io_;
   tcp::acceptor Acceptor_;
@@ -311,13 +317,21 @@
   });
 }
 
-void LogServer::Impl::closeAll() {
-  Acceptor_.close();
+void LogServer::Impl::closeSessions() {
   for (const auto &Each : Sessions_)
     if (auto Alive = Each.lock())
       Alive->close();
 }
 
+void LogServer::Impl::dropConnections() {
+  std::promise<void> Closed;
+  asio::post(Io_, [&] {
+    closeSessions();
+    Closed.set_value();
+  });
+  Closed.get_future().wait();
+}
+
 void LogServer::Impl::wakeAll() {
   asio::post(Io_, [this] {
     for (const auto &Each : Sessions_)
@@ -410,6 +424,8 @@
   Impl_->locked([&](Impl &Self) { Self.LoseAnswers_ = Count; });
 }
 
+void LogServer::dropConnections() { Impl_->dropConnections(); }
+
 void LogServer::trim(std::string_view Stream, int64_t FirstOffset) {
   Impl_->trim(Stream, FirstOffset);
 }
--- a/testsuite/common/logserver.h
+++ b/testsuite/common/logserver.h
@@ -35,6 +35,9 @@
   /// without an answer.
   void loseNextAppendAnswer(int Count = 1);
 
+  /// Closes all connections; returns once they are closed.
+  void dropConnections();
+
   /// Drops the records before an offset.
   void trim(std::string_view Stream, int64_t FirstOffset);
 
--- /dev/null
+++ b/testsuite/config_service/config_service_test.cpp
@@ -0,0 +1,367 @@
+#include "confignode.h"
+#include "snapshotrecord.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+
+using namespace coltsfoot;
+
+namespace {
+
+constexpr std::string_view Stream = "config";
+constexpr std::string_view SnapshotStream = "config-snapshots";
+
+Change put(const std::string &Id, const std::string &Name,
+           int64_t Expected = AnyVersion,
+           const std::string &Body = "{\"credits\":1}") {
+  return {Id, ResourceKind::RetryPolicy, Name, Expected, false, Body};
+}
+
+/// Appends changes of resources n0, n1, … as another node would.
+void appendChanges(LogServer &Server, int First, int Count) {
+  for (int I = First; I < First + Count; ++I) {
+    std::string Number = std::to_string(I);
+    Server.append(Stream, encodeChange(put("id" + Number, "n" + Number)));
+  }
+}
+
+std::vector<LogRecord> makeRecords(int First, int Count) {
+  std::vector<LogRecord> Records;
+  for (int I = First; I < First + Count; ++I) {
+    std::string Number = std::to_string(I);
+    Records.push_back({I, encodeChange(put("id" + Number, "n" + Number))});
+  }
+  return Records;
+}
+
+/// Writes a snapshot of the records that the log holds now.
+void appendSnapshot(LogServer &Server) {
+  SnapshotRecord Record;
+  Record.WrittenWall_ = SystemClock().wallNow();
+  Record.State_ = ConfigState().apply(Server.records(Stream));
+  Server.append(SnapshotStream, encodeSnapshotRecord(Record));
+}
+
+/// Waits until the service has done what was asked of it before.
+void flush(ConfigNode &Node) { Node.submit(put("bad id", "x")); }
+
+bool accepted(const ChangeOutcome &Outcome, int64_t Version) {
+  return Outcome == ChangeOutcome(Accepted{Version});
+}
+
+} // namespace
+
+TEST_CASE("a change is accepted once and in force on every node") {
+  LogServer Server;
+  ConfigNode Left(Server);
+  ConfigNode Right(Server);
+  REQUIRE(Left.startAndWaitReady());
+  REQUIRE(Right.startAndWaitReady());
+  CHECK(accepted(Left.submit(put("a", "p", 0)), 1));
+  CHECK(Left.service().current()->get(ResourceKind::RetryPolicy, "p"));
+  REQUIRE(Right.waitForOffset(1));
+  CHECK(Right.service().current()->digest() ==
+        Left.service().current()->digest());
+  CHECK(Right.service().result("a") == ChangeResult(Accepted{1}));
+  CHECK(accepted(Left.submit(put("a", "p", 0)), 1));
+  CHECK(Server.records(Stream).size() == 1);
+  CHECK(waitFor([&] { return Right.applied() == Server.records(Stream); }));
+}
+
+TEST_CASE("a change that no state can accept is not appended") {
+  LogServer Server;
+  ConfigNode Node(Server);
+  REQUIRE(Node.startAndWaitReady());
+  ChangeOutcome Outcome = Node.submit(put("a", "p", 0, "{\"credits\":99}"));
+  REQUIRE(std::holds_alternative<Void>(Outcome));
+  CHECK(std::get<Void>(Outcome).Cause_ == VoidCause::Invalid);
+  CHECK(std::holds_alternative<Void>(Node.submit(put("bad id", "p"))));
+  CHECK(Server.records(Stream).empty());
+}
+
+TEST_CASE("a lost append answer is settled by reading, never by appending") {
+  LogServer Server;
+  ConfigNode Node(Server);
+  REQUIRE(Node.startAndWaitReady());
+  SUBCASE("on a reader") {}
+  SUBCASE("on a node that does not tail the log") {
+    Node.service().setReader(false);
+  }
+  Server.loseNextAppendAnswer();
+  CHECK(accepted(Node.submit(put("a", "p", 0)), 1));
+  CHECK(Server.records(Stream).size() == 1);
+}
+
+TEST_CASE("a lost answer stays unknown while the log can't be read") {
+  LogServer Server;
+  ConfigService::Options Options = ConfigNode::quickOptions();
+  Options.ChangeTimeout_ = Millis(150);
+  ConfigNode Node(Server, Options);
+  REQUIRE(Node.startAndWaitReady());
+  Node.reads().setDown(true);
+  Server.loseNextAppendAnswer();
+  CHECK(Node.submit(put("a", "p", 0)) == ChangeOutcome(OutcomeUnknown{"a"}));
+  CHECK_FALSE(Node.service().result("a"));
+  Node.reads().setDown(false);
+  REQUIRE(waitFor([&] { return Node.service().result("a").has_value(); }));
+  CHECK(Node.service().result("a") == ChangeResult(Accepted{1}));
+  CHECK(Server.records(Stream).size() == 1);
+}
+
+TEST_CASE("an answered append behind a gap stays unknown until it is filled") {
+  LogServer Server;
+  ConfigService::Options Options = ConfigNode::quickOptions();
+  Options.ChangeTimeout_ = Millis(150);
+  ConfigNode Node(Server, Options);
+  REQUIRE(Node.startAndWaitReady());
+  Node.reads().setDown(true);
+  appendChanges(Server, 0, 2);
+  CHECK(Node.submit(put("a", "p", 0)) == ChangeOutcome(OutcomeUnknown{"a"}));
+  CHECK(Node.service().current()->nextOffset() == 0);
+  CHECK(waitFor([&] { return !Node.fetches().empty(); }));
+  Node.service().onPeerRecords(makeRecords(0, 2));
+  REQUIRE(Node.waitForOffset(3));
+  CHECK(Node.service().result("a") == ChangeResult(Accepted{3}));
+}
+
+TEST_CASE("an outage refuses changes and holds nothing back after it") {
+  LogServer Server;
+  ConfigNode Left(Server);
+  ConfigNode Right(Server);
+  REQUIRE(Left.startAndWaitReady());
+  REQUIRE(Right.startAndWaitReady());
+  CHECK(accepted(Left.submit(put("a", "p", 0)), 1));
+  REQUIRE(Right.waitForOffset(1));
+  Server.setDown(true);
+  CHECK(std::holds_alternative<NotWritten>(Left.submit(put("b", "p", 1))));
+  CHECK(Left.service().ready());
+  CHECK(Left.service().current()->nextOffset() == 1);
+  Server.setDown(false);
+  CHECK(accepted(Left.submit(put("c", "p", 1)), 2));
+  REQUIRE(Right.waitForOffset(2));
+  CHECK(Right.service().current()->digest() ==
+        Left.service().current()->digest());
+  CHECK_FALSE(Right.service().result("b"));
+}
+
+TEST_CASE("of two racing operators one wins everywhere") {
+  LogServer Server;
+  ConfigNode Left(Server);
+  ConfigNode Right(Server);
+  REQUIRE(Left.startAndWaitReady());
+  REQUIRE(Right.startAndWaitReady());
+  int64_t Version = 0;
+  for (int Round = 0; Round < 30; ++Round) {
+    CAPTURE(Round);
+    std::string Number = std::to_string(Round);
+    auto One = Left.later(put("left" + Number, "p", Version));
+    auto Two = Right.later(put("right" + Number, "p", Version));
+    ChangeOutcome First = One.get();
+    ChangeOutcome Second = Two.get();
+    if (std::holds_alternative<LostRace>(First))
+      std::swap(First, Second);
+    REQUIRE(std::holds_alternative<Accepted>(First));
+    Version = std::get<Accepted>(First).Version_;
+    CHECK(Second == ChangeOutcome(LostRace{Version}));
+  }
+  REQUIRE(Left.waitForOffset(60));
+  REQUIRE(Right.waitForOffset(60));
+  CHECK(Right.service().current()->digest() ==
+        Left.service().current()->digest());
+}
+
+TEST_CASE("a fresh node starts from the newest snapshot and the tail") {
+  LogServer Server;
+  appendChanges(Server, 0, 20);
+  appendSnapshot(Server);
+  appendChanges(Server, 20, 20);
+  appendSnapshot(Server);
+  appendChanges(Server, 40, 5);
+  std::shared_ptr<const ConfigState> Whole =
+      ConfigState().apply(Server.records(Stream));
+  SUBCASE("of a whole log") {}
+  SUBCASE("of a log trimmed up to the snapshot") { Server.trim(Stream, 40); }
+  SUBCASE("with the older snapshot trimmed too") {
+    Server.trim(Stream, 40);
+    Server.trim(SnapshotStream, 1);
+  }
+  SUBCASE("with a damaged snapshot after the newest") {
+    Server.trim(Stream, 40);
+    Server.append(SnapshotStream, "1\ncoltsfoot-config-1 damaged");
+    Server.append(SnapshotStream, "");
+  }
+  ConfigNode Node(Server);
+  REQUIRE(Node.startAndWaitReady());
+  CHECK(Node.service().current()->nextOffset() == 45);
+  CHECK(Node.service().current()->digest() == Whole->digest());
+  CHECK(Node.applied().empty());
+}
+
+TEST_CASE("without a snapshot a trimmed log leaves a fresh node to its peers") {
+  LogServer Server;
+  appendChanges(Server, 0, 10);
+  std::shared_ptr<const ConfigState> Peer =
+      ConfigState().apply(Server.records(Stream));
+  Server.trim(Stream, 6);
+  appendChanges(Server, 10, 2);
+  ConfigNode Node(Server);
+  Node.service().start();
+  REQUIRE(waitFor([&] { return !Node.fetches().empty(); }));
+  CHECK_FALSE(Node.service().ready());
+  CHECK(Node.service().current()->nextOffset() == 0);
+  Node.service().onPeerSnapshot(Peer->snapshot());
+  REQUIRE(waitFor([&] { return Node.service().ready(); }));
+  REQUIRE(Node.waitForOffset(12));
+  CHECK(Node.service().current()->get(ResourceKind::RetryPolicy, "n11"));
+}
+
+TEST_CASE("a reader that is trimmed away goes on from a newer snapshot") {
+  LogServer Server;
+  appendChanges(Server, 0, 3);
+  ConfigNode Node(Server);
+  REQUIRE(Node.startAndWaitReady());
+  Node.reads().setDown(true);
+  appendChanges(Server, 3, 10);
+  appendSnapshot(Server);
+  Server.trim(Stream, 13);
+  appendChanges(Server, 13, 1);
+  Node.reads().setDown(false);
+  REQUIRE(Node.waitForOffset(14));
+  CHECK(Node.service().current()->get(ResourceKind::RetryPolicy, "n5"));
+}
+
+TEST_CASE("readers write a snapshot once enough records have passed") {
+  LogServer Server;
+  ConfigService::Options Options = ConfigNode::quickOptions();
+  Options.SnapshotEvery_ = 10;
+  ConfigNode Node(Server, Options);
+  REQUIRE(Node.startAndWaitReady());
+  appendChanges(Server, 0, 1);
+  REQUIRE(waitFor([&] { return Server.records(SnapshotStream).size() == 1; }));
+  appendChanges(Server, 1, 10);
+  REQUIRE(waitFor([&] { return Server.records(SnapshotStream).size() >= 2; }));
+  auto Newest =
+      decodeSnapshotRecord(Server.records(SnapshotStream).back().Data_);
+  REQUIRE(Newest);
+  CHECK(Newest->State_->nextOffset() >= 11);
+}
+
+TEST_CASE("a snapshot is written again before retention drops it") {
+  LogServer Server;
+  appendChanges(Server, 0, 1);
+  ConfigService::Options Options = ConfigNode::quickOptions();
+  Options.Retention_ = Millis(100);
+  ConfigNode Node(Server, Options);
+  REQUIRE(Node.startAndWaitReady());
+  CHECK(waitFor([&] { return Server.records(SnapshotStream).size() >= 3; }));
+}
+
+TEST_CASE("only readers write snapshots") {
+  LogServer Server;
+  appendChanges(Server, 0, 5);
+  ConfigService::Options Options = ConfigNode::quickOptions();
+  Options.SnapshotEvery_ = 1;
+  Options.SnapshotJitter_ = Millis(0);
+  ConfigNode Other(Server, Options);
+  Other.service().setReader(false);
+  REQUIRE(Other.startAndWaitReady());
+  for (int I = 5; I < 25; ++I)
+    CHECK(accepted(Other.submit(put("b" + std::to_string(I), "p")), I + 1));
+  CHECK(Server.records(SnapshotStream).empty());
+  ConfigNode Reader(Server, Options);
+  REQUIRE(Reader.startAndWaitReady());
+  CHECK(waitFor([&] { return !Server.records(SnapshotStream).empty(); }));
+}
+
+TEST_CASE("records of peers are applied in order whatever order they come in") {
+  LogServer Server;
+  Server.setDown(true);
+  ConfigNode Node(Server);
+  Node.service().start();
+  std::vector<LogRecord> Records = makeRecords(0, 6);
+  Node.service().onPeerRecords({Records[3], Records[1]});
+  Node.service().onPeerRecords({Records[5], Records[2]});
+  flush(Node);
+  CHECK(Node.service().current()->nextOffset() == 0);
+  Node.service().onPeerRecords({Records[0]});
+  flush(Node);
+  CHECK(Node.service().current()->nextOffset() == 4);
+  Node.service().onPeerRecords({Records[0], Records[4]});
+  flush(Node);
+  CHECK(Node.service().current()->nextOffset() == 6);
+  CHECK(Node.service().current()->digest() ==
+        ConfigState().apply(Records)->digest());
+  CHECK(Node.service().recordsFrom(0, 1 << 20) == Records);
+  CHECK(Node.service().keeps(6));
+  CHECK_FALSE(Node.service().keeps(7));
+}
+
+TEST_CASE("with the log down a node is ready once its peers are settled") {
+  LogServer Server;
+  Server.setDown(true);
+  ConfigNode Node(Server);
+  Node.service().start();
+  Node.service().onPeerHead(2);
+  Node.service().onPeerRecords(makeRecords(0, 1));
+  Node.service().peersSettled();
+  flush(Node);
+  CHECK_FALSE(Node.service().ready());
+  Node.service().onPeerRecords(makeRecords(1, 1));
+  flush(Node);
+  CHECK(Node.service().ready());
+}
+
+TEST_CASE("a gap that stays is fetched from peers") {
+  LogServer Server;
+  Server.setDown(true);
+  ConfigNode Node(Server);
+  Node.service().start();
+  Node.service().onPeerRecords(makeRecords(0, 2));
+  Node.service().onPeerHead(4);
+  REQUIRE(waitFor([&] { return !Node.fetches().empty(); }));
+  CHECK(Node.fetches().front() == 2);
+  Node.service().onPeerRecords(makeRecords(2, 2));
+  REQUIRE(Node.waitForOffset(4));
+}
+
+TEST_CASE("old snapshots and damaged ones are ignored") {
+  LogServer Server;
+  appendChanges(Server, 0, 5);
+  ConfigNode Node(Server);
+  REQUIRE(Node.startAndWaitReady());
+  uint64_t Digest = Node.service().current()->digest();
+  auto Old = ConfigState().apply(makeRecords(0, 3));
+  Node.service().onPeerSnapshot(Old->snapshot());
+  Node.service().onPeerSnapshot("damaged");
+  Node.service().onPeerRecords(makeRecords(0, 4));
+  flush(Node);
+  CHECK(Node.service().current()->digest() == Digest);
+  auto New = ConfigState().apply(makeRecords(0, 8));
+  Node.service().onPeerSnapshot(New->snapshot());
+  flush(Node);
+  CHECK(Node.service().current()->digest() == New->digest());
+  CHECK_FALSE(Node.service().keeps(5));
+  CHECK(Node.service().keeps(8));
+}
+
+TEST_CASE("a record larger than all buffers does not stop the fold") {
+  LogServer Server;
+  Server.append(Stream, std::string(5U << 20U, 'x'));
+  appendChanges(Server, 1, 1);
+  ConfigNode Node(Server);
+  REQUIRE(Node.startAndWaitReady());
+  CHECK(Node.service().current()->nextOffset() == 2);
+}
+
+TEST_CASE("stopping leaves open changes unknown") {
+  LogServer Server;
+  ConfigNode Node(Server);
+  REQUIRE(Node.startAndWaitReady());
+  Node.reads().setDown(true);
+  Server.loseNextAppendAnswer();
+  auto Open = Node.later(put("a", "p", 0));
+  REQUIRE(waitFor([&] { return !Server.records(Stream).empty(); }));
+  Node.service().stop();
+  CHECK(Open.get() == ChangeOutcome(OutcomeUnknown{"a"}));
+  CHECK(std::holds_alternative<NotWritten>(Node.submit(put("b", "p"))));
+}
--- /dev/null
+++ b/testsuite/config_service/confignode.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include "coltsfootpoint/time.h"
+#include "configservice.h"
+#include "logclient.h"
+#include "logserver.h"
+#include "shyreads.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <functional>
+#include <future>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace coltsfoot {
+
+/// Waits until the condition holds; returns false when it does not in time.
+inline bool waitFor(const std::function<bool()> &Condition) {
+  auto End = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+  while (!Condition()) {
+    if (std::chrono::steady_clock::now() > End)
+      return false;
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  return true;
+}
+
+/// A ConfigService with its log client, on two threads of its own.
+class ConfigNode {
+public:
+  static ConfigService::Options quickOptions() {
+    ConfigService::Options Options;
+    Options.PollWait_ = Millis(500);
+    Options.RetryMin_ = Millis(5);
+    Options.RetryMax_ = Millis(20);
+    Options.SnapshotJitter_ = Millis(5);
+    return Options;
+  }
+
+  explicit ConfigNode(const LogServer &Server,
+                      const ConfigService::Options &Options = quickOptions())
+      : Log_(Io_, clientOptions(Server)), Reads_(Log_),
+        Service_(Io_, Reads_, Clock_, Options) {
+    Service_.OnApplied_ = [this](std::span<const LogRecord> Records) {
+      std::lock_guard<std::mutex> Lock(Mutex_);
+      Applied_.insert(Applied_.end(), Records.begin(), Records.end());
+    };
+    Service_.FetchFromPeers_ = [this](int64_t From) {
+      std::lock_guard<std::mutex> Lock(Mutex_);
+      Fetches_.push_back(From);
+    };
+    for (std::thread &Each : Threads_)
+      Each = std::thread([this] { Io_.run(); });
+  }
+
+  ~ConfigNode() {
+    Io_.stop();
+    for (std::thread &Each : Threads_)
+      Each.join();
+  }
+
+  ConfigService &service() { return Service_; }
+  ShyReads &reads() { return Reads_; }
+
+  bool startAndWaitReady() {
+    Service_.start();
+    return waitFor([this] { return Service_.ready(); });
+  }
+
+  bool waitForOffset(int64_t Next) {
+    return waitFor([&] { return Service_.current()->nextOffset() >= Next; });
+  }
+
+  /// Submits the change and waits for its outcome.
+  ChangeOutcome submit(const Change &Value) { return later(Value).get(); }
+
+  /// Submits the change.
+  std::future<ChangeOutcome> later(const Change &Value) {
+    auto Promise = std::make_shared<std::promise<ChangeOutcome>>();
+    Service_.submit(Value, [Promise](const ChangeOutcome &Outcome) {
+      Promise->set_value(Outcome);
+    });
+    return Promise->get_future();
+  }
+
+  std::vector<LogRecord> applied() {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    return Applied_;
+  }
+  std::vector<int64_t> fetches() {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    return Fetches_;
+  }
+
+private:
+  static LogClient::Options clientOptions(const LogServer &Server) {
+    LogClient::Options Options;
+    Options.Port_ = Server.port();
+    return Options;
+  }
+
+  boost::asio::io_context Io_;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+      Work_ = boost::asio::make_work_guard(Io_);
+  SystemClock Clock_;
+  LogClient Log_;
+  ShyReads Reads_;
+  ConfigService Service_;
+  std::mutex Mutex_;
+  std::vector<LogRecord> Applied_;
+  std::vector<int64_t> Fetches_;
+  std::thread Threads_[2];
+};
+
+} // namespace coltsfoot
