--- a/src/libcoordination/gossip.cpp
+++ b/src/libcoordination/gossip.cpp
@@ -20,7 +20,7 @@
 constexpr Millis AheadGrace = Millis(1000);
 constexpr Millis ExpiryInterval = Millis(10'000);
 /// The index over n members is rebuilt every n * this much at most.
-constexpr Millis IndexTimePerMember = Millis(0.1);
+constexpr Millis IndexTimePerMember = Millis(0.25);
 constexpr size_t MaxBigOffsets = 64;
 constexpr int MinRemoteSends = 4;
 
