--- a/testsuite/common/backendserver.h
+++ b/testsuite/common/backendserver.h
@@ -100,11 +100,20 @@
   bool operator==(const RunRecord &) const = default;
 };
 
+/// Returns the digest of a body as records and answers give it.
+std::string bodyDigest(std::string_view Body);
+
+/// Parses `SERVICE METHOD PATH [STEP]`. Throws std::invalid_argument.
+ChildCall parseChildCall(const std::string &Text);
+
 /// A stand-in of a backend server, which runs in a thread of its own inside a
 /// test or program. All methods are thread-safe.
 ///
 /// Answers are `{"server":…,"tag":…,"digest":…}` with the request's own tag and
-/// body digest. `GET /runs` returns the records, `GET /stats` the counters.
+/// body digest. `GET /runs` returns the records, `GET /stats` the counters, and
+/// `POST /control` sets what the methods below set, from an object with any of
+/// the keys slowdown, failing, hang, close_before_answer, close_mid_answer,
+/// paused and leave.
 class BackendServer {
 public:
   /// Listens and announces itself. Throws when it can't listen.
@@ -158,8 +167,10 @@
   /// Returns the requests that wait for a slot now.
   int queued() const;
 
-private:
+  /// The implementation, which its own files share.
   class Impl;
+
+private:
   std::unique_ptr<Impl> Impl_;
 };
 
--- a/testsuite/common/faultproxy.cpp
+++ b/testsuite/common/faultproxy.cpp
@@ -1,10 +1,11 @@
 #include "faultproxy.h"
 
+#include "runin.h"
+
 #include <array>
 #include <boost/asio.hpp>
 #include <deque>
 #include <functional>
-#include <future>
 #include <list>
 #include <map>
 #include <optional>
@@ -64,10 +65,7 @@
 
   /// Runs a function in the proxy's thread and waits for its end.
   template <typename F> auto run(F Function) {
-    std::packaged_task<decltype(Function())()> Task(std::move(Function));
-    auto Done = Task.get_future();
-    asio::post(Io_, [&Task] { Task(); });
-    return Done.get();
+    return runIn(Io_, std::move(Function));
   }
 
   /// Applies a change to the faults that the set of connections stands for.
--- /dev/null
+++ b/testsuite/common/runin.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <future>
+#include <utility>
+
+namespace coltsfoot {
+
+/// Runs a function in the thread of an io_context and waits for its result;
+/// the thread must run, and must not be the caller's own.
+template <typename F> auto runIn(boost::asio::io_context &Io, F Function) {
+  std::packaged_task<decltype(Function())()> Task(std::move(Function));
+  auto Done = Task.get_future();
+  boost::asio::post(Io, [&Task] { Task(); });
+  return Done.get();
+}
+
+} // namespace coltsfoot
