--- a/src/libcoordination/configservice.cpp
+++ b/src/libcoordination/configservice.cpp
@@ -277,10 +277,13 @@
 
 void ConfigService::Impl::readSnapshots() {
   Reading_ = true;
-  Snapshots_.readNewest(
-      [this](bool Reached, std::optional<SnapshotRecord> Newest) {
-        onSnapshotsRead(Reached, std::move(Newest));
-      });
+  auto Done = [this](bool Reached, std::optional<SnapshotRecord> Newest) {
+    onSnapshotsRead(Reached, std::move(Newest));
+  };
+  if (TrimmedNext_ >= 0)
+    Snapshots_.readLatest(std::move(Done));
+  else
+    Snapshots_.readNewest(std::move(Done));
 }
 
 void ConfigService::Impl::onSnapshotsRead(
@@ -338,8 +341,8 @@
   step();
 }
 
-// A newer snapshot may have been written since the last look. If there is none
-// only peers can help.
+// A newer snapshot may have been written since the last look, or may stand
+// before the last one. If there is none only peers can help.
 void ConfigService::Impl::onTrimmed(const LogTrimmed &Trimmed) {
   logEvent(LogLevel::Warning, "config_log_trimmed",
            {{"next", next()}, {"first", Trimmed.FirstOffset_}});
@@ -638,6 +641,8 @@
           writeSnapshot();
         else
           retrySnapshot();
+        // The start of a read of the log may have waited for this one.
+        step();
       });
 }
 
--- a/src/libcoordination/snapshotreader.cpp
+++ b/src/libcoordination/snapshotreader.cpp
@@ -2,6 +2,7 @@
 
 #include "coltsfootpoint/log.h"
 #include "coltsfootpoint/verdict.h"
+#include "configstate.h"
 
 #include <algorithm>
 #include <utility>
@@ -12,13 +13,23 @@
 
 /// Records before a damaged one that are tried in its place.
 constexpr int MaxBackTries = 16;
+/// Records that readLatest() goes back.
+constexpr int64_t LatestRecords = 16;
 
 } // namespace
 
 SnapshotReader::SnapshotReader(Fetch ReadOne) : ReadOne_(std::move(ReadOne)) {}
 
-void SnapshotReader::readNewest(Handler Done) {
+void SnapshotReader::readNewest(Handler Done) { begin(std::move(Done), false); }
+
+void SnapshotReader::readLatest(Handler Done) {
+  Cursor_ = std::max<int64_t>(0, Cursor_ - LatestRecords);
+  begin(std::move(Done), true);
+}
+
+void SnapshotReader::begin(Handler Done, bool ReadsAll) {
   Done_ = std::move(Done);
+  ReadsAll_ = ReadsAll;
   Start_ = Cursor_;
   LastDamaged_ = -1;
   BackTries_ = 0;
@@ -44,7 +55,7 @@
 // the last are left out.
 void SnapshotReader::onForwardBatch(const LogBatch &Batch) {
   if (Batch.Records_.empty()) {
-    if (LastDamaged_ > Start_)
+    if (!ReadsAll_ && LastDamaged_ > Start_)
       readBack(LastDamaged_ - 1);
     else
       finish(true);
@@ -52,21 +63,26 @@
   }
   const LogRecord &Last = Batch.Records_.back();
   Cursor_ = Last.Offset_ + 1;
-  if (Batch.NextOffset_ > Cursor_) {
+  if (!ReadsAll_ && Batch.NextOffset_ > Cursor_) {
     Cursor_ = Batch.NextOffset_ - 1;
     readForward();
     return;
   }
-  std::optional<SnapshotRecord> Found = decodeSnapshotRecord(Last.Data_);
-  if (Found) {
-    Newest_ = std::move(Found);
-    LastDamaged_ = -1;
-  } else {
-    LastDamaged_ = Last.Offset_;
+  consider(Last);
+  readForward();
+}
+
+void SnapshotReader::consider(const LogRecord &Record) {
+  std::optional<SnapshotRecord> Found = decodeSnapshotRecord(Record.Data_);
+  if (!Found) {
+    LastDamaged_ = Record.Offset_;
     logEvent(LogLevel::Warning, "config_snapshot_damaged",
-             {{"offset", Last.Offset_}});
+             {{"offset", Record.Offset_}});
+    return;
   }
-  readForward();
+  LastDamaged_ = -1;
+  if (!Newest_ || Found->State_->nextOffset() >= Newest_->State_->nextOffset())
+    Newest_ = std::move(Found);
 }
 
 void SnapshotReader::readBack(int64_t Offset) {
--- a/src/libcoordination/snapshotreader.h
+++ b/src/libcoordination/snapshotreader.h
@@ -12,6 +12,9 @@
 /// Finds the newest whole snapshot in the snapshot stream of the log. It goes
 /// to the end of the stream and, when the last record is damaged, a few records
 /// back. Not thread-safe: the owner passes on what the log answers.
+///
+/// Since a node that lags may write its snapshot last, the last record is not
+/// always the one of the newest state; readLatest() compares the latest few.
 class SnapshotReader {
 public:
   /// Told of the newest snapshot that was not read before, if there is one;
@@ -27,11 +30,17 @@
   /// Reads on from where the last call ended. One call at a time.
   void readNewest(Handler Done);
 
+  /// Reads a few records from before where the last call ended, and on to the
+  /// end. One call at a time.
+  void readLatest(Handler Done);
+
   /// Returns whether a call is under way.
   bool busy() const { return Done_ != nullptr; }
 
 private:
+  void begin(Handler Done, bool ReadsAll);
   void readForward();
+  void consider(const LogRecord &Record);
   void onForward(const ReadResult &Result);
   void onForwardBatch(const LogBatch &Batch);
   void readBack(int64_t Offset);
@@ -44,6 +53,7 @@
   int64_t Cursor_ = 0; ///< Where the next read goes on.
   int64_t LastDamaged_ = -1;
   int BackTries_ = 0;
+  bool ReadsAll_ = false; ///< No record on the way to the end is left out.
   std::optional<SnapshotRecord> Newest_;
 };
 
--- a/testsuite/config_service/config_service_test.cpp
+++ b/testsuite/config_service/config_service_test.cpp
@@ -197,6 +197,22 @@
   CHECK(Node.applied().empty());
 }
 
+TEST_CASE("a stale snapshot that was written last hides no newer one") {
+  LogServer Server;
+  appendChanges(Server, 0, 3);
+  SnapshotRecord Stale;
+  Stale.State_ = ConfigState().apply(Server.records(Stream));
+  appendChanges(Server, 3, 10);
+  appendSnapshot(Server);
+  Server.append(SnapshotStream, encodeSnapshotRecord(Stale));
+  Server.trim(Stream, 13);
+  appendChanges(Server, 13, 1);
+  ConfigNode Node(Server);
+  REQUIRE(Node.startAndWaitReady());
+  CHECK(Node.service().current()->nextOffset() == 14);
+  CHECK(Node.fetches().empty());
+}
+
 TEST_CASE("without a snapshot a trimmed log leaves a fresh node to its peers") {
   LogServer Server;
   appendChanges(Server, 0, 10);
@@ -230,6 +246,31 @@
   CHECK(Node.service().current()->get(ResourceKind::RetryPolicy, "n5"));
 }
 
+TEST_CASE("trims that meet the writing of a snapshot do not stop a reader") {
+  LogServer Server;
+  ConfigService::Options Options = ConfigNode::quickOptions();
+  Options.SnapshotEvery_ = 1;
+  Options.SnapshotJitter_ = Millis(1);
+  Options.RetryMax_ = Millis(5);
+  ConfigNode Node(Server, Options);
+  REQUIRE(Node.startAndWaitReady());
+  int Next = 0;
+  for (int Round = 0; Round < 60; ++Round) {
+    CAPTURE(Round);
+    appendChanges(Server, Next, 1);
+    REQUIRE(Node.waitForOffset(Next + 1));
+    Node.reads().setDown(true);
+    appendChanges(Server, Next + 1, 1);
+    Next += 2;
+    SnapshotRecord Whole;
+    Whole.State_ = ConfigState().apply(makeRecords(0, Next));
+    Server.append(SnapshotStream, encodeSnapshotRecord(Whole));
+    Server.trim(Stream, Next);
+    Node.reads().setDown(false);
+    REQUIRE(Node.waitForOffset(Next));
+  }
+}
+
 TEST_CASE("readers write a snapshot once enough records have passed") {
   LogServer Server;
   ConfigService::Options Options = ConfigNode::quickOptions();
