Push configuration records one round more

Cause: 3.4 s until the last of 3,200 nodes had a record, much of it the detour over a peer found ahead. Ruled out: a shorter spread interval, which costs datagrams whenever there is news. Change: two sends more than the rounds of the region, one before.

--- a/src/libcoordination/gossip.cpp
+++ b/src/libcoordination/gossip.cpp
@@ -310,7 +310,7 @@
     double Region = static_cast<double>(Index_.local().size()) + 1;
     int Rounds = static_cast<int>(std::ceil(std::log(Region)));
     Limits.LocalMember_ = Options_.Fanout_ + 2 * Rounds;
-    Limits.LocalRecord_ = 1 + Rounds;
+    Limits.LocalRecord_ = 2 + Rounds;
   }
   if (Index_.selfIsRelay() && !Index_.regions().empty())
     Limits.Remote_ =
