Carry the outcome of a reply as a number

Cause: UndefinedBehaviorSanitizer stops in generated code when a message holds an enumerator that does not exist. Ruled out: checking in the generated code, which is made anew from the interface file. Change: Reply.outcome is an i32 that is the verdict's index; an unknown value counts as may-have-run. Conclusion: a damaged outcome can't claim that nothing ran.

--- a/src/libcoordination/entrycall.cpp
+++ b/src/libcoordination/entrycall.cpp
@@ -34,11 +34,16 @@
   return Random;
 }
 
+/// The verdict in a reply. A number that is none of the known ones tells
+/// nothing, so the call may have run.
 Verdict verdictOf(const wire::Reply &Reply) {
-  if (Reply.outcome == wire::WireOutcome::NOT_RUN)
-    return NotRun{static_cast<Reason>(Reply.reason)};
-  if (Reply.outcome == wire::WireOutcome::MAY_HAVE_RUN)
-    return MayHaveRun{static_cast<Reason>(Reply.reason)};
+  constexpr int32_t RanIndex = 0;
+  constexpr int32_t NotRunIndex = 1;
+  Reason Why = static_cast<Reason>(Reply.reason);
+  if (Reply.outcome == NotRunIndex)
+    return NotRun{Why};
+  if (Reply.outcome != RanIndex)
+    return MayHaveRun{Why};
   Answer Whole{Reply.status, {}, Reply.body};
   for (const wire::WireField &Field : Reply.fields)
     Whole.Fields_.push_back({Field.name, Field.value});
@@ -46,14 +51,11 @@
 }
 
 AttemptResult resultOf(const wire::Reply &Reply) {
-  switch (Reply.outcome) {
-  case wire::WireOutcome::RAN:
-    return AttemptResult::Ok;
-  case wire::WireOutcome::NOT_RUN:
-    return AttemptResult::Refused;
-  default:
-    return AttemptResult::Failed;
-  }
+  return std::visit(
+      Overloaded{[](const Ran &) { return AttemptResult::Ok; },
+                 [](const NotRun &) { return AttemptResult::Refused; },
+                 [](const MayHaveRun &) { return AttemptResult::Failed; }},
+      verdictOf(Reply));
 }
 
 /// Fields that concern one hop or this system; they are not passed on.
--- a/src/libcoordination/gate.cpp
+++ b/src/libcoordination/gate.cpp
@@ -45,8 +45,8 @@
 }
 
 void setOutcome(wire::Reply &Reply, const Verdict &Outcome) {
+  Reply.outcome = static_cast<int32_t>(Outcome.index());
   std::visit(Overloaded{[&](const Ran &What) {
-                          Reply.outcome = wire::WireOutcome::RAN;
                           Reply.status = What.Answer_.Status_;
                           Reply.body = What.Answer_.Body_;
                           for (const HttpField &Field : What.Answer_.Fields_) {
@@ -57,11 +57,9 @@
                           }
                         },
                         [&](const NotRun &What) {
-                          Reply.outcome = wire::WireOutcome::NOT_RUN;
                           Reply.reason = static_cast<int32_t>(What.Reason_);
                         },
                         [&](const MayHaveRun &What) {
-                          Reply.outcome = wire::WireOutcome::MAY_HAVE_RUN;
                           Reply.reason = static_cast<int32_t>(What.Reason_);
                         }},
              Outcome);
--- a/src/libprotocol/coltsfoot.thrift
+++ b/src/libprotocol/coltsfoot.thrift
@@ -8,7 +8,8 @@
   2: string value
 }
 
-enum WireOutcome { RAN = 0, NOT_RUN = 1, MAY_HAVE_RUN = 2 }
+// Values of Reply.outcome. The field is a number, since a value outside of an
+// enumeration must not reach code that trusts it.
 
 // First frame in each direction of a connection.
 struct Hello {
@@ -48,7 +49,7 @@
 // The result of an Offer or an Inquiry.
 struct Reply {
   1: i64 attempt
-  2: WireOutcome outcome
+  2: i32 outcome          // index in coltsfoot::Verdict: 0 ran, 1 not run, 2 may have run
   3: i32 status
   4: list<WireField> fields
   5: binary body
--- a/src/libprotocol/gen-cpp/coltsfoot_types.cpp
+++ b/src/libprotocol/gen-cpp/coltsfoot_types.cpp
@@ -13,37 +13,6 @@
 
 namespace coltsfoot { namespace wire {
 
-int _kWireOutcomeValues[] = {
-  WireOutcome::RAN,
-  WireOutcome::NOT_RUN,
-  WireOutcome::MAY_HAVE_RUN
-};
-const char* _kWireOutcomeNames[] = {
-  "RAN",
-  "NOT_RUN",
-  "MAY_HAVE_RUN"
-};
-const std::map<int, const char*> _WireOutcome_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(3, _kWireOutcomeValues, _kWireOutcomeNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
-
-std::ostream& operator<<(std::ostream& out, const WireOutcome::type& val) {
-  std::map<int, const char*>::const_iterator it = _WireOutcome_VALUES_TO_NAMES.find(val);
-  if (it != _WireOutcome_VALUES_TO_NAMES.end()) {
-    out << it->second;
-  } else {
-    out << static_cast<int>(val);
-  }
-  return out;
-}
-
-std::string to_string(const WireOutcome::type& val) {
-  std::map<int, const char*>::const_iterator it = _WireOutcome_VALUES_TO_NAMES.find(val);
-  if (it != _WireOutcome_VALUES_TO_NAMES.end()) {
-    return std::string(it->second);
-  } else {
-    return std::to_string(static_cast<int>(val));
-  }
-}
-
 int _kWireMemberStateValues[] = {
   WireMemberState::ALIVE,
   WireMemberState::LEAVING,
@@ -950,7 +919,7 @@
   this->attempt = val;
 }
 
-void Reply::__set_outcome(const WireOutcome::type val) {
+void Reply::__set_outcome(const int32_t val) {
   this->outcome = val;
 }
 
@@ -1043,9 +1012,7 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast22;
-          xfer += iprot->readI32(ecast22);
-          this->outcome = static_cast<WireOutcome::type>(ecast22);
+          xfer += iprot->readI32(this->outcome);
           this->__isset.outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -1063,14 +1030,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->fields.clear();
-            uint32_t _size23;
-            ::apache::thrift::protocol::TType _etype26;
-            xfer += iprot->readListBegin(_etype26, _size23);
-            this->fields.resize(_size23);
-            uint32_t _i27;
-            for (_i27 = 0; _i27 < _size23; ++_i27)
+            uint32_t _size22;
+            ::apache::thrift::protocol::TType _etype25;
+            xfer += iprot->readListBegin(_etype25, _size22);
+            this->fields.resize(_size22);
+            uint32_t _i26;
+            for (_i26 = 0; _i26 < _size22; ++_i26)
             {
-              xfer += this->fields[_i27].read(iprot);
+              xfer += this->fields[_i26].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1189,7 +1156,7 @@
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("outcome", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(static_cast<int32_t>(this->outcome));
+  xfer += oprot->writeI32(this->outcome);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 3);
@@ -1199,10 +1166,10 @@
   xfer += oprot->writeFieldBegin("fields", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->fields.size()));
-    std::vector<WireField> ::const_iterator _iter28;
-    for (_iter28 = this->fields.begin(); _iter28 != this->fields.end(); ++_iter28)
+    std::vector<WireField> ::const_iterator _iter27;
+    for (_iter27 = this->fields.begin(); _iter27 != this->fields.end(); ++_iter27)
     {
-      xfer += (*_iter28).write(oprot);
+      xfer += (*_iter27).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1277,80 +1244,80 @@
   swap(a.__isset, b.__isset);
 }
 
-Reply::Reply(const Reply& other29) {
+Reply::Reply(const Reply& other28) {
+  attempt = other28.attempt;
+  outcome = other28.outcome;
+  status = other28.status;
+  fields = other28.fields;
+  body = other28.body;
+  reason = other28.reason;
+  credits_left = other28.credits_left;
+  closed = other28.closed;
+  successor = other28.successor;
+  threshold = other28.threshold;
+  in_flight = other28.in_flight;
+  limit = other28.limit;
+  leaving = other28.leaving;
+  retry_after_ms = other28.retry_after_ms;
+  trace = other28.trace;
+  __isset = other28.__isset;
+}
+Reply::Reply(Reply&& other29) noexcept {
   attempt = other29.attempt;
   outcome = other29.outcome;
   status = other29.status;
-  fields = other29.fields;
-  body = other29.body;
+  fields = std::move(other29.fields);
+  body = std::move(other29.body);
   reason = other29.reason;
   credits_left = other29.credits_left;
   closed = other29.closed;
-  successor = other29.successor;
-  threshold = other29.threshold;
+  successor = std::move(other29.successor);
+  threshold = std::move(other29.threshold);
   in_flight = other29.in_flight;
   limit = other29.limit;
   leaving = other29.leaving;
   retry_after_ms = other29.retry_after_ms;
-  trace = other29.trace;
+  trace = std::move(other29.trace);
   __isset = other29.__isset;
 }
-Reply::Reply(Reply&& other30) noexcept {
+Reply& Reply::operator=(const Reply& other30) {
   attempt = other30.attempt;
   outcome = other30.outcome;
   status = other30.status;
-  fields = std::move(other30.fields);
-  body = std::move(other30.body);
+  fields = other30.fields;
+  body = other30.body;
   reason = other30.reason;
   credits_left = other30.credits_left;
   closed = other30.closed;
-  successor = std::move(other30.successor);
-  threshold = std::move(other30.threshold);
+  successor = other30.successor;
+  threshold = other30.threshold;
   in_flight = other30.in_flight;
   limit = other30.limit;
   leaving = other30.leaving;
   retry_after_ms = other30.retry_after_ms;
-  trace = std::move(other30.trace);
+  trace = other30.trace;
   __isset = other30.__isset;
+  return *this;
 }
-Reply& Reply::operator=(const Reply& other31) {
+Reply& Reply::operator=(Reply&& other31) noexcept {
   attempt = other31.attempt;
   outcome = other31.outcome;
   status = other31.status;
-  fields = other31.fields;
-  body = other31.body;
+  fields = std::move(other31.fields);
+  body = std::move(other31.body);
   reason = other31.reason;
   credits_left = other31.credits_left;
   closed = other31.closed;
-  successor = other31.successor;
-  threshold = other31.threshold;
+  successor = std::move(other31.successor);
+  threshold = std::move(other31.threshold);
   in_flight = other31.in_flight;
   limit = other31.limit;
   leaving = other31.leaving;
   retry_after_ms = other31.retry_after_ms;
-  trace = other31.trace;
+  trace = std::move(other31.trace);
   __isset = other31.__isset;
   return *this;
 }
-Reply& Reply::operator=(Reply&& other32) noexcept {
-  attempt = other32.attempt;
-  outcome = other32.outcome;
-  status = other32.status;
-  fields = std::move(other32.fields);
-  body = std::move(other32.body);
-  reason = other32.reason;
-  credits_left = other32.credits_left;
-  closed = other32.closed;
-  successor = std::move(other32.successor);
-  threshold = std::move(other32.threshold);
-  in_flight = other32.in_flight;
-  limit = other32.limit;
-  leaving = other32.leaving;
-  retry_after_ms = other32.retry_after_ms;
-  trace = std::move(other32.trace);
-  __isset = other32.__isset;
-  return *this;
-}
 void Reply::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "Reply(";
@@ -1533,44 +1500,44 @@
   swap(a.__isset, b.__isset);
 }
 
-Inquiry::Inquiry(const Inquiry& other33) {
+Inquiry::Inquiry(const Inquiry& other32) {
+  attempt = other32.attempt;
+  asked_attempt = other32.asked_attempt;
+  asked_incarnation = other32.asked_incarnation;
+  ticket = other32.ticket;
+  close = other32.close;
+  digest = other32.digest;
+  __isset = other32.__isset;
+}
+Inquiry::Inquiry(Inquiry&& other33) noexcept {
   attempt = other33.attempt;
   asked_attempt = other33.asked_attempt;
   asked_incarnation = other33.asked_incarnation;
-  ticket = other33.ticket;
+  ticket = std::move(other33.ticket);
   close = other33.close;
-  digest = other33.digest;
+  digest = std::move(other33.digest);
   __isset = other33.__isset;
 }
-Inquiry::Inquiry(Inquiry&& other34) noexcept {
+Inquiry& Inquiry::operator=(const Inquiry& other34) {
   attempt = other34.attempt;
   asked_attempt = other34.asked_attempt;
   asked_incarnation = other34.asked_incarnation;
-  ticket = std::move(other34.ticket);
+  ticket = other34.ticket;
   close = other34.close;
-  digest = std::move(other34.digest);
+  digest = other34.digest;
   __isset = other34.__isset;
+  return *this;
 }
-Inquiry& Inquiry::operator=(const Inquiry& other35) {
+Inquiry& Inquiry::operator=(Inquiry&& other35) noexcept {
   attempt = other35.attempt;
   asked_attempt = other35.asked_attempt;
   asked_incarnation = other35.asked_incarnation;
-  ticket = other35.ticket;
+  ticket = std::move(other35.ticket);
   close = other35.close;
-  digest = other35.digest;
+  digest = std::move(other35.digest);
   __isset = other35.__isset;
   return *this;
 }
-Inquiry& Inquiry::operator=(Inquiry&& other36) noexcept {
-  attempt = other36.attempt;
-  asked_attempt = other36.asked_attempt;
-  asked_incarnation = other36.asked_incarnation;
-  ticket = std::move(other36.ticket);
-  close = other36.close;
-  digest = std::move(other36.digest);
-  __isset = other36.__isset;
-  return *this;
-}
 void Inquiry::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "Inquiry(";
@@ -1659,24 +1626,24 @@
   swap(a.__isset, b.__isset);
 }
 
-Cancel::Cancel(const Cancel& other37) noexcept {
+Cancel::Cancel(const Cancel& other36) noexcept {
+  attempt = other36.attempt;
+  __isset = other36.__isset;
+}
+Cancel::Cancel(Cancel&& other37) noexcept {
   attempt = other37.attempt;
   __isset = other37.__isset;
 }
-Cancel::Cancel(Cancel&& other38) noexcept {
+Cancel& Cancel::operator=(const Cancel& other38) noexcept {
   attempt = other38.attempt;
   __isset = other38.__isset;
+  return *this;
 }
-Cancel& Cancel::operator=(const Cancel& other39) noexcept {
+Cancel& Cancel::operator=(Cancel&& other39) noexcept {
   attempt = other39.attempt;
   __isset = other39.__isset;
   return *this;
 }
-Cancel& Cancel::operator=(Cancel&& other40) noexcept {
-  attempt = other40.attempt;
-  __isset = other40.__isset;
-  return *this;
-}
 void Cancel::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "Cancel(";
@@ -1777,28 +1744,28 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigFetch::ConfigFetch(const ConfigFetch& other41) noexcept {
+ConfigFetch::ConfigFetch(const ConfigFetch& other40) noexcept {
+  sequence = other40.sequence;
+  from_offset = other40.from_offset;
+  __isset = other40.__isset;
+}
+ConfigFetch::ConfigFetch(ConfigFetch&& other41) noexcept {
   sequence = other41.sequence;
   from_offset = other41.from_offset;
   __isset = other41.__isset;
 }
-ConfigFetch::ConfigFetch(ConfigFetch&& other42) noexcept {
+ConfigFetch& ConfigFetch::operator=(const ConfigFetch& other42) noexcept {
   sequence = other42.sequence;
   from_offset = other42.from_offset;
   __isset = other42.__isset;
+  return *this;
 }
-ConfigFetch& ConfigFetch::operator=(const ConfigFetch& other43) noexcept {
+ConfigFetch& ConfigFetch::operator=(ConfigFetch&& other43) noexcept {
   sequence = other43.sequence;
   from_offset = other43.from_offset;
   __isset = other43.__isset;
   return *this;
 }
-ConfigFetch& ConfigFetch::operator=(ConfigFetch&& other44) noexcept {
-  sequence = other44.sequence;
-  from_offset = other44.from_offset;
-  __isset = other44.__isset;
-  return *this;
-}
 void ConfigFetch::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "ConfigFetch(";
@@ -1900,28 +1867,28 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigRecord::ConfigRecord(const ConfigRecord& other45) {
+ConfigRecord::ConfigRecord(const ConfigRecord& other44) {
+  offset = other44.offset;
+  data = other44.data;
+  __isset = other44.__isset;
+}
+ConfigRecord::ConfigRecord(ConfigRecord&& other45) noexcept {
   offset = other45.offset;
-  data = other45.data;
+  data = std::move(other45.data);
   __isset = other45.__isset;
 }
-ConfigRecord::ConfigRecord(ConfigRecord&& other46) noexcept {
+ConfigRecord& ConfigRecord::operator=(const ConfigRecord& other46) {
   offset = other46.offset;
-  data = std::move(other46.data);
+  data = other46.data;
   __isset = other46.__isset;
+  return *this;
 }
-ConfigRecord& ConfigRecord::operator=(const ConfigRecord& other47) {
+ConfigRecord& ConfigRecord::operator=(ConfigRecord&& other47) noexcept {
   offset = other47.offset;
-  data = other47.data;
+  data = std::move(other47.data);
   __isset = other47.__isset;
   return *this;
 }
-ConfigRecord& ConfigRecord::operator=(ConfigRecord&& other48) noexcept {
-  offset = other48.offset;
-  data = std::move(other48.data);
-  __isset = other48.__isset;
-  return *this;
-}
 void ConfigRecord::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "ConfigRecord(";
@@ -1998,14 +1965,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size49;
-            ::apache::thrift::protocol::TType _etype52;
-            xfer += iprot->readListBegin(_etype52, _size49);
-            this->records.resize(_size49);
-            uint32_t _i53;
-            for (_i53 = 0; _i53 < _size49; ++_i53)
+            uint32_t _size48;
+            ::apache::thrift::protocol::TType _etype51;
+            xfer += iprot->readListBegin(_etype51, _size48);
+            this->records.resize(_size48);
+            uint32_t _i52;
+            for (_i52 = 0; _i52 < _size48; ++_i52)
             {
-              xfer += this->records[_i53].read(iprot);
+              xfer += this->records[_i52].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2050,10 +2017,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<ConfigRecord> ::const_iterator _iter54;
-    for (_iter54 = this->records.begin(); _iter54 != this->records.end(); ++_iter54)
+    std::vector<ConfigRecord> ::const_iterator _iter53;
+    for (_iter53 = this->records.begin(); _iter53 != this->records.end(); ++_iter53)
     {
-      xfer += (*_iter54).write(oprot);
+      xfer += (*_iter53).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2077,36 +2044,36 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigBatch::ConfigBatch(const ConfigBatch& other55) {
+ConfigBatch::ConfigBatch(const ConfigBatch& other54) {
+  sequence = other54.sequence;
+  next_offset = other54.next_offset;
+  records = other54.records;
+  snapshot = other54.snapshot;
+  __isset = other54.__isset;
+}
+ConfigBatch::ConfigBatch(ConfigBatch&& other55) noexcept {
   sequence = other55.sequence;
   next_offset = other55.next_offset;
-  records = other55.records;
-  snapshot = other55.snapshot;
+  records = std::move(other55.records);
+  snapshot = std::move(other55.snapshot);
   __isset = other55.__isset;
 }
-ConfigBatch::ConfigBatch(ConfigBatch&& other56) noexcept {
+ConfigBatch& ConfigBatch::operator=(const ConfigBatch& other56) {
   sequence = other56.sequence;
   next_offset = other56.next_offset;
-  records = std::move(other56.records);
-  snapshot = std::move(other56.snapshot);
+  records = other56.records;
+  snapshot = other56.snapshot;
   __isset = other56.__isset;
+  return *this;
 }
-ConfigBatch& ConfigBatch::operator=(const ConfigBatch& other57) {
+ConfigBatch& ConfigBatch::operator=(ConfigBatch&& other57) noexcept {
   sequence = other57.sequence;
   next_offset = other57.next_offset;
-  records = other57.records;
-  snapshot = other57.snapshot;
+  records = std::move(other57.records);
+  snapshot = std::move(other57.snapshot);
   __isset = other57.__isset;
   return *this;
 }
-ConfigBatch& ConfigBatch::operator=(ConfigBatch&& other58) noexcept {
-  sequence = other58.sequence;
-  next_offset = other58.next_offset;
-  records = std::move(other58.records);
-  snapshot = std::move(other58.snapshot);
-  __isset = other58.__isset;
-  return *this;
-}
 void ConfigBatch::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "ConfigBatch(";
@@ -2210,28 +2177,28 @@
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other59) noexcept {
+Heartbeat::Heartbeat(const Heartbeat& other58) noexcept {
+  sequence = other58.sequence;
+  answer = other58.answer;
+  __isset = other58.__isset;
+}
+Heartbeat::Heartbeat(Heartbeat&& other59) noexcept {
   sequence = other59.sequence;
   answer = other59.answer;
   __isset = other59.__isset;
 }
-Heartbeat::Heartbeat(Heartbeat&& other60) noexcept {
+Heartbeat& Heartbeat::operator=(const Heartbeat& other60) noexcept {
   sequence = other60.sequence;
   answer = other60.answer;
   __isset = other60.__isset;
+  return *this;
 }
-Heartbeat& Heartbeat::operator=(const Heartbeat& other61) noexcept {
+Heartbeat& Heartbeat::operator=(Heartbeat&& other61) noexcept {
   sequence = other61.sequence;
   answer = other61.answer;
   __isset = other61.__isset;
   return *this;
 }
-Heartbeat& Heartbeat::operator=(Heartbeat&& other62) noexcept {
-  sequence = other62.sequence;
-  answer = other62.answer;
-  __isset = other62.__isset;
-  return *this;
-}
 void Heartbeat::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "Heartbeat(";
@@ -2350,32 +2317,32 @@
   swap(a.__isset, b.__isset);
 }
 
-StatusFetch::StatusFetch(const StatusFetch& other63) {
+StatusFetch::StatusFetch(const StatusFetch& other62) {
+  sequence = other62.sequence;
+  what = other62.what;
+  argument = other62.argument;
+  __isset = other62.__isset;
+}
+StatusFetch::StatusFetch(StatusFetch&& other63) noexcept {
   sequence = other63.sequence;
-  what = other63.what;
-  argument = other63.argument;
+  what = std::move(other63.what);
+  argument = std::move(other63.argument);
   __isset = other63.__isset;
 }
-StatusFetch::StatusFetch(StatusFetch&& other64) noexcept {
+StatusFetch& StatusFetch::operator=(const StatusFetch& other64) {
   sequence = other64.sequence;
-  what = std::move(other64.what);
-  argument = std::move(other64.argument);
+  what = other64.what;
+  argument = other64.argument;
   __isset = other64.__isset;
+  return *this;
 }
-StatusFetch& StatusFetch::operator=(const StatusFetch& other65) {
+StatusFetch& StatusFetch::operator=(StatusFetch&& other65) noexcept {
   sequence = other65.sequence;
-  what = other65.what;
-  argument = other65.argument;
+  what = std::move(other65.what);
+  argument = std::move(other65.argument);
   __isset = other65.__isset;
   return *this;
 }
-StatusFetch& StatusFetch::operator=(StatusFetch&& other66) noexcept {
-  sequence = other66.sequence;
-  what = std::move(other66.what);
-  argument = std::move(other66.argument);
-  __isset = other66.__isset;
-  return *this;
-}
 void StatusFetch::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "StatusFetch(";
@@ -2478,28 +2445,28 @@
   swap(a.__isset, b.__isset);
 }
 
-StatusBatch::StatusBatch(const StatusBatch& other67) {
+StatusBatch::StatusBatch(const StatusBatch& other66) {
+  sequence = other66.sequence;
+  json = other66.json;
+  __isset = other66.__isset;
+}
+StatusBatch::StatusBatch(StatusBatch&& other67) noexcept {
   sequence = other67.sequence;
-  json = other67.json;
+  json = std::move(other67.json);
   __isset = other67.__isset;
 }
-StatusBatch::StatusBatch(StatusBatch&& other68) noexcept {
+StatusBatch& StatusBatch::operator=(const StatusBatch& other68) {
   sequence = other68.sequence;
-  json = std::move(other68.json);
+  json = other68.json;
   __isset = other68.__isset;
+  return *this;
 }
-StatusBatch& StatusBatch::operator=(const StatusBatch& other69) {
+StatusBatch& StatusBatch::operator=(StatusBatch&& other69) noexcept {
   sequence = other69.sequence;
-  json = other69.json;
+  json = std::move(other69.json);
   __isset = other69.__isset;
   return *this;
 }
-StatusBatch& StatusBatch::operator=(StatusBatch&& other70) noexcept {
-  sequence = other70.sequence;
-  json = std::move(other70.json);
-  __isset = other70.__isset;
-  return *this;
-}
 void StatusBatch::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "StatusBatch(";
@@ -2757,58 +2724,58 @@
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other71) {
-  hello = other71.hello;
-  offer = other71.offer;
-  reply = other71.reply;
-  inquiry = other71.inquiry;
-  cancel = other71.cancel;
-  config_fetch = other71.config_fetch;
-  config_batch = other71.config_batch;
-  heartbeat = other71.heartbeat;
-  status_fetch = other71.status_fetch;
-  status_batch = other71.status_batch;
+Frame::Frame(const Frame& other70) {
+  hello = other70.hello;
+  offer = other70.offer;
+  reply = other70.reply;
+  inquiry = other70.inquiry;
+  cancel = other70.cancel;
+  config_fetch = other70.config_fetch;
+  config_batch = other70.config_batch;
+  heartbeat = other70.heartbeat;
+  status_fetch = other70.status_fetch;
+  status_batch = other70.status_batch;
+  __isset = other70.__isset;
+}
+Frame::Frame(Frame&& other71) noexcept {
+  hello = std::move(other71.hello);
+  offer = std::move(other71.offer);
+  reply = std::move(other71.reply);
+  inquiry = std::move(other71.inquiry);
+  cancel = std::move(other71.cancel);
+  config_fetch = std::move(other71.config_fetch);
+  config_batch = std::move(other71.config_batch);
+  heartbeat = std::move(other71.heartbeat);
+  status_fetch = std::move(other71.status_fetch);
+  status_batch = std::move(other71.status_batch);
   __isset = other71.__isset;
 }
-Frame::Frame(Frame&& other72) noexcept {
-  hello = std::move(other72.hello);
-  offer = std::move(other72.offer);
-  reply = std::move(other72.reply);
-  inquiry = std::move(other72.inquiry);
-  cancel = std::move(other72.cancel);
-  config_fetch = std::move(other72.config_fetch);
-  config_batch = std::move(other72.config_batch);
-  heartbeat = std::move(other72.heartbeat);
-  status_fetch = std::move(other72.status_fetch);
-  status_batch = std::move(other72.status_batch);
+Frame& Frame::operator=(const Frame& other72) {
+  hello = other72.hello;
+  offer = other72.offer;
+  reply = other72.reply;
+  inquiry = other72.inquiry;
+  cancel = other72.cancel;
+  config_fetch = other72.config_fetch;
+  config_batch = other72.config_batch;
+  heartbeat = other72.heartbeat;
+  status_fetch = other72.status_fetch;
+  status_batch = other72.status_batch;
   __isset = other72.__isset;
-}
-Frame& Frame::operator=(const Frame& other73) {
-  hello = other73.hello;
-  offer = other73.offer;
-  reply = other73.reply;
-  inquiry = other73.inquiry;
-  cancel = other73.cancel;
-  config_fetch = other73.config_fetch;
-  config_batch = other73.config_batch;
-  heartbeat = other73.heartbeat;
-  status_fetch = other73.status_fetch;
-  status_batch = other73.status_batch;
-  __isset = other73.__isset;
   return *this;
 }
-Frame& Frame::operator=(Frame&& other74) noexcept {
-  hello = std::move(other74.hello);
-  offer = std::move(other74.offer);
-  reply = std::move(other74.reply);
-  inquiry = std::move(other74.inquiry);
-  cancel = std::move(other74.cancel);
-  config_fetch = std::move(other74.config_fetch);
-  config_batch = std::move(other74.config_batch);
-  heartbeat = std::move(other74.heartbeat);
-  status_fetch = std::move(other74.status_fetch);
-  status_batch = std::move(other74.status_batch);
-  __isset = other74.__isset;
+Frame& Frame::operator=(Frame&& other73) noexcept {
+  hello = std::move(other73.hello);
+  offer = std::move(other73.offer);
+  reply = std::move(other73.reply);
+  inquiry = std::move(other73.inquiry);
+  cancel = std::move(other73.cancel);
+  config_fetch = std::move(other73.config_fetch);
+  config_batch = std::move(other73.config_batch);
+  heartbeat = std::move(other73.heartbeat);
+  status_fetch = std::move(other73.status_fetch);
+  status_batch = std::move(other73.status_batch);
+  __isset = other73.__isset;
   return *this;
 }
 void Frame::printTo(std::ostream& out) const {
@@ -3039,56 +3006,56 @@
   swap(a.__isset, b.__isset);
 }
 
-WireMember::WireMember(const WireMember& other75) {
-  node = other75.node;
+WireMember::WireMember(const WireMember& other74) {
+  node = other74.node;
+  incarnation = other74.incarnation;
+  generation = other74.generation;
+  state = other74.state;
+  zone = other74.zone;
+  region = other74.region;
+  service_name = other74.service_name;
+  slots = other74.slots;
+  config_offset = other74.config_offset;
+  __isset = other74.__isset;
+}
+WireMember::WireMember(WireMember&& other75) noexcept {
+  node = std::move(other75.node);
   incarnation = other75.incarnation;
   generation = other75.generation;
   state = other75.state;
-  zone = other75.zone;
-  region = other75.region;
-  service_name = other75.service_name;
+  zone = std::move(other75.zone);
+  region = std::move(other75.region);
+  service_name = std::move(other75.service_name);
   slots = other75.slots;
   config_offset = other75.config_offset;
   __isset = other75.__isset;
 }
-WireMember::WireMember(WireMember&& other76) noexcept {
-  node = std::move(other76.node);
+WireMember& WireMember::operator=(const WireMember& other76) {
+  node = other76.node;
   incarnation = other76.incarnation;
   generation = other76.generation;
   state = other76.state;
-  zone = std::move(other76.zone);
-  region = std::move(other76.region);
-  service_name = std::move(other76.service_name);
+  zone = other76.zone;
+  region = other76.region;
+  service_name = other76.service_name;
   slots = other76.slots;
   config_offset = other76.config_offset;
   __isset = other76.__isset;
+  return *this;
 }
-WireMember& WireMember::operator=(const WireMember& other77) {
-  node = other77.node;
+WireMember& WireMember::operator=(WireMember&& other77) noexcept {
+  node = std::move(other77.node);
   incarnation = other77.incarnation;
   generation = other77.generation;
   state = other77.state;
-  zone = other77.zone;
-  region = other77.region;
-  service_name = other77.service_name;
+  zone = std::move(other77.zone);
+  region = std::move(other77.region);
+  service_name = std::move(other77.service_name);
   slots = other77.slots;
   config_offset = other77.config_offset;
   __isset = other77.__isset;
   return *this;
 }
-WireMember& WireMember::operator=(WireMember&& other78) noexcept {
-  node = std::move(other78.node);
-  incarnation = other78.incarnation;
-  generation = other78.generation;
-  state = other78.state;
-  zone = std::move(other78.zone);
-  region = std::move(other78.region);
-  service_name = std::move(other78.service_name);
-  slots = other78.slots;
-  config_offset = other78.config_offset;
-  __isset = other78.__isset;
-  return *this;
-}
 void WireMember::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "WireMember(";
@@ -3197,28 +3164,28 @@
   swap(a.__isset, b.__isset);
 }
 
-Probe::Probe(const Probe& other79) {
+Probe::Probe(const Probe& other78) {
+  sequence = other78.sequence;
+  target = other78.target;
+  __isset = other78.__isset;
+}
+Probe::Probe(Probe&& other79) noexcept {
   sequence = other79.sequence;
-  target = other79.target;
+  target = std::move(other79.target);
   __isset = other79.__isset;
 }
-Probe::Probe(Probe&& other80) noexcept {
+Probe& Probe::operator=(const Probe& other80) {
   sequence = other80.sequence;
-  target = std::move(other80.target);
+  target = other80.target;
   __isset = other80.__isset;
+  return *this;
 }
-Probe& Probe::operator=(const Probe& other81) {
+Probe& Probe::operator=(Probe&& other81) noexcept {
   sequence = other81.sequence;
-  target = other81.target;
+  target = std::move(other81.target);
   __isset = other81.__isset;
   return *this;
 }
-Probe& Probe::operator=(Probe&& other82) noexcept {
-  sequence = other82.sequence;
-  target = std::move(other82.target);
-  __isset = other82.__isset;
-  return *this;
-}
 void Probe::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "Probe(";
@@ -3320,28 +3287,28 @@
   swap(a.__isset, b.__isset);
 }
 
-ProbeAck::ProbeAck(const ProbeAck& other83) {
+ProbeAck::ProbeAck(const ProbeAck& other82) {
+  sequence = other82.sequence;
+  target = other82.target;
+  __isset = other82.__isset;
+}
+ProbeAck::ProbeAck(ProbeAck&& other83) noexcept {
   sequence = other83.sequence;
-  target = other83.target;
+  target = std::move(other83.target);
   __isset = other83.__isset;
 }
-ProbeAck::ProbeAck(ProbeAck&& other84) noexcept {
+ProbeAck& ProbeAck::operator=(const ProbeAck& other84) {
   sequence = other84.sequence;
-  target = std::move(other84.target);
+  target = other84.target;
   __isset = other84.__isset;
+  return *this;
 }
-ProbeAck& ProbeAck::operator=(const ProbeAck& other85) {
+ProbeAck& ProbeAck::operator=(ProbeAck&& other85) noexcept {
   sequence = other85.sequence;
-  target = other85.target;
+  target = std::move(other85.target);
   __isset = other85.__isset;
   return *this;
 }
-ProbeAck& ProbeAck::operator=(ProbeAck&& other86) noexcept {
-  sequence = other86.sequence;
-  target = std::move(other86.target);
-  __isset = other86.__isset;
-  return *this;
-}
 void ProbeAck::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "ProbeAck(";
@@ -3443,28 +3410,28 @@
   swap(a.__isset, b.__isset);
 }
 
-TableDigest::TableDigest(const TableDigest& other87) {
-  digests = other87.digests;
+TableDigest::TableDigest(const TableDigest& other86) {
+  digests = other86.digests;
+  answer = other86.answer;
+  __isset = other86.__isset;
+}
+TableDigest::TableDigest(TableDigest&& other87) noexcept {
+  digests = std::move(other87.digests);
   answer = other87.answer;
   __isset = other87.__isset;
 }
-TableDigest::TableDigest(TableDigest&& other88) noexcept {
-  digests = std::move(other88.digests);
+TableDigest& TableDigest::operator=(const TableDigest& other88) {
+  digests = other88.digests;
   answer = other88.answer;
   __isset = other88.__isset;
+  return *this;
 }
-TableDigest& TableDigest::operator=(const TableDigest& other89) {
-  digests = other89.digests;
+TableDigest& TableDigest::operator=(TableDigest&& other89) noexcept {
+  digests = std::move(other89.digests);
   answer = other89.answer;
   __isset = other89.__isset;
   return *this;
 }
-TableDigest& TableDigest::operator=(TableDigest&& other90) noexcept {
-  digests = std::move(other90.digests);
-  answer = other90.answer;
-  __isset = other90.__isset;
-  return *this;
-}
 void TableDigest::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "TableDigest(";
@@ -3572,14 +3539,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size91;
-            ::apache::thrift::protocol::TType _etype94;
-            xfer += iprot->readListBegin(_etype94, _size91);
-            this->members.resize(_size91);
-            uint32_t _i95;
-            for (_i95 = 0; _i95 < _size91; ++_i95)
+            uint32_t _size90;
+            ::apache::thrift::protocol::TType _etype93;
+            xfer += iprot->readListBegin(_etype93, _size90);
+            this->members.resize(_size90);
+            uint32_t _i94;
+            for (_i94 = 0; _i94 < _size90; ++_i94)
             {
-              xfer += this->members[_i95].read(iprot);
+              xfer += this->members[_i94].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3592,14 +3559,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size96;
-            ::apache::thrift::protocol::TType _etype99;
-            xfer += iprot->readListBegin(_etype99, _size96);
-            this->records.resize(_size96);
-            uint32_t _i100;
-            for (_i100 = 0; _i100 < _size96; ++_i100)
+            uint32_t _size95;
+            ::apache::thrift::protocol::TType _etype98;
+            xfer += iprot->readListBegin(_etype98, _size95);
+            this->records.resize(_size95);
+            uint32_t _i99;
+            for (_i99 = 0; _i99 < _size95; ++_i99)
             {
-              xfer += this->records[_i100].read(iprot);
+              xfer += this->records[_i99].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3654,10 +3621,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<WireMember> ::const_iterator _iter101;
-    for (_iter101 = this->members.begin(); _iter101 != this->members.end(); ++_iter101)
+    std::vector<WireMember> ::const_iterator _iter100;
+    for (_iter100 = this->members.begin(); _iter100 != this->members.end(); ++_iter100)
     {
-      xfer += (*_iter101).write(oprot);
+      xfer += (*_iter100).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3666,10 +3633,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<ConfigRecord> ::const_iterator _iter102;
-    for (_iter102 = this->records.begin(); _iter102 != this->records.end(); ++_iter102)
+    std::vector<ConfigRecord> ::const_iterator _iter101;
+    for (_iter101 = this->records.begin(); _iter101 != this->records.end(); ++_iter101)
     {
-      xfer += (*_iter102).write(oprot);
+      xfer += (*_iter101).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3697,46 +3664,46 @@
   swap(a.__isset, b.__isset);
 }
 
-Datagram::Datagram(const Datagram& other103) {
-  fleet = other103.fleet;
-  sender = other103.sender;
-  probe = other103.probe;
-  ack = other103.ack;
-  members = other103.members;
-  records = other103.records;
-  digest = other103.digest;
+Datagram::Datagram(const Datagram& other102) {
+  fleet = other102.fleet;
+  sender = other102.sender;
+  probe = other102.probe;
+  ack = other102.ack;
+  members = other102.members;
+  records = other102.records;
+  digest = other102.digest;
+  __isset = other102.__isset;
+}
+Datagram::Datagram(Datagram&& other103) noexcept {
+  fleet = std::move(other103.fleet);
+  sender = std::move(other103.sender);
+  probe = std::move(other103.probe);
+  ack = std::move(other103.ack);
+  members = std::move(other103.members);
+  records = std::move(other103.records);
+  digest = std::move(other103.digest);
   __isset = other103.__isset;
 }
-Datagram::Datagram(Datagram&& other104) noexcept {
-  fleet = std::move(other104.fleet);
-  sender = std::move(other104.sender);
-  probe = std::move(other104.probe);
-  ack = std::move(other104.ack);
-  members = std::move(other104.members);
-  records = std::move(other104.records);
-  digest = std::move(other104.digest);
+Datagram& Datagram::operator=(const Datagram& other104) {
+  fleet = other104.fleet;
+  sender = other104.sender;
+  probe = other104.probe;
+  ack = other104.ack;
+  members = other104.members;
+  records = other104.records;
+  digest = other104.digest;
   __isset = other104.__isset;
-}
-Datagram& Datagram::operator=(const Datagram& other105) {
-  fleet = other105.fleet;
-  sender = other105.sender;
-  probe = other105.probe;
-  ack = other105.ack;
-  members = other105.members;
-  records = other105.records;
-  digest = other105.digest;
-  __isset = other105.__isset;
   return *this;
 }
-Datagram& Datagram::operator=(Datagram&& other106) noexcept {
-  fleet = std::move(other106.fleet);
-  sender = std::move(other106.sender);
-  probe = std::move(other106.probe);
-  ack = std::move(other106.ack);
-  members = std::move(other106.members);
-  records = std::move(other106.records);
-  digest = std::move(other106.digest);
-  __isset = other106.__isset;
+Datagram& Datagram::operator=(Datagram&& other105) noexcept {
+  fleet = std::move(other105.fleet);
+  sender = std::move(other105.sender);
+  probe = std::move(other105.probe);
+  ack = std::move(other105.ack);
+  members = std::move(other105.members);
+  records = std::move(other105.records);
+  digest = std::move(other105.digest);
+  __isset = other105.__isset;
   return *this;
 }
 void Datagram::printTo(std::ostream& out) const {
@@ -3879,36 +3846,36 @@
   swap(a.__isset, b.__isset);
 }
 
-SeedRecord::SeedRecord(const SeedRecord& other107) {
-  node = other107.node;
-  zone = other107.zone;
-  region = other107.region;
+SeedRecord::SeedRecord(const SeedRecord& other106) {
+  node = other106.node;
+  zone = other106.zone;
+  region = other106.region;
+  expires_wall_ms = other106.expires_wall_ms;
+  __isset = other106.__isset;
+}
+SeedRecord::SeedRecord(SeedRecord&& other107) noexcept {
+  node = std::move(other107.node);
+  zone = std::move(other107.zone);
+  region = std::move(other107.region);
   expires_wall_ms = other107.expires_wall_ms;
   __isset = other107.__isset;
 }
-SeedRecord::SeedRecord(SeedRecord&& other108) noexcept {
-  node = std::move(other108.node);
-  zone = std::move(other108.zone);
-  region = std::move(other108.region);
+SeedRecord& SeedRecord::operator=(const SeedRecord& other108) {
+  node = other108.node;
+  zone = other108.zone;
+  region = other108.region;
   expires_wall_ms = other108.expires_wall_ms;
   __isset = other108.__isset;
+  return *this;
 }
-SeedRecord& SeedRecord::operator=(const SeedRecord& other109) {
-  node = other109.node;
-  zone = other109.zone;
-  region = other109.region;
+SeedRecord& SeedRecord::operator=(SeedRecord&& other109) noexcept {
+  node = std::move(other109.node);
+  zone = std::move(other109.zone);
+  region = std::move(other109.region);
   expires_wall_ms = other109.expires_wall_ms;
   __isset = other109.__isset;
   return *this;
 }
-SeedRecord& SeedRecord::operator=(SeedRecord&& other110) noexcept {
-  node = std::move(other110.node);
-  zone = std::move(other110.zone);
-  region = std::move(other110.region);
-  expires_wall_ms = other110.expires_wall_ms;
-  __isset = other110.__isset;
-  return *this;
-}
 void SeedRecord::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "SeedRecord(";
--- a/src/libprotocol/gen-cpp/coltsfoot_types.h
+++ b/src/libprotocol/gen-cpp/coltsfoot_types.h
@@ -21,20 +21,6 @@
 
 namespace coltsfoot { namespace wire {
 
-struct WireOutcome {
-  enum type {
-    RAN = 0,
-    NOT_RUN = 1,
-    MAY_HAVE_RUN = 2
-  };
-};
-
-extern const std::map<int, const char*> _WireOutcome_VALUES_TO_NAMES;
-
-std::ostream& operator<<(std::ostream& out, const WireOutcome::type& val);
-
-std::string to_string(const WireOutcome::type& val);
-
 struct WireMemberState {
   enum type {
     ALIVE = 0,
@@ -437,7 +423,7 @@
   Reply& operator=(Reply&&) noexcept;
   Reply() noexcept
         : attempt(0),
-          outcome(static_cast<WireOutcome::type>(0)),
+          outcome(0),
           status(0),
           body(),
           reason(0),
@@ -453,11 +439,7 @@
 
   virtual ~Reply() noexcept;
   int64_t attempt;
-  /**
-   * 
-   * @see WireOutcome
-   */
-  WireOutcome::type outcome;
+  int32_t outcome;
   int32_t status;
   std::vector<WireField>  fields;
   std::string body;
@@ -476,7 +458,7 @@
 
   void __set_attempt(const int64_t val);
 
-  void __set_outcome(const WireOutcome::type val);
+  void __set_outcome(const int32_t val);
 
   void __set_status(const int32_t val);
 
