--- a/src/libtransport/upstreamclient.cpp
+++ b/src/libtransport/upstreamclient.cpp
@@ -1,15 +1,19 @@
 #include "upstreamclient.h"
 
+#include "httpframing.h"
 #include "timer.h"
+#include "upstreamconnections.h"
 
+#include <algorithm>
+#include <boost/asio/bind_executor.hpp>
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
-#include <mutex>
 #include <optional>
+#include <sstream>
 
 namespace coltsfoot {
 
@@ -21,11 +25,36 @@
 
 namespace {
 
-/// A kept connection that no call uses.
-struct Kept {
-  std::unique_ptr<beast::tcp_stream> Stream_;
-  Millis Since_;
-};
+constexpr int MaxInterimAnswers = 16;
+
+using RequestMessage = http::request<http::string_body>;
+using ResponseParser = http::response_parser<http::string_body>;
+
+beast::string_view toBeast(std::string_view Text) {
+  return {Text.data(), Text.size()};
+}
+
+bool isField(const HttpField &Field) {
+  return isHttpToken(Field.Name_) && isHttpFieldValue(Field.Value_);
+}
+
+bool isOneMessage(const UpstreamRequest &Request) {
+  return isHttpToken(Request.Method_) && isHttpTarget(Request.Target_) &&
+         std::all_of(Request.Fields_.begin(), Request.Fields_.end(), isField);
+}
+
+RequestMessage toMessage(UpstreamRequest &&Request) {
+  RequestMessage Message;
+  Message.method_string(toBeast(Request.Method_));
+  Message.target(toBeast(Request.Target_));
+  Message.version(11);
+  for (const HttpField &Field : Request.Fields_)
+    if (!isConnectionField(Field.Name_))
+      Message.insert(toBeast(Field.Name_), toBeast(Field.Value_));
+  Message.body() = std::move(Request.Body_);
+  Message.prepare_payload();
+  return Message;
+}
 
 Answer toAnswer(http::response<http::string_body> &&Message) {
   Answer Result;
@@ -37,15 +66,18 @@
   return Result;
 }
 
-/// Whether a kept connection can take a request: nothing to read and not
-/// closed by the other side.
-bool isQuiet(beast::tcp_stream &Stream) {
-  error_code Failure;
-  char Byte = 0;
-  Stream.socket().non_blocking(true, Failure);
-  Stream.socket().receive(asio::buffer(&Byte, 1), tcp::socket::message_peek,
-                          Failure);
-  return Failure == asio::error::would_block;
+/// Whether the body is coded in a way that this client doesn't undo.
+bool isCoded(const http::response<http::string_body> &Message) {
+  auto Range = Message.equal_range(http::field::transfer_encoding);
+  return std::any_of(Range.first, Range.second, [](const auto &Field) {
+    return !beast::iequals(Field.value(), "chunked");
+  });
+}
+
+Reason causeOf(const error_code &Error) {
+  return Error == http::error::body_limit || Error == http::error::header_limit
+             ? Reason::TooLarge
+             : Reason::UpstreamLost;
 }
 
 } // namespace
@@ -56,192 +88,256 @@
 
   Shared(asio::io_context &Context, Options Limits)
       : Context_(Context), Options_(Limits),
-        MaxConnections_(Limits.Connections_) {}
-
-  /// Returns a kept connection to the target, or a new unconnected one.
-  std::unique_ptr<beast::tcp_stream> takeStream(bool &Connected,
-                                                tcp::endpoint &Target);
-  void keep(std::unique_ptr<beast::tcp_stream> Stream,
-            const tcp::endpoint &Target);
+        Connections_(
+            new UpstreamConnections(Limits.Connections_, Limits.KeptIdle_)) {}
 
   asio::io_context &Context_;
   const Options Options_;
-  const SystemClock Clock_;
-  std::mutex Mutex_; // guards the members below
-  tcp::endpoint Target_;
-  size_t MaxConnections_;
-  std::vector<Kept> Kept_;
+  const boost::intrusive_ptr<UpstreamConnections> Connections_;
 };
 
-std::unique_ptr<beast::tcp_stream>
-UpstreamClient::Shared::takeStream(bool &Connected, tcp::endpoint &Target) {
-  Millis Now = Clock_.now();
-  std::lock_guard<std::mutex> Lock(Mutex_);
-  Target = Target_;
-  while (!Kept_.empty()) {
-    Kept Latest = std::move(Kept_.back());
-    Kept_.pop_back();
-    if (Now - Latest.Since_ < Options_.KeptIdle_ && isQuiet(*Latest.Stream_)) {
-      Connected = true;
-      return std::move(Latest.Stream_);
-    }
-  }
-  Connected = false;
-  return std::make_unique<beast::tcp_stream>(asio::make_strand(Context_));
-}
-
-void UpstreamClient::Shared::keep(std::unique_ptr<beast::tcp_stream> Stream,
-                                  const tcp::endpoint &Target) {
-  std::lock_guard<std::mutex> Lock(Mutex_);
-  if (Target == Target_ && Kept_.size() < MaxConnections_)
-    Kept_.push_back({std::move(Stream), Clock_.now()});
-}
-
-/// One call; everything in it runs on the strand of its connection.
+/// One call; everything in it runs on its strand.
 class UpstreamClient::Shared::Exchange : public UpstreamClient::Call {
 public:
   using Pointer = boost::intrusive_ptr<Exchange>;
 
-  Exchange(boost::intrusive_ptr<Shared> Client, UpstreamRequest Request,
-           Millis TimeLimit, Handler OnEnd)
-      : Client_(std::move(Client)), TimeLimit_(TimeLimit),
-        Handler_(std::move(OnEnd)) {
-    Request_.method_string(Request.Method_);
-    Request_.target(Request.Target_);
-    Request_.version(11);
-    for (const HttpField &Field : Request.Fields_)
-      Request_.insert(Field.Name_, Field.Value_);
-    Request_.body() = std::move(Request.Body_);
-    Request_.prepare_payload();
-  }
+  Exchange(boost::intrusive_ptr<Shared> Client, Handler OnEnd)
+      : Client_(std::move(Client)),
+        Strand_(asio::make_strand(Client_->Context_)), Timer_(Strand_),
+        Handler_(std::move(OnEnd)) {}
 
-  void run() {
-    bool Connected = false;
-    Stream_ = Client_->takeStream(Connected, Target_);
-    Executor_ = Stream_->get_executor();
-    asio::dispatch(Executor_, [Self = Pointer(this), Connected] {
-      if (Connected)
-        Self->write();
-      else
-        Self->connect();
+  void start(UpstreamRequest Request, Millis TimeLimit) {
+    asio::post(Strand_, [Self = Pointer(this), Request = std::move(Request),
+                         TimeLimit]() mutable {
+      Self->begin(std::move(Request), TimeLimit);
     });
   }
 
   void cancel() override {
-    asio::post(Stream_->get_executor(),
+    asio::post(Strand_,
                [Self = Pointer(this)] { Self->fail(Reason::Cancelled); });
   }
 
 private:
-  void connect() {
-    Stream_->expires_after(
-        toChrono(std::min(TimeLimit_, Client_->Options_.Connect_)));
-    Stream_->async_connect(
-        Target_, [Self = Pointer(this)](const error_code &Error) {
-          if (Error)
-            return Self->fail(Reason::NoUpstream);
-          error_code Ignored;
-          Self->Stream_->socket().set_option(tcp::no_delay(true), Ignored);
-          Self->write();
-        });
+  class Waiter;
+
+  void begin(UpstreamRequest &&Request, Millis TimeLimit);
+  void onGranted(UpstreamGrant Grant);
+  void connect();
+  void write();
+  void onWritten(const error_code &Error, size_t Size);
+  void read();
+  void onAnswer(const error_code &Error);
+  bool isOwnAnswer() const;
+  void fail(Reason Why);
+  void finish(Verdict Outcome);
+  template <typename Function> auto onStrand(Function Callback) {
+    return asio::bind_executor(Strand_, std::move(Callback));
   }
 
-  void write() {
-    if (!Handler_)
-      return;
-    Stream_->expires_after(toChrono(TimeLimit_));
-    // From here on bytes may reach the backend server.
-    Written_ = true;
-    http::async_write(
-        *Stream_, Request_,
-        [Self = Pointer(this)](const error_code &Error, size_t Size) {
-          if (!Error)
-            return Self->read();
-          Self->Written_ = Size > 0;
-          Self->fail(Self->causeOf(Error));
-        });
-  }
+  const boost::intrusive_ptr<Shared> Client_;
+  const asio::strand<asio::io_context::executor_type> Strand_;
+  asio::steady_timer Timer_;
+  Handler Handler_; // empty once called
+  RequestMessage Request_;
+  std::optional<ResponseParser> Parser_;
+  beast::flat_buffer Buffer_;
+  boost::intrusive_ptr<UpstreamWaiter> Waiter_;
+  std::optional<UpstreamGrant> Grant_;
+  std::unique_ptr<tcp::socket> Socket_;
+  bool Kept_ = false;
+  bool Written_ = false;
+  int Interim_ = 0;
+};
 
-  void read() {
-    Parser_.body_limit(Client_->Options_.AnswerBytes_);
-    if (Request_.method() == http::verb::head)
-      Parser_.skip(true);
-    http::async_read(*Stream_, Buffer_, Parser_,
-                     [Self = Pointer(this)](const error_code &Error, size_t) {
-                       Self->onAnswer(Error);
-                     });
+/// Hands a grant to its call's strand.
+class UpstreamClient::Shared::Exchange::Waiter : public UpstreamWaiter {
+public:
+  explicit Waiter(Pointer Owner) : Owner_(std::move(Owner)) {}
+  void onGranted(UpstreamGrant Grant) override {
+    asio::post(Owner_->Strand_,
+               [Owner = Owner_, Grant = std::move(Grant)]() mutable {
+                 Owner->onGranted(std::move(Grant));
+               });
   }
 
-  void onAnswer(const error_code &Error) {
-    if (Error)
-      return fail(causeOf(Error));
-    // Without a length the end of the body is only the connection's end.
-    if (Parser_.need_eof())
-      return fail(Reason::UpstreamLost);
-    bool KeepAlive = Parser_.get().keep_alive();
-    if (!Handler_)
-      return;
-    Stream_->expires_never();
-    if (KeepAlive && Buffer_.size() == 0)
-      Client_->keep(std::move(Stream_), Target_);
-    else
-      Stream_->close();
-    finish(Ran{toAnswer(Parser_.release())});
-  }
+private:
+  const Pointer Owner_;
+};
 
-  static Reason causeOf(const error_code &Error) {
-    return Error == beast::error::timeout ? Reason::DeadlinePassed
-                                          : Reason::UpstreamLost;
-  }
+void UpstreamClient::Shared::Exchange::begin(UpstreamRequest &&Request,
+                                             Millis TimeLimit) {
+  if (!Handler_)
+    return;
+  if (!isOneMessage(Request))
+    return fail(Reason::BadRequest);
+  if (TimeLimit <= Millis(0))
+    return fail(Reason::DeadlinePassed);
+  Request_ = toMessage(std::move(Request));
+  Timer_.expires_after(toChrono(TimeLimit));
+  Timer_.async_wait([Self = Pointer(this)](const error_code &Error) {
+    if (!Error)
+      Self->fail(Reason::DeadlinePassed);
+  });
+  Waiter_ = new Waiter(Pointer(this));
+  if (auto Grant = Client_->Connections_->acquire(*Waiter_))
+    onGranted(std::move(*Grant));
+}
 
-  void fail(Reason Why) {
-    if (!Handler_)
-      return;
-    Stream_->close();
-    if (Written_)
-      finish(MayHaveRun{Why});
-    else
-      finish(NotRun{Why});
+void UpstreamClient::Shared::Exchange::onGranted(UpstreamGrant Grant) {
+  Waiter_ = nullptr;
+  // The grant may cross with the end of the call; then it is not needed.
+  if (!Handler_)
+    return Client_->Connections_->release(Grant, std::move(Grant.Kept_));
+  Socket_ = std::move(Grant.Kept_);
+  Grant_ = std::move(Grant);
+  if (Request_.find(http::field::host) == Request_.end()) {
+    std::ostringstream Host;
+    Host << Grant_->Target_;
+    Request_.set(http::field::host, Host.str());
   }
+  Kept_ = Socket_ != nullptr;
+  if (Kept_)
+    write();
+  else
+    connect();
+}
 
-  void finish(Verdict Outcome) {
-    Handler Callback = std::exchange(Handler_, nullptr);
-    Callback(std::move(Outcome));
-  }
+void UpstreamClient::Shared::Exchange::connect() {
+  Kept_ = false;
+  Socket_ = std::make_unique<tcp::socket>(Client_->Context_);
+  auto Limit = std::make_shared<asio::steady_timer>(
+      Strand_, toChrono(Client_->Options_.Connect_));
+  Limit->async_wait([Self = Pointer(this)](const error_code &Error) {
+    if (!Error)
+      Self->fail(Reason::NoUpstream);
+  });
+  Socket_->async_connect(
+      Grant_->Target_,
+      onStrand([Self = Pointer(this), Limit](const error_code &Error) {
+        // A limit that has passed may have its handler queued behind this one.
+        bool InTime = Limit->cancel() > 0;
+        if (!Self->Handler_)
+          return;
+        if (Error || !InTime)
+          return Self->fail(Reason::NoUpstream);
+        error_code Ignored;
+        Self->Socket_->set_option(tcp::no_delay(true), Ignored);
+        Self->write();
+      }));
+}
 
-  const boost::intrusive_ptr<Shared> Client_;
-  const Millis TimeLimit_;
-  Handler Handler_; // empty once called
-  http::request<http::string_body> Request_;
-  http::response_parser<http::string_body> Parser_;
-  beast::flat_buffer Buffer_;
-  std::unique_ptr<beast::tcp_stream> Stream_;
-  // Outlives the stream, which goes back to the pool.
-  asio::any_io_executor Executor_;
-  tcp::endpoint Target_;
-  bool Written_ = false;
-};
+void UpstreamClient::Shared::Exchange::write() {
+  // From here on bytes may reach the backend server.
+  Written_ = true;
+  http::async_write(
+      *Socket_, Request_,
+      onStrand([Self = Pointer(this)](const error_code &Error, size_t Size) {
+        Self->onWritten(Error, Size);
+      }));
+}
+
+void UpstreamClient::Shared::Exchange::onWritten(const error_code &Error,
+                                                 size_t Size) {
+  if (!Handler_)
+    return;
+  if (!Error)
+    return read();
+  Written_ = Size > 0;
+  if (Written_ || !Kept_)
+    return fail(Reason::UpstreamLost);
+  error_code Ignored;
+  Socket_->close(Ignored);
+  connect();
+}
+
+void UpstreamClient::Shared::Exchange::read() {
+  Parser_.emplace();
+  Parser_->header_limit(static_cast<uint32_t>(Client_->Options_.HeaderBytes_));
+  Parser_->body_limit(Client_->Options_.AnswerBytes_);
+  if (Request_.method() == http::verb::head)
+    Parser_->skip(true);
+  http::async_read(
+      *Socket_, Buffer_, *Parser_,
+      onStrand([Self = Pointer(this)](const error_code &Error, size_t) {
+        Self->onAnswer(Error);
+      }));
+}
+
+void UpstreamClient::Shared::Exchange::onAnswer(const error_code &Error) {
+  if (!Handler_)
+    return;
+  if (Error)
+    return fail(causeOf(Error));
+  unsigned Status = Parser_->get().result_int();
+  constexpr unsigned SwitchingProtocols = 101;
+  if (Status < 200 && Status != SwitchingProtocols &&
+      ++Interim_ <= MaxInterimAnswers)
+    return read();
+  // Without a length the end of the body is only the connection's end.
+  bool Endless = Parser_->need_eof() && Request_.method() != http::verb::head;
+  if (Status < 200 || Endless || isCoded(Parser_->get()) || !isOwnAnswer())
+    return fail(Reason::UpstreamLost);
+  if (Parser_->get().keep_alive() && Buffer_.size() == 0)
+    Client_->Connections_->release(*Grant_, std::move(Socket_));
+  else
+    Client_->Connections_->release(*Grant_);
+  Grant_.reset();
+  finish(Ran{toAnswer(Parser_->release())});
+}
+
+// What a backend server says on a kept connection may have crossed with the
+// request: a note that the idle time is over, or an answer too many. The
+// context gives the latter away where the backend server returns it.
+bool UpstreamClient::Shared::Exchange::isOwnAnswer() const {
+  constexpr auto Context = "Coltsfoot-Context";
+  const auto &Message = Parser_->get();
+  if (Kept_ && Message.result() == http::status::request_timeout)
+    return false;
+  auto Returned = Message.find(Context);
+  return Returned == Message.end() || Returned->value() == Request_[Context];
+}
+
+void UpstreamClient::Shared::Exchange::fail(Reason Why) {
+  if (!Handler_)
+    return;
+  if (Written_)
+    finish(MayHaveRun{Why});
+  else
+    finish(NotRun{Why});
+}
+
+// The connection is closed before its place is given to another call.
+void UpstreamClient::Shared::Exchange::finish(Verdict Outcome) {
+  Handler Callback = std::exchange(Handler_, nullptr);
+  Timer_.cancel();
+  if (Waiter_)
+    Client_->Connections_->withdraw(*Waiter_);
+  Waiter_ = nullptr;
+  error_code Ignored;
+  if (Socket_)
+    Socket_->close(Ignored);
+  if (Grant_)
+    Client_->Connections_->release(*Grant_);
+  Grant_.reset();
+  Callback(std::move(Outcome));
+}
 
 UpstreamClient::UpstreamClient(asio::io_context &Context, Options Limits)
     : Shared_(new Shared(Context, Limits)) {}
 
-UpstreamClient::~UpstreamClient() = default;
+UpstreamClient::~UpstreamClient() { Shared_->Connections_->close(); }
 
 void UpstreamClient::setTarget(const tcp::endpoint &Address,
                                size_t Connections) {
-  std::lock_guard<std::mutex> Lock(Shared_->Mutex_);
-  Shared_->MaxConnections_ = Connections;
-  if (Shared_->Target_ == Address)
-    return;
-  Shared_->Target_ = Address;
-  Shared_->Kept_.clear();
+  Shared_->Connections_->setTarget(Address, Connections);
 }
 
 UpstreamClient::CallPointer
 UpstreamClient::call(UpstreamRequest Request, Millis TimeLimit, Handler OnEnd) {
-  boost::intrusive_ptr<Shared::Exchange> Call(new Shared::Exchange(
-      Shared_, std::move(Request), TimeLimit, std::move(OnEnd)));
-  Call->run();
+  boost::intrusive_ptr<Shared::Exchange> Call(
+      new Shared::Exchange(Shared_, std::move(OnEnd)));
+  Call->start(std::move(Request), TimeLimit);
   return Call;
 }
 
--- a/src/libtransport/upstreamclient.h
+++ b/src/libtransport/upstreamclient.h
@@ -24,20 +24,28 @@
 /// Speaks HTTP/1.1 to the backend server of this VM over a pool of kept
 /// connections.
 ///
-/// A request is written once. Only a failure before any of its bytes was
-/// written leads to another connection. An answer counts only when its end
+/// A request is written once. Only a kept connection that takes none of its
+/// bytes leads to another connection, once. An answer counts only when its end
 /// has been seen by length or chunks; an answer that ends with its connection
-/// is refused, since a cut could not be told from its end. A connection on
-/// which a call failed, timed out or was cancelled is closed and never reused.
+/// is refused, since a cut could not be told from its end. Interim answers
+/// (1xx) are skipped. A connection on which a call failed, timed out or was
+/// cancelled, or that sent more than the answer, is closed and never reused.
+/// An answer that carries another Coltsfoot-Context than its request, or is a
+/// 408 on a kept connection, is not taken for the request's own.
+///
+/// There are never more connections to the backend server than it announced.
+/// Calls beyond that wait in order for a free one, within their time limit.
 ///
 /// All methods are thread-safe. Handlers are called once, on a worker, with no
-/// lock held.
+/// lock held and never from within call() or cancel(). One lock guards the
+/// connections that no call uses and the calls that wait.
 class UpstreamClient {
 public:
   struct Options {
     Millis Connect_{1000};
     Millis KeptIdle_{20000};
     size_t AnswerBytes_ = 8 * 1024 * 1024;
+    size_t HeaderBytes_ = 64 * 1024;
     size_t Connections_ = 256;
   };
   using Handler = std::function<void(Verdict)>;
@@ -48,24 +56,28 @@
   public:
     virtual ~Call() = default;
     /// Closes the call's connection, which tells the backend server to stop.
-    /// The handler is called with MayHaveRun(Cancelled) unless it was called
-    /// before.
+    /// The handler is called with MayHaveRun(Cancelled), or NotRun(Cancelled)
+    /// when nothing was written yet, unless it was called before.
     virtual void cancel() = 0;
   };
   using CallPointer = boost::intrusive_ptr<Call>;
 
   UpstreamClient(boost::asio::io_context &Context, Options Limits);
+  /// Calls that wait for a connection end with their time limit.
   ~UpstreamClient();
   UpstreamClient(const UpstreamClient &) = delete;
   UpstreamClient &operator=(const UpstreamClient &) = delete;
 
-  /// Sets the backend server's address; kept connections to another one are
-  /// closed when they become idle.
+  /// Sets the backend server's address and how many connections it takes, at
+  /// least one. Kept connections to another address are closed when they become
+  /// idle; they don't count against the new limit.
   void setTarget(const boost::asio::ip::tcp::endpoint &Address,
                  size_t Connections);
 
   /// Sends a request. The handler learns Ran with the whole answer, NotRun
-  /// when no byte was written, else MayHaveRun.
+  /// when no byte was written, else MayHaveRun. The time limit covers the wait
+  /// for a connection, connecting and the answer. A request that would not be
+  /// one HTTP message is NotRun(BadRequest).
   CallPointer call(UpstreamRequest Request, Millis TimeLimit, Handler OnEnd);
 
 private:
--- /dev/null
+++ b/src/libtransport/upstreamclient_test.cpp
@@ -0,0 +1,535 @@
+#include "upstreamclient.h"
+
+#include "rawsocket.h"
+#include "upstreamconnections.h"
+
+#include <deque>
+#include <doctest/doctest.h>
+
+using namespace coltsfoot;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::string_view Ok =
+    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+/// What became of one call.
+struct Outcome {
+  Signal Ended_;
+  Verdict Verdict_;
+  UpstreamClient::CallPointer Call_;
+  void wait() { REQUIRE(Ended_.wait()); }
+  std::string text() {
+    wait();
+    if (const Ran *Answered = std::get_if<Ran>(&Verdict_))
+      return "ran " + std::to_string(Answered->Answer_.Status_) + " " +
+             Answered->Answer_.Body_;
+    Reason Why =
+        std::visit(Overloaded{[](const Ran &) { return Reason::None; },
+                              [](const auto &What) { return What.Reason_; }},
+                   Verdict_);
+    return std::string(verdictName(Verdict_)) + " " +
+           std::string(reasonName(Why));
+  }
+};
+
+UpstreamClient::Options quick() {
+  UpstreamClient::Options Limits;
+  Limits.Connect_ = Millis(300);
+  Limits.AnswerBytes_ = 4096;
+  return Limits;
+}
+
+/// Stands in a queue and expects nothing.
+class IdleWaiter : public UpstreamWaiter {
+public:
+  void onGranted(UpstreamGrant) override {}
+};
+
+struct Fixture {
+  explicit Fixture(size_t Connections = 8,
+                   UpstreamClient::Options Limits = quick())
+      : Client_(Workers_.context(), Limits) {
+    Client_.setTarget(Server_.endpoint(), Connections);
+  }
+  ~Fixture() { Workers_.stop(); }
+
+  Outcome &call(std::string Target = "/x", Millis Limit = Millis(5000),
+                std::string Method = "GET") {
+    Outcome &Out = Outcomes_.emplace_back();
+    Out.Call_ = Client_.call({std::move(Method), std::move(Target), {}, {}},
+                             Limit, [&Out](Verdict What) {
+                               Out.Verdict_ = std::move(What);
+                               Out.Ended_.raise();
+                             });
+    return Out;
+  }
+  /// Answers one call with these bytes and then closes.
+  std::string answered(std::string_view Bytes, std::string Method = "GET",
+                       Millis Limit = Millis(5000)) {
+    Outcome &Out = call("/x", Limit, std::move(Method));
+    RawSocket Taken = Server_.accept();
+    Taken.receiveUntil("\r\n\r\n");
+    Taken.send(Bytes);
+    Taken.shutdownSend();
+    return Out.text();
+  }
+
+  std::deque<Outcome> Outcomes_;
+  RawListener Server_;
+  Workers Workers_;
+  UpstreamClient Client_;
+};
+
+} // namespace
+
+TEST_CASE("whole answers are passed on") {
+  Fixture Under;
+  CHECK(Under.answered(Ok) == "ran 200 ok");
+  CHECK(Under.answered("HTTP/1.1 500 No\r\nTransfer-Encoding: chunked\r\n\r\n"
+                       "2\r\nab\r\n3\r\ncde\r\n0\r\n\r\n") == "ran 500 abcde");
+  CHECK(Under.answered("HTTP/1.1 204 None\r\n\r\n") == "ran 204 ");
+  CHECK(Under.answered("HTTP/1.1 304 Same\r\nContent-Length: 7\r\n\r\n") ==
+        "ran 304 ");
+  CHECK(Under.answered("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n",
+                       "HEAD") == "ran 200 ");
+  CHECK(Under.answered("HTTP/1.1 200 OK\r\n\r\n", "HEAD") == "ran 200 ");
+  CHECK(Under.answered("HTTP/1.1 100 Continue\r\n\r\n"
+                       "HTTP/1.1 103 Hints\r\nLink: x\r\n\r\n" +
+                       std::string(Ok)) == "ran 200 ok");
+  CHECK(Under.answered("HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok") ==
+        "ran 200 ok");
+}
+
+TEST_CASE("answers that are not whole may have run") {
+  Fixture Under;
+  const std::string Lost = "may-have-run upstream-lost";
+  const std::vector<std::string> Answers = {
+      "",
+      "HTTP/1.1 200 OK\r\nContent-Le",
+      "HTTP/1.1 200 OK\r\n\r\nends with its connection",
+      "HTTP/1.0 200 OK\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabc",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
+      "3\r\nabc\r\n0\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nabc",
+      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc",
+      "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n"
+      "\r\nabc",
+      "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n",
+      "garbage\r\n\r\n",
+      std::string(100, '\0'),
+  };
+  for (const std::string &Bytes : Answers) {
+    CAPTURE(Bytes);
+    CHECK(Under.answered(Bytes) == Lost);
+  }
+  std::string Interim;
+  for (int I = 0; I < 100; ++I)
+    Interim += "HTTP/1.1 102 Processing\r\n\r\n";
+  CHECK(Under.answered(Interim + std::string(Ok)) == Lost);
+  CHECK(Under.answered("HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n" +
+                       std::string(5000, 'x')) == "may-have-run too-large");
+  CHECK(Under.answered("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                       "1388\r\n" +
+                       std::string(5000, 'x') + "\r\n0\r\n\r\n") ==
+        "may-have-run too-large");
+}
+
+TEST_CASE("a refused connection and a bad request are not run") {
+  Fixture Under;
+  Under.Server_.close();
+  CHECK(Under.call().text() == "not-run no-upstream");
+  CHECK(Under.call("/a b").text() == "not-run bad-request");
+  CHECK(Under.call("/a\r\nX: y").text() == "not-run bad-request");
+  CHECK(Under.call("/", Millis(5000), "G T").text() == "not-run bad-request");
+  CHECK(Under.call("/", Millis(0)).text() == "not-run deadline-passed");
+  Outcome Out;
+  Under.Client_.call({"GET", "/", {{"X", "a\r\nY: b"}}, ""}, Millis(1000),
+                     [&](Verdict What) {
+                       Out.Verdict_ = std::move(What);
+                       Out.Ended_.raise();
+                     });
+  CHECK(Out.text() == "not-run bad-request");
+}
+
+TEST_CASE("a request is framed by its own length") {
+  Fixture Under;
+  Signal Ended;
+  Under.Client_.call({"POST",
+                      "/p",
+                      {{"Content-Length", "99"},
+                       {"Transfer-Encoding", "chunked"},
+                       {"Connection", "close"},
+                       {"X", "y"}},
+                      "body"},
+                     Millis(5000), [&](const Verdict &) { Ended.raise(); });
+  RawSocket Taken = Under.Server_.accept();
+  std::string Head = Taken.receiveUntil("\r\n\r\n");
+  CHECK(Head.find("Content-Length: 4\r\n") != std::string::npos);
+  CHECK(Head.find("Content-Length: 99") == std::string::npos);
+  CHECK(Head.find("chunked") == std::string::npos);
+  CHECK(Head.find("Host: 127.0.0.1:") != std::string::npos);
+  CHECK(Taken.receiveExactly(4) == "body");
+  Taken.send(Ok);
+  CHECK(Ended.wait());
+}
+
+TEST_CASE("a kept connection is used again") {
+  Fixture Under;
+  Outcome &First = Under.call("/1");
+  RawSocket Taken = Under.Server_.accept();
+  Taken.receiveUntil("\r\n\r\n");
+  Taken.send(Ok);
+  CHECK(First.text() == "ran 200 ok");
+  for (int I = 0; I < 20; ++I) {
+    Outcome &Next = Under.call("/2");
+    CHECK(Taken.receiveUntil("\r\n\r\n").starts_with("GET /2 "));
+    Taken.send(Ok);
+    CHECK(Next.text() == "ran 200 ok");
+  }
+}
+
+// The connections are asked directly, once the bytes are known to have come.
+TEST_CASE("a kept connection that spoke or closed is not used again") {
+  boost::asio::io_context Context;
+  boost::intrusive_ptr<UpstreamConnections> Connections(
+      new UpstreamConnections(1, Millis(20000)));
+  RawListener Server;
+  Connections->setTarget(Server.endpoint(), 1);
+  IdleWaiter Waiter;
+  auto Grant = Connections->acquire(Waiter);
+  REQUIRE(Grant);
+  auto Socket = std::make_unique<boost::asio::ip::tcp::socket>(Context);
+  Socket->connect(Server.endpoint());
+  int Descriptor = Socket->native_handle();
+  RawSocket Other = Server.accept();
+  bool Fit = false;
+  SUBCASE("quiet") { Fit = true; }
+  SUBCASE("spoke") { Other.send(Ok); }
+  SUBCASE("closed") { Other.close(); }
+  SUBCASE("reset") {
+    Other.resetOnClose();
+    Other.close();
+  }
+  pollfd Poll{Descriptor, POLLIN, 0};
+  if (!Fit)
+    REQUIRE(::poll(&Poll, 1, static_cast<int>(TestPatience.count())) == 1);
+  Connections->release(*Grant, std::move(Socket));
+  auto Next = Connections->acquire(Waiter);
+  REQUIRE(Next);
+  CHECK((Next->Kept_ != nullptr) == Fit);
+}
+
+TEST_CASE("an answer that shows another call's context is refused") {
+  Fixture Under;
+  Outcome Out;
+  auto Call = [&] {
+    Under.Client_.call({"GET", "/x", {{"Coltsfoot-Context", "attempt-7"}}, ""},
+                       Millis(5000), [&](Verdict What) {
+                         Out.Verdict_ = std::move(What);
+                         Out.Ended_.raise();
+                       });
+  };
+  Call();
+  RawSocket Taken = Under.Server_.accept();
+  Taken.receiveUntil("\r\n\r\n");
+  SUBCASE("the same") {
+    Taken.send("HTTP/1.1 200 OK\r\nColtsfoot-Context: attempt-7\r\n"
+               "Content-Length: 0\r\n\r\n");
+    CHECK(Out.text() == "ran 200 ");
+  }
+  SUBCASE("another") {
+    Taken.send("HTTP/1.1 200 OK\r\nColtsfoot-Context: attempt-6\r\n"
+               "Content-Length: 0\r\n\r\n");
+    CHECK(Out.text() == "may-have-run upstream-lost");
+    CHECK(Taken.closes());
+  }
+}
+
+TEST_CASE("a 408 on a kept connection may be about its idle time") {
+  Fixture Under;
+  const std::string TimedOut =
+      "HTTP/1.1 408 Time-out\r\nContent-Length: 0\r\n\r\n";
+  Outcome &First = Under.call("/1");
+  RawSocket Taken = Under.Server_.accept();
+  Taken.receiveUntil("\r\n\r\n");
+  Taken.send(TimedOut);
+  CHECK(First.text() == "ran 408 ");
+  Outcome &Second = Under.call("/2");
+  Taken.receiveUntil("\r\n\r\n");
+  Taken.send(TimedOut);
+  CHECK(Second.text() == "may-have-run upstream-lost");
+}
+
+TEST_CASE("a request that was written is never written again") {
+  Fixture Under;
+  Outcome &First = Under.call("/1");
+  RawSocket Taken = Under.Server_.accept();
+  Taken.receiveUntil("\r\n\r\n");
+  Taken.send(Ok);
+  First.wait();
+  Outcome &Second = Under.call("/2");
+  Taken.receiveUntil("\r\n\r\n");
+  SUBCASE("closed") { Taken.close(); }
+  SUBCASE("reset") {
+    Taken.resetOnClose();
+    Taken.close();
+  }
+  CHECK(Second.text() == "may-have-run upstream-lost");
+  CHECK(!Under.Server_.offered(50ms));
+}
+
+TEST_CASE("bytes behind an answer end its connection") {
+  Fixture Under;
+  Outcome &First = Under.call("/1");
+  RawSocket Taken = Under.Server_.accept();
+  Taken.receiveUntil("\r\n\r\n");
+  Taken.send(std::string(Ok) +
+             "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother");
+  CHECK(First.text() == "ran 200 ok");
+  Outcome &Second = Under.call("/2");
+  RawSocket Fresh = Under.Server_.accept();
+  Fresh.receiveUntil("\r\n\r\n");
+  Fresh.send(Ok);
+  CHECK(Second.text() == "ran 200 ok");
+}
+
+TEST_CASE("a time-out closes the connection and drops the late answer") {
+  Fixture Under;
+  auto Start = std::chrono::steady_clock::now();
+  Outcome &First = Under.call("/1", Millis(100));
+  RawSocket Taken = Under.Server_.accept();
+  Taken.receiveUntil("\r\n\r\n");
+  CHECK(First.text() == "may-have-run deadline-passed");
+  CHECK(std::chrono::steady_clock::now() - Start < 2s);
+  CHECK(Taken.closes());
+  Taken.send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate");
+  Outcome &Second = Under.call("/2");
+  RawSocket Fresh = Under.Server_.accept();
+  Fresh.receiveUntil("\r\n\r\n");
+  Fresh.send(Ok);
+  CHECK(Second.text() == "ran 200 ok");
+  CHECK(First.Ended_.count() == 1);
+}
+
+TEST_CASE("a trickled answer does not outlast the time limit") {
+  Fixture Under;
+  Outcome &First = Under.call("/1", Millis(200));
+  RawSocket Taken = Under.Server_.accept();
+  Taken.receiveUntil("\r\n\r\n");
+  Taken.send("HTTP/1.1 200 OK\r\nContent-Length: 4000\r\n\r\n");
+  while (Taken.send("x") && First.Ended_.count() == 0)
+    Taken.receive(2ms);
+  CHECK(First.text() == "may-have-run deadline-passed");
+}
+
+TEST_CASE("cancelling ends a call once at any moment") {
+  Fixture Under(1);
+  SUBCASE("before it has a connection") {
+    Outcome &Holder = Under.call("/holder");
+    RawSocket Taken = Under.Server_.accept();
+    Outcome &Waiting = Under.call("/waiting");
+    Waiting.Call_->cancel();
+    CHECK(Waiting.text() == "not-run cancelled");
+    Taken.receiveUntil("\r\n\r\n");
+    Taken.send(Ok);
+    CHECK(Holder.text() == "ran 200 ok");
+  }
+  SUBCASE("at once") {
+    Outcome &Early = Under.call();
+    Early.Call_->cancel();
+    Early.wait();
+    CHECK(verdictName(Early.Verdict_) != "ran");
+  }
+  SUBCASE("while the answer is awaited") {
+    Outcome &Running = Under.call();
+    RawSocket Taken = Under.Server_.accept();
+    Taken.receiveUntil("\r\n\r\n");
+    Running.Call_->cancel();
+    CHECK(Running.text() == "may-have-run cancelled");
+    CHECK(Taken.closes());
+  }
+  SUBCASE("after its end") {
+    Outcome &Ended = Under.call();
+    RawSocket Taken = Under.Server_.accept();
+    Taken.receiveUntil("\r\n\r\n");
+    Taken.send(Ok);
+    CHECK(Ended.text() == "ran 200 ok");
+    Ended.Call_->cancel();
+    // The connection that went back to the pool is not the call's any more.
+    Outcome &Next = Under.call("/next");
+    CHECK(Taken.receiveUntil("\r\n\r\n").starts_with("GET /next "));
+    Taken.send(Ok);
+    CHECK(Next.text() == "ran 200 ok");
+  }
+  for (Outcome &Out : Under.Outcomes_)
+    CHECK(Out.Ended_.count() == 1);
+}
+
+TEST_CASE("calls beyond the connection limit wait in order") {
+  Fixture Under(2);
+  std::vector<Outcome *> Calls;
+  for (int I = 0; I < 6; ++I)
+    Calls.push_back(&Under.call("/" + std::to_string(I)));
+  RawSocket First = Under.Server_.accept();
+  RawSocket Second = Under.Server_.accept();
+  CHECK(!Under.Server_.offered(50ms));
+  First.receiveUntil("\r\n\r\n");
+  Second.receiveUntil("\r\n\r\n");
+  for (int I = 2; I < 6; ++I) {
+    First.send(Ok);
+    CHECK(First.receiveUntil("\r\n\r\n").starts_with("GET /"));
+  }
+  First.send(Ok);
+  Second.send(Ok);
+  for (Outcome *Out : Calls)
+    CHECK(Out->text() == "ran 200 ok");
+  CHECK(!Under.Server_.offered(20ms));
+}
+
+TEST_CASE("a place is free again after every kind of end") {
+  Fixture Under(1);
+  for (int Round = 0; Round < 4; ++Round) {
+    Outcome &Holder = Under.call("/holder", Millis(Round == 0 ? 100 : 5000));
+    RawSocket Taken = Under.Server_.accept();
+    Taken.receiveUntil("\r\n\r\n");
+    Outcome &Waiting = Under.call("/waiting");
+    if (Round == 1)
+      Taken.close();
+    if (Round == 2)
+      Holder.Call_->cancel();
+    if (Round == 3)
+      Taken.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
+                 "Connection: close\r\n\r\n");
+    RawSocket Next = Under.Server_.accept();
+    CHECK(Next.receiveUntil("\r\n\r\n").starts_with("GET /waiting "));
+    Next.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
+              "Connection: close\r\n\r\n");
+    CHECK(Waiting.text() == "ran 200 ");
+    Holder.wait();
+  }
+}
+
+TEST_CASE("a call that finds no free connection in time is not run") {
+  Fixture Under(1);
+  Outcome &Holder = Under.call("/holder");
+  RawSocket Taken = Under.Server_.accept();
+  Outcome &Waiting = Under.call("/waiting", Millis(100));
+  CHECK(Waiting.text() == "not-run deadline-passed");
+  Taken.receiveUntil("\r\n\r\n");
+  Taken.send(Ok);
+  CHECK(Holder.text() == "ran 200 ok");
+  CHECK(!Under.Server_.offered(20ms));
+}
+
+TEST_CASE("a new target gets the waiting calls and a fresh count") {
+  Fixture Under(1);
+  RawListener Other;
+  Outcome &Old = Under.call("/old");
+  RawSocket Taken = Under.Server_.accept();
+  Taken.receiveUntil("\r\n\r\n");
+  Outcome &Waiting = Under.call("/waiting");
+  CHECK(Waiting.Ended_.count() == 0);
+  Under.Client_.setTarget(Other.endpoint(), 1);
+  RawSocket Fresh = Other.accept();
+  CHECK(Fresh.receiveUntil("\r\n\r\n").starts_with("GET /waiting "));
+  Taken.send(Ok);
+  CHECK(Old.text() == "ran 200 ok");
+  CHECK(Taken.closes());
+  Outcome &Third = Under.call("/third", Millis(100));
+  CHECK(Third.text() == "not-run deadline-passed");
+  Fresh.send(Ok);
+  CHECK(Waiting.text() == "ran 200 ok");
+  Outcome &Raised = Under.call("/a");
+  Fresh.receiveUntil("\r\n\r\n");
+  Outcome &Extra = Under.call("/b");
+  Under.Client_.setTarget(Other.endpoint(), 2);
+  RawSocket More = Other.accept();
+  More.receiveUntil("\r\n\r\n");
+  Fresh.send(Ok);
+  More.send(Ok);
+  CHECK(Raised.text() == "ran 200 ok");
+  CHECK(Extra.text() == "ran 200 ok");
+}
+
+TEST_CASE("connecting ends in time when nobody accepts") {
+  Fixture Under;
+  // A full backlog: the kernel drops further handshakes.
+  int Full = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in Address = RawSocket::loopback(0);
+  socklen_t Size = sizeof Address;
+  auto *Plain = reinterpret_cast<sockaddr *>(&Address);
+  REQUIRE(::bind(Full, Plain, Size) == 0);
+  REQUIRE(::listen(Full, 0) == 0);
+  ::getsockname(Full, Plain, &Size);
+  uint16_t Port = ntohs(Address.sin_port);
+  RawSocket Filler = RawSocket::connect(Port);
+  Under.Client_.setTarget({boost::asio::ip::address_v4::loopback(), Port}, 4);
+  CHECK(Under.call("/1").text() == "not-run no-upstream");
+  CHECK(Under.call("/2", Millis(50)).text() == "not-run deadline-passed");
+  ::close(Full);
+}
+
+TEST_CASE("answers never cross between many concurrent calls") {
+  Fixture Under(4);
+  std::atomic<bool> Ended = false;
+  // Each connection echoes the target, sometimes late, cut or never.
+  std::thread Backend([&] {
+    std::vector<std::thread> Threads;
+    int Number = 0;
+    while (!Ended) {
+      if (!Under.Server_.offered(5ms))
+        continue;
+      Threads.emplace_back([Taken = Under.Server_.accept(),
+                            Number = ++Number]() mutable {
+        for (int Served = Number;; ++Served) {
+          std::string Head = Taken.receiveUntil("\r\n\r\n");
+          size_t Blank = Head.find(' ');
+          if (Blank == std::string::npos)
+            return;
+          std::string Target =
+              Head.substr(Blank + 1, Head.find(' ', Blank + 1) - Blank - 1);
+          if (Served % 7 == 3)
+            std::this_thread::sleep_for(15ms);
+          std::string Answer = "HTTP/1.1 200 OK\r\nContent-Length: " +
+                               std::to_string(Target.size()) + "\r\n\r\n" +
+                               Target;
+          bool Cut = Served % 11 == 5;
+          Taken.send(std::string_view(Answer).substr(0, Cut ? Answer.size() - 1
+                                                            : Answer.size()));
+          if (Cut)
+            return;
+        }
+      });
+    }
+    for (std::thread &One : Threads)
+      One.join();
+  });
+  for (int I = 0; I < 400; ++I) {
+    Outcome &Out =
+        Under.call("/" + std::to_string(I), Millis(I % 3 == 0 ? 10 : 5000));
+    if (I % 5 == 0)
+      Out.Call_->cancel();
+  }
+  int Whole = 0;
+  int Crossed = 0;
+  for (int I = 0; I < 400; ++I) {
+    Outcome &Out = Under.Outcomes_[static_cast<size_t>(I)];
+    Out.wait();
+    const Ran *Answered = std::get_if<Ran>(&Out.Verdict_);
+    Whole += Answered ? 1 : 0;
+    Crossed +=
+        Answered && Answered->Answer_.Body_ != "/" + std::to_string(I) ? 1 : 0;
+  }
+  CHECK(Crossed == 0);
+  CHECK(Whole > 100);
+  for (Outcome &Out : Under.Outcomes_)
+    CHECK(Out.Ended_.count() == 1);
+  Ended = true;
+  Under.Client_.setTarget({}, 1);
+  Backend.join();
+}
