--- a/src/libcoordination/entry.cpp
+++ b/src/libcoordination/entry.cpp
@@ -59,11 +59,16 @@
   return Millis(static_cast<double>(Value));
 }
 
+/// Whether a refusal holds for every call under the same ticket or step, or
+/// only for this one.
+enum class Holds { ThisCall, Always };
+
 /// Thrown on the way in; the call has not been sent anywhere.
 struct Refusal {
   Verdict Verdict_;
   std::string Detail_;
   std::vector<HttpField> Fields_;
+  Holds Holds_ = Holds::ThisCall;
 };
 
 } // namespace
@@ -76,24 +81,25 @@
         Now_(Parts.Knowledge_.Clock_->now()) {}
 
   EntryRequest read() {
-    Reason Blocked = Parts_.NotServing_();
-    if (Blocked != Reason::None)
-      throw Refusal{NotRun{Blocked}};
-    Request_.RequestId_ = newRequestId();
-    readRoute();
-    std::string_view Context = Caller_.field("Coltsfoot-Context");
-    if (Context.empty())
-      readRoot();
-    else
-      readNested(Context);
-    readDeadline();
-    checkDoor();
+    try {
+      readAll();
+    } catch (Refusal &Refused) {
+      giveBackCredits();
+      // Another node may have run what this one cannot even examine.
+      if (Refused.Holds_ == Holds::ThisCall && mayRepeat() &&
+          std::holds_alternative<NotRun>(Refused.Verdict_))
+        Refused.Verdict_ = MayHaveRun{reasonOf(Refused.Verdict_)};
+      throw;
+    }
     return std::move(Request_);
   }
 
   const std::string &requestId() const { return Request_.RequestId_; }
 
 private:
+  void readAll();
+  bool mayRepeat() const;
+  void giveBackCredits();
   void readRoute();
   void readRoot();
   void readNested(std::string_view Context);
@@ -110,9 +116,40 @@
   const std::shared_ptr<const ConfigState> Config_;
   const Millis Now_;
   EntryRequest Request_;
+  bool Idempotent_ = false; // False as long as the route is not known.
   Millis ParentDeadline_{std::numeric_limits<double>::max()};
 };
 
+void Entry::Intake::readAll() {
+  Request_.RequestId_ = newRequestId();
+  Reason Blocked = Parts_.NotServing_();
+  if (Blocked != Reason::None)
+    throw Refusal{NotRun{Blocked}};
+  readRoute();
+  std::string_view Context = Caller_.field("Coltsfoot-Context");
+  if (Context.empty())
+    readRoot();
+  else
+    readNested(Context);
+  readDeadline();
+  checkDoor();
+}
+
+/// Whether the call may be the repetition of one that was sent on: it has a
+/// ticket, or is a step that may have got one.
+bool Entry::Intake::mayRepeat() const {
+  if (Idempotent_)
+    return false;
+  return !Caller_.field("Coltsfoot-Ticket").empty() ||
+         (!Caller_.field("Coltsfoot-Context").empty() &&
+          !Caller_.field("Coltsfoot-Step").empty());
+}
+
+void Entry::Intake::giveBackCredits() {
+  if (!Request_.ParentKey_.empty())
+    Parts_.Attempts_.endNested(Request_.ParentKey_, Request_.Credits_);
+}
+
 void Entry::Intake::readRoute() {
   Request_.Service_ = serviceOf(Caller_);
   if (Request_.Service_.empty())
@@ -124,6 +161,7 @@
     throw Refusal{NotRun{Reason::NoRoute},
                   "no route of service '" + Request_.Service_ + "' matches"};
   Request_.Route_ = *Known;
+  Idempotent_ = Known->Idempotent_;
   Request_.RankOrder_ = Config_->rank(Known->Rank_).Order_;
   Request_.Protected_ = Known->Protected_;
 }
@@ -185,7 +223,9 @@
       Opened->Service_ != Request_.Service_ ||
       Opened->Route_ != Request_.Route_.Name_)
     throw Refusal{NotRun{Reason::TicketInvalid},
-                  "the ticket is not genuine or is for another call"};
+                  "the ticket is not genuine or is for another call",
+                  {},
+                  Holds::Always};
   // The same request whatever entry it comes through.
   Request_.RequestId_ = Opened->Serial_;
 }
@@ -207,7 +247,10 @@
   ParentDeadline_ = Parent->Deadline_;
   std::string Step(Caller_.field("Coltsfoot-Step"));
   if (Step.size() > MaxNameBytes)
-    throw Refusal{NotRun{Reason::BadRequest}, "Coltsfoot-Step is too long"};
+    throw Refusal{NotRun{Reason::BadRequest},
+                  "Coltsfoot-Step is too long",
+                  {},
+                  Holds::Always};
   if (!Request_.Route_.Idempotent_)
     readStepTicket(*Parent);
   if (Step.empty())
@@ -226,7 +269,9 @@
   // ticket: what is declared idempotent must not make steps that are not.
   if (Parent.Idempotent_)
     throw Refusal{NotRun{Reason::BadRequest},
-                  "a non-idempotent step under an idempotent call"};
+                  "a non-idempotent step under an idempotent call",
+                  {},
+                  Holds::Always};
   std::string_view Step = Caller_.field("Coltsfoot-Step");
   if (Step.empty())
     throw Refusal{NotRun{Reason::BadRequest},
@@ -236,8 +281,11 @@
   if (!Known) {
     auto Fresh = Parts_.Office_.mint(Request_.Service_, Request_.Route_.Name_,
                                      Request_.Client_);
+    // While the parent is open, a step without a ticket was never sent on.
+    if (!Fresh && Parts_.Attempts_.find(Parent.AttemptKey_))
+      throw Refusal{NotRun{Reason::NoUpstream}, {}, {}, Holds::Always};
     if (!Fresh)
-      throw Refusal{NotRun{Reason::NoUpstream}};
+      throw Refusal{NotRun{Reason::Cancelled}};
     Known = Parts_.Attempts_.rememberTicket(Parent.AttemptKey_, Key, *Fresh);
     if (Known->empty())
       throw Refusal{NotRun{Reason::Cancelled}};
@@ -245,7 +293,10 @@
   useTicket(*Known);
   if (Request_.Ticket_->Route_ != Request_.Route_.Name_)
     throw Refusal{NotRun{Reason::TicketBodyMismatch},
-                  "the step was used for another route before"};
+                  "the step was used for another route before",
+                  {},
+                  Holds::Always};
+  Request_.StepKey_ = Key;
 }
 
 void Entry::Intake::readDeadline() {
@@ -274,8 +325,6 @@
       static_cast<int>(Parts_.Office_.gatesOf(Request_.Service_).size());
   if (!Parts_.Thresholds_.wouldRefuse(Asked, Now_, generator()))
     return;
-  if (!Request_.ParentKey_.empty())
-    Parts_.Attempts_.endNested(Request_.ParentKey_, Request_.Credits_);
   throw Refusal{NotRun{Reason::Overload}, "refused at the door"};
 }
 
@@ -306,8 +355,13 @@
   try {
     EntryRequest Request = In.read();
     std::string ParentKey = Request.ParentKey_;
-    if (Request.Ticket_ && !ParentKey.empty())
+    if (Request.Ticket_ && !ParentKey.empty()) {
       Request.Step_ = stepOffers(ParentKey, Request.Ticket_->Serial_);
+      // The record of a step's offers goes with its parent. Two calls of a
+      // step that met across that end would not know of each other.
+      if (!Parts_->Attempts_.find(ParentKey))
+        throw Refusal{MayHaveRun{Reason::Cancelled}};
+    }
     EntryCall::Pointer Call(
         new EntryCall(Parts_, Pending_, Exchange, std::move(Request)));
     Call->start();
--- a/src/libcoordination/entrycall.cpp
+++ b/src/libcoordination/entrycall.cpp
@@ -26,6 +26,9 @@
 constexpr Millis ReconnectPause(60);
 /// Refused connections in a row after which a process counts as gone.
 constexpr int GoneAfterRefusals = 3;
+/// Messages without an answer in a row after which later candidates are
+/// searched for what an unreachable one can't tell.
+constexpr int SearchAfterFailures = 2;
 constexpr Millis RetryTokenLife(120'000);
 constexpr int MinRetryAfterMs = 50;
 
@@ -286,7 +289,7 @@
   if (Request_.Step_ && !Request_.Step_->mayLeave(Candidate)) {
     if (Candidate + 1 < Request_.Ticket_->Candidates_.size())
       return offerCandidate(Candidate + 1);
-    return end(NotRun{Reason::ConnectionLost});
+    return endClosed(NotRun{Reason::ConnectionLost}, {});
   }
   Lent_ = Credits_.lend();
   wire::Frame Message;
@@ -305,6 +308,9 @@
 void EntryCall::onCandidateReply(size_t Candidate, const wire::Reply &Reply) {
   Credits_.takeBack(std::min(Lent_, Reply.credits_left));
   Lent_ = 0;
+  Refusals_ = 0;
+  Failures_ = 0;
+  AskAgain_.reset();
   Verdict Outcome = verdictOf(Reply);
   const auto &Candidates = Request_.Ticket_->Candidates_;
   if (!std::holds_alternative<Ran>(Outcome))
@@ -316,7 +322,7 @@
   if (!Reply.closed || !std::holds_alternative<NotRun>(Outcome))
     return end(std::move(Outcome));
   if (Candidate + 1 == Candidates.size())
-    return end(std::move(Outcome), Reply.successor);
+    return endClosed(std::move(Outcome), Reply.successor);
   // A gate that refused has done no work; a backend server that shed has.
   bool Free = reasonOf(Outcome) != Reason::UpstreamShed;
   if (now() < Request_.Deadline_ && (Free || Credits_.spendOne()))
@@ -338,14 +344,23 @@
     if (Request_.Step_ && Request_.Step_->didNotLeave(Candidate)) {
       if (Candidate + 1 < Candidates.size())
         return offerCandidate(Candidate + 1);
-      return end(NotRun{Reason::ConnectionLost});
+      return endClosed(NotRun{Reason::ConnectionLost}, {});
     }
   }
-  if (Lost.Replaced_)
+  bool Refused = Lost.Cause_ == CloseCause::Refused;
+  Refusals_ = Refused ? Refusals_ + 1 : 0;
+  if (Lost.Replaced_ || Refusals_ >= GoneAfterRefusals)
     return searchLater(Candidate + 1);
-  if (Lost.Cause_ == CloseCause::Refused && ++Refusals_ >= GoneAfterRefusals)
+  // The gate may have the call or may yet get it: only it can tell, unless it
+  // had closed the ticket and a later candidate went on.
+  if (++Failures_ % SearchAfterFailures == 0) {
+    AskAgain_ = Candidate;
     return searchLater(Candidate + 1);
-  // The gate may have the call or may yet get it: only it can tell.
+  }
+  inquireLater(Candidate);
+}
+
+void EntryCall::inquireLater(size_t Candidate) {
   Pointer Self(this);
   after(ReconnectPause, [Self, Candidate] { Self->inquire(Candidate); });
 }
@@ -373,13 +388,17 @@
       });
 }
 
-// A candidate's process is gone with what it knew. A later one may hold the
-// answer, when the earlier one had closed the ticket before; without one the
-// action may have run and is never run again.
+// A candidate is out of reach, or its process is gone with what it knew. A
+// later one may hold the answer, when the earlier one had closed the ticket
+// before. When none does and the process is gone, the action may have run and
+// is never run again.
 void EntryCall::searchLater(size_t Candidate) {
   const auto &Candidates = Request_.Ticket_->Candidates_;
-  if (Candidate >= Candidates.size())
+  if (Candidate >= Candidates.size()) {
+    if (auto Back = std::exchange(AskAgain_, std::nullopt))
+      return inquireLater(*Back);
     return end(MayHaveRun{Reason::CandidateGone});
+  }
   Pointer Self(this);
   send(
       Candidates[Candidate], newInquiry(false), true,
@@ -393,7 +412,12 @@
 
 void EntryCall::onSearchReply(size_t Candidate, const wire::Reply &Reply) {
   Verdict Outcome = verdictOf(Reply);
-  bool Unknown = reasonOf(Outcome) == Reason::CandidateGone;
+  Reason Why = reasonOf(Outcome);
+  bool Unknown = Why == Reason::CandidateGone || Why == Reason::Overload ||
+                 Why == Reason::TicketExpired;
+  // It was asked to run it only after all before it had closed the ticket.
+  if (std::holds_alternative<NotRun>(Outcome) && Reply.closed)
+    return onCandidateReply(Candidate, Reply);
   if (std::holds_alternative<Ran>(Outcome) ||
       (std::holds_alternative<MayHaveRun>(Outcome) && !Unknown))
     return end(std::move(Outcome));
@@ -430,6 +454,22 @@
     end(NotRun{Why});
 }
 
+// No candidate will ever run the ticket. A repetition of the step by the
+// backend server gets another one, or it would be refused for good.
+void EntryCall::endClosed(Verdict Outcome, std::string Successor) {
+  if (!Request_.Step_)
+    return end(std::move(Outcome), std::move(Successor));
+  if (Successor.empty())
+    Successor =
+        Parts_->Office_
+            .mint(Request_.Service_, Request_.Route_.Name_, Request_.Client_)
+            .value_or("");
+  if (!Successor.empty())
+    Parts_->Attempts_.replaceTicket(Request_.ParentKey_, Request_.StepKey_,
+                                    Request_.TicketText_, Successor);
+  end(std::move(Outcome));
+}
+
 void EntryCall::end(Verdict Outcome, std::string Successor) {
   if (Ended_)
     return;
--- a/src/libcoordination/entrycall.h
+++ b/src/libcoordination/entrycall.h
@@ -63,6 +63,8 @@
   std::string TicketText_;
   /// Of a nested call; the key of the call that makes it.
   std::string ParentKey_;
+  /// Of a nested non-idempotent call; the name of its step.
+  std::string StepKey_;
   std::shared_ptr<StepOffers> Step_;
 };
 
@@ -106,6 +108,7 @@
   void onCandidateReply(size_t Candidate, const wire::Reply &Reply);
   void onCandidateLost(size_t Candidate, const PeerLost &Lost, bool WasOffer);
   void inquire(size_t Candidate);
+  void inquireLater(size_t Candidate);
   void searchLater(size_t Candidate);
   void onSearchReply(size_t Candidate, const wire::Reply &Reply);
 
@@ -122,6 +125,7 @@
   void heard(const NodeRef &Gate, const wire::Reply &Reply, Millis Latency);
   void onDeadline();
   void abandon(Reason Why);
+  void endClosed(Verdict Outcome, std::string Successor);
   void end(Verdict Outcome, std::string Successor = {});
   void respond(const Verdict &Outcome, const std::string &Successor);
   void note(std::string_view What, const std::string &Detail) const;
@@ -148,7 +152,12 @@
   bool Open_ = false;
   CreditPool Credits_;
   int Lent_ = 0;
+  /// Refused connections to the present candidate in a row.
   int Refusals_ = 0;
+  /// Messages to the present candidate in a row that got no answer.
+  int Failures_ = 0;
+  /// The candidate that is asked again when no later one knows the ticket.
+  std::optional<size_t> AskAgain_;
   int RetryAfterMs_ = 0;
   std::vector<NodeRef> Tried_;
 };
--- a/src/libcoordination/gate.cpp
+++ b/src/libcoordination/gate.cpp
@@ -124,6 +124,7 @@
     Respond Respond_; // of an idempotent call
     std::string AttemptKey_;
     Millis Started_;
+    bool ShedMeansNotRun_ = false;
     // Guarded by the gate's mutex.
     UpstreamClient::CallPointer Upstream_;
     bool Cancelled_ = false;
@@ -373,7 +374,16 @@
 
 void Gate::Impl::startCall(const CallPointer &Due) {
   const wire::Offer &Offered = Due->Offer_;
-  if (Due->Ticket_ && !Tickets_.begin(Due->Ticket_->Serial_)) {
+  bool Replaced = false;
+  {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    // Another service may have taken over the VM while the call waited.
+    Replaced = Announced_.Service_ != Offered.service_name;
+    Due->ShedMeansNotRun_ = Announced_.ShedMeansNotRun_;
+  }
+  bool Expired =
+      !Replaced && Due->Ticket_ && !Tickets_.begin(Due->Ticket_->Serial_);
+  if (Replaced || Expired) {
     Decisions Next;
     {
       std::lock_guard<std::mutex> Lock(Mutex_);
@@ -381,6 +391,8 @@
       Calls_.erase(Due->Key_);
       Next = takeDecisions();
     }
+    if (Replaced)
+      refuse(Due, Reason::NoUpstream);
     return carryOut(Next);
   }
   Millis Now = Knowledge_.Clock_->now();
@@ -453,7 +465,7 @@
     if (const Ran *Answered = std::get_if<Ran>(&Outcome)) {
       if (Answered->Answer_.Status_ == ShedStatus)
         Result = ServiceResult::Shed;
-      if (Result == ServiceResult::Shed && Announced_.ShedMeansNotRun_)
+      if (Result == ServiceResult::Shed && Due->ShedMeansNotRun_)
         Outcome = NotRun{Reason::UpstreamShed};
     } else {
       Result = ServiceResult::Failed;
--- a/src/libstate/attempttable.cpp
+++ b/src/libstate/attempttable.cpp
@@ -146,6 +146,18 @@
   return Known.Ticket_;
 }
 
+void AttemptTable::replaceTicket(std::string_view Key,
+                                 std::string_view StepName,
+                                 std::string_view Closed, std::string Fresh) {
+  std::lock_guard Lock(State_->Mutex_);
+  Parent *Found = State_->findOpen(Key);
+  if (Found == nullptr)
+    return;
+  auto Known = Found->Steps_.find(StepName);
+  if (Known != Found->Steps_.end() && Known->second.Ticket_ == Closed)
+    Known->second.Ticket_ = std::move(Fresh);
+}
+
 void AttemptTable::onClose(std::string_view Key,
                            std::function<void()> Handler) {
   {
--- a/src/libstate/attempttable.h
+++ b/src/libstate/attempttable.h
@@ -91,6 +91,12 @@
   std::string rememberTicket(std::string_view Key, std::string_view Step,
                              std::string Ticket);
 
+  /// Puts another ticket in the place of one that every candidate has closed;
+  /// without effect when the step has another one by now or the parent is
+  /// unknown or has ended.
+  void replaceTicket(std::string_view Key, std::string_view Step,
+                     std::string_view Closed, std::string Fresh);
+
   /// Has a handler called once when the parent ends, on the thread that calls
   /// close(); at once when it has ended or is unknown.
   void onClose(std::string_view Key, std::function<void()> Handler);
--- a/src/libstate/attempttable_test.cpp
+++ b/src/libstate/attempttable_test.cpp
@@ -105,6 +105,21 @@
   CHECK(Table.stepTicket("k", "a") == "one");
 }
 
+TEST_CASE("a closed ticket of a step is replaced once") {
+  ManualClock Time;
+  AttemptTable Table(Time);
+  Table.open(parent("k"), 0);
+  Table.rememberTicket("k", "a", "one");
+  Table.replaceTicket("k", "a", "one", "two");
+  Table.replaceTicket("k", "a", "one", "three");
+  CHECK(Table.stepTicket("k", "a") == "two");
+  Table.replaceTicket("k", "b", "one", "two");
+  CHECK(!Table.stepTicket("k", "b"));
+  Table.close("k");
+  Table.replaceTicket("k", "a", "two", "four");
+  CHECK(!Table.stepTicket("k", "a"));
+}
+
 TEST_CASE("close handlers are called once, without the lock") {
   ManualClock Time;
   AttemptTable Table(Time);
--- a/src/libstate/tickettable.cpp
+++ b/src/libstate/tickettable.cpp
@@ -131,8 +131,7 @@
   State(const Clock &Time, Limits Bounds) : Time_(Time), Bounds_(Bounds) {}
 
   Entry *find(std::string_view Serial) const;
-  OutcomePtr refusalOfUnknown(const Ticket &Shown, Verdict WhenFull,
-                              Removed &Out);
+  OutcomePtr refusalOfUnknown(const Ticket &Shown, Removed &Out);
   OutcomePtr joinKnown(Entry &Known, const Ticket &Shown,
                        std::optional<std::string_view> Digest,
                        OutcomeHandler &Handler);
@@ -165,14 +164,13 @@
 // The clock is read under the mutex: an entry that was dropped as expired can
 // then never be taken for new by somebody who read an earlier time.
 OutcomePtr TicketTable::State::refusalOfUnknown(const Ticket &Shown,
-                                                Verdict WhenFull,
                                                 Removed &Out) {
   if (Shown.ExpiryWall_ <= Time_.wallNow())
     return share({.Verdict_ = MayHaveRun{Reason::TicketExpired}});
   if (Entries_.size() >= Bounds_.MaxEntries_)
     dropExpired(Out);
   if (Entries_.size() >= Bounds_.MaxEntries_)
-    return share({.Verdict_ = std::move(WhenFull)});
+    return share({.Verdict_ = MayHaveRun{Reason::Overload}});
   return nullptr;
 }
 
@@ -262,7 +260,7 @@
       if (!Told)
         return Admit::Joined;
     } else {
-      Told = State_->refusalOfUnknown(Offered, NotRun{Reason::Overload}, Out);
+      Told = State_->refusalOfUnknown(Offered, Out);
     }
     if (!Told) {
       Entry &Added = State_->add(Offered);
@@ -361,7 +359,7 @@
     if (!Told)
       return;
   } else {
-    Told = State_->refusalOfUnknown(Asked, MayHaveRun{Reason::Overload}, Out);
+    Told = State_->refusalOfUnknown(Asked, Out);
   }
   if (!Told && !CloseIfUnknown)
     Told = share({.Verdict_ = MayHaveRun{Reason::CandidateGone}});
@@ -380,7 +378,7 @@
   std::lock_guard Lock(State_->Mutex_);
   if (State_->find(Closed.Serial_) != nullptr)
     return false;
-  if (State_->refusalOfUnknown(Closed, NotRun{Reason::Overload}, Out))
+  if (State_->refusalOfUnknown(Closed, Out))
     return false;
   State_->recordClosed(Closed, std::nullopt, std::move(Told));
   return true;
--- a/src/libstate/tickettable.h
+++ b/src/libstate/tickettable.h
@@ -83,9 +83,8 @@
   /// Refusals leave the ticket as it is: NotRun(TicketInvalid) for another
   /// client, NotRun(TicketBodyMismatch) for another digest,
   /// MayHaveRun(TicketExpired) for an unknown ticket past its expiry, and
-  /// NotRun(Overload) when the table is full. The last one speaks of this
-  /// offer alone: when an earlier offer of the ticket is unanswered, ask
-  /// inquire(), not offer(), what became of it.
+  /// MayHaveRun(Overload) when the table is full: the refusal could not be
+  /// recorded, and a late copy of another offer of the ticket may still run.
   Admit offer(const Ticket &Offered, std::string_view Digest,
               OutcomeHandler Handler);
 
--- a/src/libtransport/frameconnection.cpp
+++ b/src/libtransport/frameconnection.cpp
@@ -40,6 +40,8 @@
     return "local";
   case CloseCause::Refused:
     return "refused";
+  case CloseCause::Unanswered:
+    return "unanswered";
   case CloseCause::Lost:
     return "lost";
   case CloseCause::Silent:
@@ -89,10 +91,12 @@
     if (!Failure)
       Self->Socket_.bind({From, 0}, Failure);
     if (Failure)
-      return Self->finish(CloseCause::Refused);
+      return Self->finish(CloseCause::Unanswered);
     Self->Socket_.async_connect(To, [Self](const error_code &Error) {
       if (Error)
-        return Self->finish(CloseCause::Refused);
+        return Self->finish(Error == asio::error::connection_refused
+                                ? CloseCause::Refused
+                                : CloseCause::Unanswered);
       error_code Ignored;
       Self->Socket_.set_option(asio::ip::tcp::no_delay(true), Ignored);
       Self->greet();
@@ -262,7 +266,7 @@
   Millis Silence = Now - LastHeard_;
   bool Open = Life_.state() == ConnectionLife::State::Open;
   if (!Open && Silence >= Options_.Connect_)
-    return finish(CloseCause::Refused);
+    return finish(CloseCause::Unanswered);
   bool Watchful = Awaiting_;
   Millis Bound = Watchful ? Options_.Silent_ : Options_.IdleHeartbeat_ * 3;
   if (Open && Silence >= Bound)
--- a/src/libtransport/frameconnection.h
+++ b/src/libtransport/frameconnection.h
@@ -21,8 +21,17 @@
 class Hello;
 } // namespace wire
 
-/// Why a connection between two nodes ended.
-enum class CloseCause { Local, Refused, Lost, Silent, Garbage, Handshake };
+/// Why a connection between two nodes ended. Refused: nobody listens at the
+/// address. Unanswered: no greeting came in time, or the way there is closed.
+enum class CloseCause {
+  Local,
+  Refused,
+  Unanswered,
+  Lost,
+  Silent,
+  Garbage,
+  Handshake
+};
 
 /// Returns the cause's name for logs.
 std::string_view closeCauseName(CloseCause Cause);
--- a/src/libtransport/httpserver.cpp
+++ b/src/libtransport/httpserver.cpp
@@ -186,7 +186,8 @@
         return;
       }
     }
-    Handler();
+    if (Handler)
+      Handler();
   }
 
   /// The caller has left. Called by the session.
--- a/src/libtransport/upstreamclient.cpp
+++ b/src/libtransport/upstreamclient.cpp
@@ -128,7 +128,7 @@
   }
 
   void cancel() override {
-    asio::post(Stream_->get_executor(),
+    asio::post(Executor_,
                [Self = Pointer(this)] { Self->fail(Reason::Cancelled); });
   }
 
--- /dev/null
+++ b/testsuite/at_most_once/callers_test.cpp
@@ -0,0 +1,161 @@
+/// Bookings whose callers leave, whose backend servers fail, and whose entry
+/// cannot tell what became of them.
+
+#include "bookingfleet.h"
+
+#include <doctest/doctest.h>
+
+using namespace coltsfoot;
+
+namespace {
+
+constexpr Millis WaitLimit(10000);
+
+ShopRequest booking(const std::string &Tag, const std::string &Ticket) {
+  ShopRequest Request;
+  Request.Tag_ = Tag;
+  Request.Body_ = "chair for " + Tag;
+  Request.Ticket_ = Ticket;
+  return Request;
+}
+
+/// Starts a booking from a caller whose connection can be closed.
+HttpSession startBooking(const TestNode &Through, const ShopRequest &Request) {
+  HttpSession Session(Through.ip(), Through.httpPort());
+  auto Fields = fieldsOf("shop", Request.Client_, Request.Tag_);
+  Fields.push_back({"Coltsfoot-Ticket", Request.Ticket_});
+  Session.send("POST", "/bookings", Fields, Request.Body_);
+  return Session;
+}
+
+} // namespace
+
+TEST_CASE("a booking that runs when its caller leaves is finished, and found "
+          "again by its ticket") {
+  BookingOptions Options;
+  Options.Backend_.Work_ = Millis(500);
+  BookingFleet Shop(Options);
+  ShopRequest Request = booking("left-running", Shop.mint());
+  HttpSession Caller = startBooking(Shop.entry(0), Request);
+  waitUntil([&] { return Shop.runs("left-running") == 1; }, WaitLimit,
+            "the booking runs");
+  Caller.close();
+  CHECK(Shop.send(Shop.entry(1), Request).verdict() == "ran");
+  CHECK(Shop.backend().cancelled() == 0);
+  CHECK(Shop.entry(0).process().running());
+  Shop.check();
+}
+
+TEST_CASE("a booking that waits when its caller leaves is closed as not run") {
+  BookingOptions Options;
+  Options.Backend_.Slots_ = 1;
+  Options.Backend_.Work_ = Millis(1200);
+  BookingFleet Shop(Options);
+  auto Running =
+      Shop.sendLater(Shop.entry(0), booking("in-the-way", Shop.mint()));
+  waitUntil([&] { return Shop.runs("in-the-way") == 1; }, WaitLimit,
+            "the first booking runs");
+  std::vector<ShopRequest> Left;
+  std::vector<HttpSession> Callers;
+  // More than the gate may let in beside the first one.
+  for (int I = 0; I < 12; ++I) {
+    Left.push_back(booking("left-" + std::to_string(I), Shop.mint()));
+    Callers.push_back(startBooking(Shop.entry(0), Left.back()));
+  }
+  waitUntil(
+      [&] {
+        return BookingFleet::figure(Shop.gate(), "running") +
+                   BookingFleet::figure(Shop.gate(), "waiting") ==
+               static_cast<int64_t>(Left.size()) + 1;
+      },
+      WaitLimit, "the gate has all bookings");
+  for (HttpSession &Caller : Callers)
+    Caller.close();
+  CHECK(Running.get().verdict() == "ran");
+  size_t NotRun = 0;
+  for (const ShopRequest &Request : Left) {
+    ShopAnswer Later = Shop.send(Shop.entry(1), Request);
+    CHECK((Later.verdict() == "not-run" || Later.verdict() == "ran"));
+    NotRun += Later.verdict() == "not-run" ? 1 : 0;
+  }
+  CHECK(NotRun > 0);
+  CHECK(Shop.entry(0).process().running());
+  Shop.check();
+}
+
+TEST_CASE("a backend server that closes before or in its answer leaves its "
+          "booking open, and is not asked again") {
+  BookingFleet Shop;
+  for (bool Middle : {false, true}) {
+    std::string Tag = Middle ? "mid-answer" : "before-answer";
+    ShopRequest Request = booking(Tag, Shop.mint());
+    if (Middle)
+      Shop.backend().closeMidAnswer(1);
+    else
+      Shop.backend().closeBeforeAnswer(1);
+    CHECK(Shop.send(Shop.entry(0), Request).verdict() == "may-have-run");
+    CHECK(Shop.send(Shop.entry(1), Request).verdict() == "may-have-run");
+    CHECK(Shop.runs(Tag) == 1);
+  }
+  Shop.check();
+}
+
+TEST_CASE("a booking at a backend server that hangs is open at its deadline "
+          "and answered by its ticket later") {
+  BookingOptions Options;
+  Options.DeadlineMs_ = 700;
+  BookingFleet Shop(Options);
+  Shop.backend().hang(true);
+  ShopRequest Request = booking("hangs", Shop.mint());
+  ShopAnswer First = Shop.send(Shop.entry(0), Request);
+  CHECK(First.verdict() == "may-have-run");
+  CHECK(First.reason() == "deadline-passed");
+  Shop.backend().hang(false);
+  CHECK(Shop.send(Shop.entry(1), Request).verdict() == "ran");
+  Shop.check();
+}
+
+TEST_CASE("a 503 means not run only where the announcement says so") {
+  for (bool Announced : {true, false}) {
+    BookingOptions Options;
+    Options.Entries_ = 1;
+    Options.Backend_.ShedMeansNotRun_ = Announced;
+    Options.Backend_.QueueLimit_ = 0;
+    Options.Backend_.Slots_ = 1;
+    BookingFleet Shop(Options);
+    // Occupies the only slot from beside the system.
+    std::string Address = Shop.backend().address();
+    auto Busy = std::async(std::launch::async, [&] {
+      return request("127.0.0.1", Shop.backend().port(), "GET", "/items",
+                     {{"X-Request-Tag", "direct"}, {"X-Work-Ms", "1000"}});
+    });
+    waitUntil([&] { return Shop.backend().busy() == 1; }, WaitLimit,
+              "the slot is taken");
+    ShopAnswer Answer = Shop.send(Shop.entry(0), booking("shed", Shop.mint()));
+    CHECK(Answer.verdict() == (Announced ? "not-run" : "ran"));
+    CHECK(Answer.status() == (Announced ? 429 : 503));
+    CHECK(Shop.runs("shed") == 0);
+    Busy.get();
+  }
+}
+
+TEST_CASE("an entry that cannot examine a ticket does not claim that its "
+          "booking did not run") {
+  BookingFleet Shop;
+  ShopRequest Request = booking("examined", Shop.mint());
+  CHECK(Shop.send(Shop.entry(0), Request).verdict() == "ran");
+  ShopRequest Malformed = Request;
+  Malformed.Fields_ = {{"Coltsfoot-Deadline-Ms", "soon"}};
+  ShopAnswer Refused = Shop.send(Shop.entry(0), Malformed);
+  CHECK(Refused.status() >= 500);
+  CHECK(Refused.verdict() == "may-have-run");
+  // A node that holds no configuration yet.
+  NodeSpec Fresh;
+  Fresh.UseLog_ = false;
+  Fresh.Peers_ = {"127.0.0.99:9"};
+  auto Unready = Shop.fleet().startNode(Fresh);
+  ShopAnswer Blocked = Shop.send(*Unready, Request);
+  CHECK(Blocked.status() >= 500);
+  CHECK(Blocked.verdict() == "may-have-run");
+  Shop.check();
+}
--- /dev/null
+++ b/testsuite/at_most_once/divided_test.cpp
@@ -0,0 +1,137 @@
+/// Bookings in a fleet whose nodes do not see the same members, and under
+/// tickets whose time or kept answer has gone.
+
+#include "bookingfleet.h"
+
+#include "sealingkeys.h"
+
+#include <doctest/doctest.h>
+
+using namespace coltsfoot;
+
+namespace {
+
+constexpr Millis WaitLimit(20000);
+
+ShopRequest booking(const std::string &Tag, const std::string &Ticket) {
+  ShopRequest Request;
+  Request.Tag_ = Tag;
+  Request.Body_ = "chair for " + Tag;
+  Request.Ticket_ = Ticket;
+  return Request;
+}
+
+/// Returns the ticket with its expiry moved to a time from now.
+std::string expiringIn(const std::string &Text, Millis Left) {
+  SealingKeys Keys{std::string(TestTicketKey)};
+  auto Opened = openTicket(Text, Keys);
+  REQUIRE(Opened);
+  Opened->ExpiryWall_ = SystemClock().wallNow() + Left;
+  return sealTicket(*Opened, Keys);
+}
+
+} // namespace
+
+TEST_CASE("a ticket offered in both halves of a divided fleet runs in one of "
+          "them at most") {
+  BookingOptions Options;
+  Options.Gates_ = 2;
+  Options.DeadlineMs_ = 1500;
+  BookingFleet Shop(Options);
+  Shop.warmUp();
+  std::vector<ShopRequest> Requests;
+  for (size_t I = 0; I < 6; ++I)
+    Requests.push_back(
+        booking("divided-" + std::to_string(I), Shop.mintFor(I % 2)));
+  // Gate and entry 0 here, gate and entry 1 there.
+  for (size_t Half : {0, 1}) {
+    size_t Other = 1 - Half;
+    Shop.proxy(Half).onlyFrom({Shop.entry(Other).ip(), Shop.gate(Other).ip()});
+    Shop.proxy(Half).swallow(Direction::Both, Which::All);
+  }
+  std::vector<std::future<ShopAnswer>> Sent;
+  for (const ShopRequest &Request : Requests)
+    for (size_t Entry : {0, 1})
+      Sent.push_back(Shop.sendLater(Shop.entry(Entry), Request));
+  for (auto &Later : Sent)
+    CHECK(Later.get().verdict() != "none");
+  CHECK(Shop.told("may-have-run") > 0);
+  for (size_t Half : {0, 1})
+    Shop.proxy(Half).heal();
+  for (const ShopRequest &Request : Requests)
+    for (size_t Entry : {0, 1})
+      CHECK(Shop.send(Shop.entry(Entry), Request).verdict() == "ran");
+  Shop.check();
+}
+
+TEST_CASE("a ticket of a gate that an entry takes for dead runs there once") {
+  BookingOptions Options;
+  Options.Gates_ = 2;
+  Options.Node_.Membership_ = "probe_interval_ms = 200\n"
+                              "probe_timeout_ms = 50\nsuspicion_ms = 400\n";
+  BookingFleet Shop(Options);
+  ShopRequest Request = booking("taken-for-dead", Shop.mintFor(1));
+  Shop.proxy(1).dropUdp(1, 1);
+  waitUntil([&] { return Shop.entry(0).gates("shop") == 1; }, WaitLimit,
+            "the entry takes the gate for dead");
+  CHECK(Shop.send(Shop.entry(0), Request).verdict() == "ran");
+  CHECK(Shop.send(Shop.entry(1), Request).verdict() == "ran");
+  CHECK(Shop.backend(1).count(Request.Tag_) == 1);
+  Shop.check();
+}
+
+TEST_CASE("nothing runs under a ticket past its time, before or after a run") {
+  BookingFleet Shop;
+  ShopRequest Expired =
+      booking("expired", expiringIn(Shop.mint(), Millis(-10)));
+  ShopAnswer Refused = Shop.send(Shop.entry(0), Expired);
+  CHECK(Refused.status() == 410);
+  CHECK(Refused.reason() == "ticket-expired");
+  CHECK(Shop.runs("expired") == 0);
+
+  ShopRequest Short = booking("expires", expiringIn(Shop.mint(), Millis(1500)));
+  CHECK(Shop.send(Shop.entry(0), Short).verdict() == "ran");
+  waitUntil([&] { return Shop.send(Shop.entry(1), Short).verdict() != "ran"; },
+            WaitLimit, "the answer is forgotten");
+  CHECK(Shop.send(Shop.entry(1), Short).verdict() == "may-have-run");
+  Shop.check();
+}
+
+TEST_CASE("a booking that expires while it waits is closed as not run") {
+  BookingOptions Options;
+  Options.Backend_.Slots_ = 1;
+  Options.Backend_.Work_ = Millis(1500);
+  BookingFleet Shop(Options);
+  auto Running =
+      Shop.sendLater(Shop.entry(0), booking("in-the-way", Shop.mint()));
+  waitUntil([&] { return Shop.runs("in-the-way") == 1; }, WaitLimit,
+            "the first booking runs");
+  std::vector<std::future<ShopAnswer>> Sent;
+  for (int I = 0; I < 8; ++I)
+    Sent.push_back(Shop.sendLater(
+        Shop.entry(0), booking("waits-" + std::to_string(I),
+                               expiringIn(Shop.mint(), Millis(700)))));
+  size_t NotRun = 0;
+  for (auto &Later : Sent)
+    NotRun += Later.get().verdict() == "not-run" ? 1 : 0;
+  CHECK(NotRun > 0);
+  CHECK(Running.get().verdict() == "ran");
+  Shop.check();
+}
+
+TEST_CASE("a booking whose answer is no longer kept is told as such and does "
+          "not run again") {
+  BookingFleet Shop;
+  std::vector<ShopRequest> Requests;
+  // Together more than a gate keeps.
+  for (int I = 0; I < 5; ++I) {
+    Requests.push_back(booking("kept-" + std::to_string(I), Shop.mint()));
+    Requests.back().Fields_ = {{"X-Padding", "5000000"}};
+    CHECK(Shop.send(Shop.entry(0), Requests.back()).verdict() == "ran");
+  }
+  ShopAnswer First = Shop.send(Shop.entry(1), Requests.front());
+  CHECK(First.status() == 502);
+  CHECK(First.reason() == "answer-not-kept");
+  CHECK(Shop.send(Shop.entry(1), Requests.back()).verdict() == "ran");
+  Shop.check();
+}
--- /dev/null
+++ b/testsuite/at_most_once/lost_messages_test.cpp
@@ -0,0 +1,213 @@
+/// Bookings while offers and answers between an entry and a gate are lost, cut
+/// and late, with separate processes and a proxy before each gate.
+
+#include "bookingfleet.h"
+
+#include <doctest/doctest.h>
+
+using namespace coltsfoot;
+
+namespace {
+
+constexpr size_t Parallel = 6;
+constexpr Millis WaitLimit(10000);
+
+ShopRequest booking(const std::string &Tag, const std::string &Ticket) {
+  ShopRequest Request;
+  Request.Tag_ = Tag;
+  Request.Body_ = "chair for " + Tag;
+  Request.Ticket_ = Ticket;
+  return Request;
+}
+
+/// Sends bookings side by side through one entry.
+std::vector<std::future<ShopAnswer>>
+sendBookings(BookingFleet &Shop, size_t Entry, const std::string &Name,
+             std::vector<std::string> *Tickets = nullptr) {
+  std::vector<std::future<ShopAnswer>> Sent;
+  for (size_t I = 0; I < Parallel; ++I) {
+    std::string Ticket = Shop.mint(Entry);
+    if (Tickets)
+      Tickets->push_back(Ticket);
+    Sent.push_back(Shop.sendLater(
+        Shop.entry(Entry), booking(Name + "-" + std::to_string(I), Ticket)));
+  }
+  return Sent;
+}
+
+std::vector<ShopAnswer> all(std::vector<std::future<ShopAnswer>> &&Sent) {
+  std::vector<ShopAnswer> Answers;
+  for (auto &Later : Sent)
+    Answers.push_back(Later.get());
+  return Answers;
+}
+
+void waitRunning(BookingFleet &Shop, int Count) {
+  waitUntil([&] { return Shop.backend().busy() >= Count; }, WaitLimit,
+            "the bookings run");
+}
+
+} // namespace
+
+TEST_CASE("one ticket offered through several nodes at once runs once and all "
+          "get the same answer") {
+  BookingOptions Options;
+  Options.Gates_ = 2;
+  Options.Backend_.Work_ = Millis(100);
+  BookingFleet Shop(Options);
+  for (int Round = 0; Round < 8; ++Round) {
+    ShopRequest Request =
+        booking("once-" + std::to_string(Round), Shop.mint(Round % 2));
+    std::vector<std::future<ShopAnswer>> Sent;
+    for (const TestNode *Node :
+         {&Shop.entry(0), &Shop.entry(1), &Shop.gate(0), &Shop.gate(1)})
+      Sent.push_back(Shop.sendLater(*Node, Request));
+    std::vector<ShopAnswer> Answers = all(std::move(Sent));
+    Answers.push_back(Shop.send(Shop.entry(Round % 2), Request));
+    for (const ShopAnswer &Answer : Answers) {
+      CHECK(Answer.verdict() == "ran");
+      CHECK(Answer.Reply_->Body_ == Answers.front().Reply_->Body_);
+    }
+  }
+  Shop.check();
+}
+
+TEST_CASE("a used ticket under another body or client runs nothing and tells "
+          "nothing of the kept answer") {
+  BookingFleet Shop;
+  ShopRequest Request = booking("bound", Shop.mint());
+  ShopAnswer Booked = Shop.send(Shop.entry(0), Request);
+  CHECK(Booked.verdict() == "ran");
+  ShopRequest OtherBody = Request;
+  OtherBody.Tag_ = "other-body";
+  OtherBody.Body_ = "another chair";
+  ShopRequest OtherClient = Request;
+  OtherClient.Tag_ = "other-client";
+  OtherClient.Client_ = "client-2";
+  for (size_t Entry : {0, 1}) {
+    ShopAnswer Refused = Shop.send(Shop.entry(Entry), OtherBody);
+    CHECK(Refused.status() == 422);
+    CHECK(Refused.Reply_->Body_.find("bound") == std::string::npos);
+    Refused = Shop.send(Shop.entry(Entry), OtherClient);
+    CHECK(Refused.status() == 403);
+    CHECK(Refused.Reply_->Body_.find("bound") == std::string::npos);
+  }
+  CHECK(Shop.send(Shop.entry(1), Request).Reply_->Body_ ==
+        Booked.Reply_->Body_);
+  Shop.check();
+}
+
+TEST_CASE("answers lost on a silent connection are found again whole at the "
+          "gate") {
+  BookingOptions Options;
+  Options.Backend_.Work_ = Millis(400);
+  BookingFleet Shop(Options);
+  Shop.warmUp();
+  auto Sent = sendBookings(Shop, 0, "lost-answer");
+  waitRunning(Shop, Parallel);
+  Shop.proxy().swallow(Direction::FromTarget, Which::Existing);
+  for (const ShopAnswer &Answer : all(std::move(Sent)))
+    CHECK(Answer.verdict() == "ran");
+  Shop.check();
+}
+
+TEST_CASE("answers cut in their middle are found again whole at the gate") {
+  BookingOptions Options;
+  Options.Backend_.Work_ = Millis(300);
+  Options.Backend_.Padding_ = 100'000;
+  BookingFleet Shop(Options);
+  Shop.warmUp();
+  auto Sent = sendBookings(Shop, 0, "cut-answer");
+  waitRunning(Shop, Parallel);
+  Shop.proxy().cutAfterBytes(Direction::FromTarget, 150'000, Which::Existing);
+  for (const ShopAnswer &Answer : all(std::move(Sent))) {
+    CHECK(Answer.verdict() == "ran");
+    CHECK(Answer.Reply_->Body_.size() > 100'000);
+  }
+  Shop.check();
+}
+
+TEST_CASE("offers lost on a silent connection are closed as not run, with a "
+          "ticket that does run") {
+  BookingFleet Shop;
+  Shop.warmUp();
+  Shop.proxy().swallow(Direction::ToTarget, Which::Existing);
+  for (const ShopAnswer &Answer : all(sendBookings(Shop, 0, "lost-offer"))) {
+    CHECK(Answer.verdict() == "not-run");
+    REQUIRE_FALSE(Answer.successor().empty());
+    CHECK(Shop.send(Shop.entry(1), Answer.Request_).successor() ==
+          Answer.successor());
+    ShopRequest Next =
+        booking(Answer.Request_.Tag_ + "-next", Answer.successor());
+    CHECK(Shop.send(Shop.entry(1), Next).verdict() == "ran");
+  }
+  Shop.check();
+}
+
+TEST_CASE("a broken connection leaves the booking closed or answered, never "
+          "open") {
+  BookingOptions Options;
+  Options.Backend_.Work_ = Millis(100);
+  BookingFleet Shop(Options);
+  for (uint64_t Bytes : {0, 100, 700, 1500}) {
+    Shop.warmUp();
+    Shop.proxy().cutAfterBytes(Direction::ToTarget, Bytes, Which::Existing);
+    for (const ShopAnswer &Answer :
+         all(sendBookings(Shop, 0, "cut-" + std::to_string(Bytes))))
+      CHECK((Answer.verdict() == "ran" || Answer.verdict() == "not-run"));
+    Shop.proxy().heal();
+  }
+  CHECK(Shop.told("may-have-run") == 0);
+  Shop.check();
+}
+
+TEST_CASE("offers that arrive after their tickets were closed do not run") {
+  BookingFleet Shop;
+  Shop.warmUp();
+  // Longer than an entry takes to find the connection silent.
+  Shop.proxy().delay(Millis(2500), Direction::ToTarget, Which::Existing);
+  std::vector<std::future<ShopAnswer>> Sent;
+  for (size_t I = 0; I < Parallel; ++I) {
+    ShopRequest Request = booking("late-" + std::to_string(I), Shop.mint());
+    Request.Body_ = std::string(2000, 'x');
+    Sent.push_back(Shop.sendLater(Shop.entry(0), Request));
+  }
+  for (const ShopAnswer &Answer : all(std::move(Sent)))
+    CHECK(Answer.verdict() == "not-run");
+  uint64_t Before = Shop.proxy().passedBytes(Direction::ToTarget);
+  waitUntil(
+      [&] {
+        return Shop.proxy().passedBytes(Direction::ToTarget) > Before + 2000;
+      },
+      WaitLimit, "the late offers are passed on");
+  CHECK(Shop.send(Shop.gate(), booking("after", Shop.mint(1))).verdict() ==
+        "ran");
+  Shop.check();
+}
+
+TEST_CASE("with several candidates a lost offer or answer runs at one of them "
+          "at most") {
+  BookingOptions Options;
+  Options.Gates_ = 3;
+  Options.Backend_.Work_ = Millis(200);
+  BookingFleet Shop(Options);
+  Shop.warmUp();
+  for (Direction Way :
+       {Direction::ToTarget, Direction::FromTarget, Direction::Both}) {
+    std::vector<std::future<ShopAnswer>> Sent;
+    std::string Name = "way-" + std::to_string(static_cast<int>(Way));
+    for (size_t I = 0; I < Parallel; ++I) {
+      ShopRequest Request =
+          booking(Name + "-" + std::to_string(I), Shop.mint());
+      Sent.push_back(Shop.sendLater(Shop.entry(0), Request));
+      Sent.push_back(Shop.sendLater(Shop.entry(1), Request));
+    }
+    for (size_t Gate = 0; Gate < Shop.gateCount(); ++Gate)
+      Shop.proxy(Gate).swallow(Way, Which::Existing);
+    for (const ShopAnswer &Answer : all(std::move(Sent)))
+      CHECK(Answer.verdict() == "ran");
+    for (size_t Gate = 0; Gate < Shop.gateCount(); ++Gate)
+      Shop.proxy(Gate).heal();
+  }
+  Shop.check();
+}
--- /dev/null
+++ b/testsuite/common/bookingfleet.cpp
@@ -0,0 +1,244 @@
+#include "bookingfleet.h"
+
+#include "sealingkeys.h"
+
+#include <algorithm>
+#include <boost/json/parse.hpp>
+#include <csignal>
+#include <doctest/doctest.h>
+
+namespace coltsfoot {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr int FirstGateByte = 11;
+constexpr int FirstEntryByte = 21;
+constexpr Millis StartLimit(20000);
+constexpr Millis SettleLimit(15000);
+
+std::string textOf(const HttpReply &Reply, const char *Key) {
+  boost::system::error_code Failure;
+  json::value Parsed = json::parse(Reply.Body_, Failure);
+  const auto *Fields = Failure ? nullptr : Parsed.if_object();
+  const auto *Value = Fields ? Fields->if_contains(Key) : nullptr;
+  const auto *Text = Value ? Value->if_string() : nullptr;
+  return Text ? std::string(*Text) : std::string();
+}
+
+} // namespace
+
+std::string ShopAnswer::verdict() const {
+  return Reply_ ? Reply_->header("Coltsfoot-Verdict") : "none";
+}
+
+std::string ShopAnswer::reason() const {
+  return Reply_ ? textOf(*Reply_, "reason") : "";
+}
+
+std::string ShopAnswer::successor() const {
+  return Reply_ ? Reply_->header("Coltsfoot-Ticket") : "";
+}
+
+BookingFleet::BookingFleet(const BookingOptions &Options) : Options_(Options) {
+  for (int I = 0; I < Options.Gates_; ++I) {
+    std::string Ip = "127.0.0." + std::to_string(FirstGateByte + I);
+    Proxies_.push_back(std::make_unique<FaultProxy>(Ip));
+    NodeSpec Spec = specOf(FirstGateByte + I);
+    Spec.Advertise_ = Proxies_.back()->address();
+    Gates_.push_back(Fleet_.startNode(Spec));
+    Proxies_.back()->setTarget(Ip, Gates_.back()->peerPort());
+  }
+  for (int I = 0; I < Options.Entries_; ++I)
+    Entries_.push_back(Fleet_.startNode(specOf(FirstEntryByte + I)));
+  for (const auto &Node : Gates_)
+    Node->waitServing();
+  for (const auto &Node : Entries_)
+    Node->waitServing();
+  for (const auto &Node : Gates_) {
+    BackendOptions Backend = Options.Backend_;
+    Backend.Service_ = "shop";
+    Backends_.push_back(Fleet_.startBackend(*Node, Backend));
+  }
+  Version_ =
+      Fleet::put(*Gates_[0], "services/shop", shopService(Options.DeadlineMs_));
+  for (auto *Nodes : {&Gates_, &Entries_})
+    for (const auto &Node : *Nodes) {
+      Node->waitGates("shop", Options.Gates_);
+      waitUntil(
+          [&] {
+            HttpReply Reply = Node->operate("GET", "/v1/services/shop");
+            return Reply.Status_ == 200 &&
+                   json::parse(Reply.Body_).at("version").as_int64() ==
+                       Version_;
+          },
+          StartLimit, "the service is in force");
+    }
+}
+
+BookingFleet::~BookingFleet() = default;
+
+NodeSpec BookingFleet::specOf(int LastByte) const {
+  NodeSpec Spec = Options_.Node_;
+  Spec.Ip_ = "127.0.0." + std::to_string(LastByte);
+  return Spec;
+}
+
+std::string BookingFleet::tryMint(size_t Entry, const std::string &Client) {
+  HttpReply Reply = Entries_[Entry]->call(
+      "POST", "/v1/tickets", {{"Coltsfoot-Client", Client}},
+      R"({"service":"shop","method":"POST","path":"/bookings"})");
+  return Reply.Status_ == 201 ? textOf(Reply, "ticket") : std::string();
+}
+
+std::string BookingFleet::mint(size_t Entry, const std::string &Client) {
+  std::string Ticket = tryMint(Entry, Client);
+  REQUIRE_FALSE(Ticket.empty());
+  return Ticket;
+}
+
+std::string BookingFleet::mintFor(size_t Gate) {
+  SealingKeys Keys{std::string(TestTicketKey)};
+  auto Opened = openTicket(mint(), Keys);
+  REQUIRE(Opened);
+  auto &Order = Opened->Candidates_;
+  auto Wanted =
+      std::find_if(Order.begin(), Order.end(), [&](const NodeRef &Candidate) {
+        return Candidate.Node_ == Proxies_[Gate]->address();
+      });
+  REQUIRE(Wanted != Order.end());
+  std::rotate(Order.begin(), Wanted, Wanted + 1);
+  return sealTicket(*Opened, Keys);
+}
+
+std::vector<size_t> BookingFleet::gatesOf(const std::string &Ticket) const {
+  std::vector<size_t> Places;
+  auto Opened = openTicket(Ticket, SealingKeys(std::string(TestTicketKey)));
+  REQUIRE(Opened);
+  for (const NodeRef &Candidate : Opened->Candidates_)
+    for (size_t I = 0; I < Proxies_.size(); ++I)
+      if (Proxies_[I]->address() == Candidate.Node_)
+        Places.push_back(I);
+  return Places;
+}
+
+ShopAnswer BookingFleet::send(const TestNode &Through, ShopRequest Request) {
+  std::vector<HttpField> Fields =
+      fieldsOf("shop", Request.Client_, Request.Tag_);
+  bool IsBooking = !Request.Ticket_.empty();
+  if (IsBooking)
+    Fields.push_back({"Coltsfoot-Ticket", Request.Ticket_});
+  Fields.insert(Fields.end(), Request.Fields_.begin(), Request.Fields_.end());
+  ShopAnswer Answer;
+  try {
+    Answer.Reply_ = Through.call(
+        IsBooking ? "POST" : "GET", IsBooking ? "/bookings" : "/items", Fields,
+        IsBooking ? Request.Body_ : std::string(), Request.Timeout_);
+  } catch (const HttpError &) {
+    // No whole answer; the caller knows nothing of its request.
+  }
+  Answer.Request_ = std::move(Request);
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  Answers_.push_back(Answer);
+  return Answer;
+}
+
+std::future<ShopAnswer> BookingFleet::sendLater(const TestNode &Through,
+                                                ShopRequest Request) {
+  return std::async(std::launch::async,
+                    [this, &Through, Request = std::move(Request)] {
+                      return send(Through, Request);
+                    });
+}
+
+void BookingFleet::warmUp() {
+  for (const auto &Entry : Entries_)
+    for (size_t Gate = 0; Gate < Gates_.size(); ++Gate) {
+      ShopRequest Request;
+      Request.Ticket_ = mintFor(Gate);
+      Request.Tag_ = "warm-up-" + Request.Ticket_;
+      REQUIRE(send(*Entry, Request).verdict() == "ran");
+    }
+}
+
+void BookingFleet::killGate(size_t Index) {
+  Gates_[Index]->process().kill(SIGKILL);
+  Gates_[Index]->process().wait(StartLimit);
+}
+
+void BookingFleet::restartGate(size_t Index) {
+  NodeSpec Spec = specOf(FirstGateByte + static_cast<int>(Index));
+  Spec.Advertise_ = Proxies_[Index]->address();
+  Gates_[Index] = Fleet_.startNode(Spec);
+  Proxies_[Index]->setTarget(Spec.Ip_, Gates_[Index]->peerPort());
+  Gates_[Index]->waitServing();
+  Backends_[Index]->setNode(Gates_[Index]->httpAddress());
+  waitUntil([&] { return Backends_[Index]->announced(); }, StartLimit,
+            "the announcement is taken");
+}
+
+void BookingFleet::killEntry(size_t Index) {
+  Entries_[Index]->process().kill(SIGKILL);
+  Entries_[Index]->process().wait(StartLimit);
+}
+
+void BookingFleet::restartEntry(size_t Index) {
+  Entries_[Index] =
+      Fleet_.startNode(specOf(FirstEntryByte + static_cast<int>(Index)));
+  Entries_[Index]->waitServing();
+}
+
+int64_t BookingFleet::figure(const TestNode &Node, std::string_view Key) {
+  json::value Status = json::parse(Node.operate("GET", "/v1/status").Body_);
+  return Status.at(json::string_view(Key.data(), Key.size())).as_int64();
+}
+
+size_t BookingFleet::runs(std::string_view Tag) const {
+  size_t Sum = 0;
+  for (const auto &Backend : Backends_)
+    Sum += Backend->count(Tag);
+  return Sum;
+}
+
+size_t BookingFleet::told(std::string_view Verdict) const {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  return static_cast<size_t>(
+      std::count_if(Answers_.begin(), Answers_.end(), [&](const auto &Answer) {
+        return Answer.verdict() == Verdict;
+      }));
+}
+
+void BookingFleet::checkAnswer(const ShopAnswer &Answer) const {
+  const ShopRequest &Request = Answer.Request_;
+  size_t Runs = runs(Request.Tag_);
+  std::string Verdict = Answer.verdict();
+  INFO("tag ", Request.Tag_, " verdict ", Verdict, " status ", Answer.status(),
+       " reason ", Answer.reason(), " runs ", Runs);
+  if (!Request.Ticket_.empty())
+    CHECK(Runs <= 1);
+  if (!Answer.Reply_)
+    return;
+  CHECK(
+      (Verdict == "ran" || Verdict == "not-run" || Verdict == "may-have-run"));
+  if (Verdict == "not-run")
+    CHECK(Runs == 0);
+  if (Verdict == "ran")
+    CHECK(Runs >= 1);
+  if (Verdict != "ran" || Answer.status() != 200)
+    return;
+  CHECK(textOf(*Answer.Reply_, "tag") == Request.Tag_);
+  CHECK(textOf(*Answer.Reply_, "digest") ==
+        bodyDigest(Request.Ticket_.empty() ? "" : Request.Body_));
+}
+
+void BookingFleet::check() {
+  for (const auto &Backend : Backends_)
+    waitUntil([&] { return Backend->busy() == 0 && Backend->queued() == 0; },
+              SettleLimit, "the backend servers are idle");
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  for (const ShopAnswer &Answer : Answers_)
+    checkAnswer(Answer);
+}
+
+} // namespace coltsfoot
--- a/testsuite/common/fleet.cpp
+++ b/testsuite/common/fleet.cpp
@@ -14,7 +14,6 @@
 
 constexpr Millis StartLimit(20000);
 constexpr std::string_view TestToken = "test-operator-token";
-constexpr std::string_view TestKey = "test-ticket-key-0123456789";
 
 uint16_t portOf(const std::string &Address) {
   return static_cast<uint16_t>(
@@ -81,7 +80,7 @@
                   .string()) {
   boost::filesystem::create_directories(Folder_);
   writeFile("token", TestToken);
-  writeFile("key", TestKey);
+  writeFile("key", TestTicketKey);
 }
 
 Fleet::~Fleet() {
--- a/testsuite/common/fleet.h
+++ b/testsuite/common/fleet.h
@@ -14,6 +14,9 @@
 
 namespace coltsfoot {
 
+/// The key that seals the tickets of a test's fleet.
+constexpr std::string_view TestTicketKey = "test-ticket-key-0123456789";
+
 /// How one node of a test's fleet is set up.
 struct NodeSpec {
   std::string Ip_ = "127.0.0.1";
--- /dev/null
+++ b/testsuite/nested_bookings/nested_bookings_test.cpp
@@ -0,0 +1,170 @@
+/// Bookings that a backend server makes at another service while it serves a
+/// request, with separate processes.
+
+#include "faultproxy.h"
+#include "fleet.h"
+
+#include <boost/json/parse.hpp>
+#include <csignal>
+#include <doctest/doctest.h>
+
+using namespace coltsfoot;
+
+namespace {
+
+constexpr Millis WaitLimit(15000);
+
+constexpr std::string_view FrontService =
+    R"({"routes":[)"
+    R"({"name":"order","method":"POST","path":"/orders*","kind":"order",)"
+    R"("rank":"urgent","protected":true,"deadline_ms":4000},)"
+    R"({"name":"view","method":"GET","path":"/views*","kind":"view",)"
+    R"("deadline_ms":4000}]})";
+
+constexpr std::string_view LedgerService =
+    R"({"routes":[)"
+    R"({"name":"pay","method":"POST","path":"/pay*","kind":"payment",)"
+    R"("rank":"urgent","protected":true,"deadline_ms":4000}]})";
+
+/// An entry, a node with a backend server of `front` that pays at each
+/// request, and a node with the `ledger` behind a proxy.
+struct Chain {
+  Fleet Fleet_;
+  FaultProxy Proxy_;
+  std::unique_ptr<TestNode> Entry_;
+  std::unique_ptr<TestNode> FrontNode_;
+  std::unique_ptr<TestNode> LedgerNode_;
+  std::unique_ptr<BackendServer> Front_;
+  std::unique_ptr<BackendServer> Ledger_;
+
+  explicit Chain(const std::vector<ChildCall> &Children, int ChildAttempts = 1,
+                 bool FailWithChild = true) {
+    Entry_ = Fleet_.startNode();
+    FrontNode_ = Fleet_.startNode();
+    NodeSpec Spec;
+    Spec.Advertise_ = Proxy_.address();
+    LedgerNode_ = Fleet_.startNode(Spec);
+    Proxy_.setTarget("127.0.0.1", LedgerNode_->peerPort());
+    const TestNode *Nodes[] = {Entry_.get(), FrontNode_.get(),
+                               LedgerNode_.get()};
+    for (const TestNode *Node : Nodes)
+      Node->waitServing();
+    BackendOptions Front;
+    Front.Service_ = "front";
+    Front.Children_ = Children;
+    Front.ChildAttempts_ = ChildAttempts;
+    Front.FailWithChild_ = FailWithChild;
+    Front_ = Fleet_.startBackend(*FrontNode_, Front);
+    BackendOptions Ledger;
+    Ledger.Service_ = "ledger";
+    Ledger.Work_ = Millis(50);
+    Ledger_ = Fleet_.startBackend(*LedgerNode_, Ledger);
+    Fleet::put(*Entry_, "services/front", FrontService);
+    int64_t Last = Fleet::put(*Entry_, "services/ledger", LedgerService);
+    for (const TestNode *Node : Nodes) {
+      Node->waitGates("front", 1);
+      Node->waitGates("ledger", 1);
+      waitUntil(
+          [&] {
+            HttpReply Reply = Node->operate("GET", "/v1/services/ledger");
+            return Reply.Status_ == 200 &&
+                   boost::json::parse(Reply.Body_).at("version").as_int64() ==
+                       Last;
+          },
+          WaitLimit, "the services are in force");
+    }
+  }
+
+  size_t paid(const std::string &Tag) const {
+    return Ledger_->count(Tag + "/pay");
+  }
+};
+
+const ChildCall Pay{"ledger", "POST", "/pay", "pay"};
+
+} // namespace
+
+TEST_CASE("a step that the backend server repeats runs once and is answered "
+          "alike") {
+  Chain Chain({Pay, Pay});
+  for (int I = 0; I < 5; ++I) {
+    std::string Tag = "twice-" + std::to_string(I);
+    HttpReply Reply =
+        book(*Chain.Entry_, "front", "/orders", "client-1", Tag, "order");
+    CHECK(Reply.Status_ == 200);
+    CHECK(Chain.paid(Tag) == 1);
+  }
+  CHECK(Chain.Front_->crossedAnswers() == 0);
+}
+
+TEST_CASE("a step without an answer is repeated under the same ticket and "
+          "does not run again") {
+  Chain Chain({Pay}, 3);
+  Chain.Ledger_->closeBeforeAnswer(1);
+  HttpReply Reply =
+      book(*Chain.Entry_, "front", "/orders", "client-1", "unanswered", "o");
+  CHECK(Reply.header("Coltsfoot-Verdict") == "ran");
+  CHECK(Reply.Status_ == 502);
+  CHECK(Chain.Front_->childAttempts() >= 2);
+  CHECK(Chain.paid("unanswered") == 1);
+}
+
+TEST_CASE("a step whose answer was lost on a silent connection gets it from "
+          "the gate") {
+  Chain Chain({Pay});
+  CHECK(book(*Chain.Entry_, "front", "/orders", "client-1", "warm-up", "o")
+            .Status_ == 200);
+  Chain.Proxy_.swallow(Direction::FromTarget, Which::Existing);
+  CHECK(book(*Chain.Entry_, "front", "/orders", "client-1", "lost", "o")
+            .Status_ == 200);
+  CHECK(Chain.paid("lost") == 1);
+  Chain.Proxy_.heal();
+}
+
+TEST_CASE("a step whose ticket was closed is repeated under the next one") {
+  Chain Chain({Pay}, 3);
+  CHECK(book(*Chain.Entry_, "front", "/orders", "client-1", "warm-up", "o")
+            .Status_ == 200);
+  Chain.Proxy_.swallow(Direction::ToTarget, Which::Existing);
+  HttpReply Reply =
+      book(*Chain.Entry_, "front", "/orders", "client-1", "closed", "o");
+  CHECK(Reply.Status_ == 200);
+  CHECK(Chain.paid("closed") == 1);
+}
+
+TEST_CASE("a non-idempotent step below an idempotent call is refused") {
+  Chain Chain({Pay}, 2, false);
+  HttpReply Reply = Chain.Entry_->call("GET", "/views",
+                                       fieldsOf("front", "client-1", "view"));
+  CHECK(Reply.Status_ == 200);
+  CHECK(Chain.paid("view") == 0);
+}
+
+TEST_CASE("a step under a context from before the node's restart is not "
+          "claimed as not run") {
+  Chain Chain({});
+  std::vector<HttpField> Fields = fieldsOf("ledger", "client-1", "unknown");
+  Fields.push_back({"Coltsfoot-Context", "a-context-of-an-earlier-process"});
+  Fields.push_back({"Coltsfoot-Step", "pay"});
+  HttpReply Reply = Chain.FrontNode_->call("POST", "/pay", Fields, "o");
+  CHECK(Reply.header("Coltsfoot-Verdict") == "may-have-run");
+  CHECK(Chain.Ledger_->count("unknown") == 0);
+}
+
+TEST_CASE("a booking whose entry was killed keeps its step at one run when it "
+          "is asked for again") {
+  Chain Chain({Pay}, 2);
+  std::string Ticket;
+  std::vector<HttpField> Fields = fieldsOf("front", "client-1", "killed");
+  HttpReply First = Chain.LedgerNode_->call("POST", "/orders", Fields, "o");
+  Fields.push_back({"Coltsfoot-Ticket", First.header("Coltsfoot-Ticket")});
+  HttpSession Caller(Chain.Entry_->ip(), Chain.Entry_->httpPort());
+  Caller.send("POST", "/orders", Fields, "o");
+  waitUntil([&] { return Chain.Front_->count("killed") == 1; }, WaitLimit,
+            "the order runs");
+  Chain.Entry_->process().kill(SIGKILL);
+  HttpReply Again = Chain.LedgerNode_->call("POST", "/orders", Fields, "o");
+  CHECK(Again.Status_ == 200);
+  CHECK(Chain.Front_->count("killed") == 1);
+  CHECK(Chain.paid("killed") == 1);
+}
--- /dev/null
+++ b/testsuite/process_death/process_death_test.cpp
@@ -0,0 +1,246 @@
+/// Bookings while entries and gates are killed, paused and started anew.
+
+#include "bookingfleet.h"
+
+#include <doctest/doctest.h>
+
+using namespace coltsfoot;
+
+namespace {
+
+constexpr size_t Parallel = 5;
+constexpr Millis WaitLimit(10000);
+
+ShopRequest booking(const std::string &Tag, const std::string &Ticket) {
+  ShopRequest Request;
+  Request.Tag_ = Tag;
+  Request.Body_ = "chair for " + Tag;
+  Request.Ticket_ = Ticket;
+  return Request;
+}
+
+std::vector<ShopRequest> bookings(BookingFleet &Shop, const std::string &Name) {
+  std::vector<ShopRequest> Requests;
+  for (size_t I = 0; I < Parallel; ++I)
+    Requests.push_back(booking(Name + "-" + std::to_string(I), Shop.mint(1)));
+  return Requests;
+}
+
+std::vector<std::future<ShopAnswer>>
+sendAll(BookingFleet &Shop, const TestNode &Through,
+        const std::vector<ShopRequest> &Requests) {
+  std::vector<std::future<ShopAnswer>> Sent;
+  for (const ShopRequest &Request : Requests)
+    Sent.push_back(Shop.sendLater(Through, Request));
+  return Sent;
+}
+
+std::vector<ShopAnswer> all(std::vector<std::future<ShopAnswer>> &&Sent) {
+  std::vector<ShopAnswer> Answers;
+  for (auto &Later : Sent)
+    Answers.push_back(Later.get());
+  return Answers;
+}
+
+void waitRunning(const BookingFleet &Shop,
+                 const std::vector<ShopRequest> &Requests) {
+  waitUntil(
+      [&] {
+        return std::all_of(Requests.begin(), Requests.end(),
+                           [&](const ShopRequest &Request) {
+                             return Shop.runs(Request.Tag_) == 1;
+                           });
+      },
+      WaitLimit, "the bookings run");
+}
+
+BookingOptions slowShop(int WorkMs, int Gates = 1) {
+  BookingOptions Options;
+  Options.Gates_ = Gates;
+  Options.Backend_.Work_ = Millis(WorkMs);
+  return Options;
+}
+
+/// Pauses a process for longer than the nodes' time-outs for a silent
+/// connection and for a new one together.
+constexpr std::chrono::milliseconds LongPause(2900);
+
+} // namespace
+
+TEST_CASE("bookings whose entry is killed while they run are found again with "
+          "their whole answers through another entry") {
+  BookingFleet Shop(slowShop(600, 2));
+  auto Requests = bookings(Shop, "entry-killed");
+  auto Sent = sendAll(Shop, Shop.entry(0), Requests);
+  waitRunning(Shop, Requests);
+  Shop.killEntry(0);
+  for (const ShopAnswer &Answer : all(std::move(Sent)))
+    CHECK(Answer.verdict() == "none");
+  for (const ShopAnswer &Answer : all(sendAll(Shop, Shop.entry(1), Requests)))
+    CHECK(Answer.verdict() == "ran");
+  Shop.restartEntry(0);
+  for (const ShopAnswer &Answer : all(sendAll(Shop, Shop.entry(0), Requests)))
+    CHECK(Answer.verdict() == "ran");
+  Shop.check();
+}
+
+TEST_CASE("bookings whose entry is killed at any moment run once at most") {
+  BookingFleet Shop(slowShop(30, 2));
+  for (int Round = 0; Round < 4; ++Round) {
+    auto Requests = bookings(Shop, "any-moment-" + std::to_string(Round));
+    auto Sent = sendAll(Shop, Shop.entry(0), Requests);
+    std::this_thread::sleep_for(std::chrono::milliseconds(10 * Round));
+    Shop.killEntry(0);
+    all(std::move(Sent));
+    for (const ShopAnswer &Answer : all(sendAll(Shop, Shop.entry(1), Requests)))
+      CHECK((Answer.verdict() == "ran" || Answer.verdict() == "not-run"));
+    Shop.restartEntry(0);
+  }
+  Shop.check();
+}
+
+TEST_CASE("bookings whose only gate is killed while they run are open, and "
+          "never run again by the gate's next process") {
+  BookingFleet Shop(slowShop(500));
+  auto Requests = bookings(Shop, "gate-killed");
+  auto Sent = sendAll(Shop, Shop.entry(0), Requests);
+  waitRunning(Shop, Requests);
+  Shop.killGate(0);
+  for (const ShopAnswer &Answer : all(std::move(Sent)))
+    CHECK(Answer.verdict() == "may-have-run");
+  Shop.restartGate(0);
+  for (const ShopAnswer &Answer : all(sendAll(Shop, Shop.entry(1), Requests)))
+    CHECK(Answer.verdict() == "may-have-run");
+  ShopRequest Next = booking("next-process", "");
+  waitUntil(
+      [&] {
+        Next.Ticket_ = Shop.tryMint();
+        return !Next.Ticket_.empty() &&
+               Shop.send(Shop.entry(0), Next).verdict() == "ran";
+      },
+      WaitLimit, "the entry uses the new process");
+  Shop.check();
+}
+
+TEST_CASE("an answer kept by a later candidate is found when the candidate "
+          "before it was replaced") {
+  BookingFleet Shop(slowShop(20, 2));
+  ShopRequest Request = booking("later-candidate", Shop.mint());
+  std::vector<size_t> Order = Shop.gatesOf(Request.Ticket_);
+  REQUIRE(Order.size() == 2);
+  // The first candidate closes the ticket, since its offer gets lost.
+  Shop.warmUp();
+  Shop.proxy(Order[0]).swallow(Direction::ToTarget, Which::Existing);
+  CHECK(Shop.send(Shop.entry(0), Request).verdict() == "ran");
+  CHECK(Shop.backend(Order[1]).count(Request.Tag_) == 1);
+  Shop.proxy(Order[0]).heal();
+  Shop.killGate(Order[0]);
+  CHECK(Shop.send(Shop.entry(1), Request).verdict() == "ran");
+  Shop.restartGate(Order[0]);
+  CHECK(Shop.send(Shop.entry(0), Request).verdict() == "ran");
+  Shop.check();
+}
+
+TEST_CASE("a ticket that a later candidate has closed goes on to the next one "
+          "when an earlier candidate was replaced") {
+  BookingFleet Shop(slowShop(20, 3));
+  ShopRequest Request = booking("closed-twice", Shop.mint());
+  std::vector<size_t> Order = Shop.gatesOf(Request.Ticket_);
+  REQUIRE(Order.size() == 3);
+  Shop.warmUp();
+  Shop.proxy(Order[0]).swallow(Direction::ToTarget, Which::Existing);
+  Shop.proxy(Order[1]).swallow(Direction::ToTarget, Which::Existing);
+  // Time for two candidates to be closed, then the caller's deadline.
+  Request.Fields_ = {{"Coltsfoot-Deadline-Ms", "1550"}};
+  Shop.send(Shop.entry(0), Request);
+  Request.Fields_.clear();
+  Shop.proxy(Order[0]).heal();
+  Shop.proxy(Order[1]).heal();
+  size_t Before = Shop.runs(Request.Tag_);
+  Shop.killGate(Order[0]);
+  ShopAnswer Answer = Shop.send(Shop.entry(1), Request);
+  if (Before == 1)
+    CHECK(Answer.verdict() == "ran");
+  Shop.check();
+}
+
+TEST_CASE("a gate paused beyond all time-outs runs nothing twice and answers "
+          "within the deadline once it goes on") {
+  BookingOptions Options = slowShop(100);
+  Options.DeadlineMs_ = 6000;
+  BookingFleet Shop(Options);
+  Shop.warmUp();
+  for (bool Running : {true, false}) {
+    auto Requests = bookings(Shop, Running ? "gate-paused" : "gate-away");
+    std::vector<std::future<ShopAnswer>> Sent;
+    if (Running) {
+      Sent = sendAll(Shop, Shop.entry(0), Requests);
+      waitRunning(Shop, Requests);
+      Shop.gate().process().pause();
+    } else {
+      Shop.gate().process().pause();
+      Sent = sendAll(Shop, Shop.entry(0), Requests);
+    }
+    std::this_thread::sleep_for(LongPause);
+    Shop.gate().process().resume();
+    for (const ShopAnswer &Answer : all(std::move(Sent)))
+      CHECK((Answer.verdict() == "ran" ||
+             (!Running && Answer.verdict() == "not-run")));
+    all(sendAll(Shop, Shop.entry(1), Requests));
+  }
+  CHECK(Shop.told("may-have-run") == 0);
+  Shop.check();
+}
+
+TEST_CASE("a gate paused past the deadline runs nothing twice when it goes "
+          "on") {
+  BookingOptions Options = slowShop(50, 2);
+  Options.DeadlineMs_ = 1000;
+  BookingFleet Shop(Options);
+  Shop.warmUp();
+  auto Requests = bookings(Shop, "past-deadline");
+  Shop.gate(0).process().pause();
+  auto Sent = sendAll(Shop, Shop.entry(0), Requests);
+  auto SentToo = sendAll(Shop, Shop.entry(1), Requests);
+  all(std::move(Sent));
+  all(std::move(SentToo));
+  Shop.gate(0).process().resume();
+  waitUntil([&] { return Shop.gate(0).call("GET", "/healthz").Status_ == 200; },
+            WaitLimit, "the gate goes on");
+  auto Again = all(sendAll(Shop, Shop.entry(0), Requests));
+  CHECK(Again == all(sendAll(Shop, Shop.entry(1), Requests)));
+  Shop.check();
+}
+
+TEST_CASE("an entry paused beyond all time-outs tells no falsehood when it "
+          "goes on") {
+  BookingFleet Shop(slowShop(300, 2));
+  auto Requests = bookings(Shop, "entry-paused");
+  auto Sent = sendAll(Shop, Shop.entry(0), Requests);
+  waitRunning(Shop, Requests);
+  Shop.entry(0).process().pause();
+  auto Others = all(sendAll(Shop, Shop.entry(1), Requests));
+  for (const ShopAnswer &Answer : Others)
+    CHECK(Answer.verdict() == "ran");
+  std::this_thread::sleep_for(LongPause);
+  Shop.entry(0).process().resume();
+  all(std::move(Sent));
+  for (const ShopAnswer &Answer : all(sendAll(Shop, Shop.entry(0), Requests)))
+    CHECK(Answer.verdict() == "ran");
+  Shop.check();
+}
+
+TEST_CASE("reads refused as not run while a gate dies have not run") {
+  BookingFleet Shop(slowShop(30, 2));
+  std::vector<std::future<ShopAnswer>> Sent;
+  for (int I = 0; I < 40; ++I) {
+    ShopRequest Read;
+    Read.Tag_ = "read-" + std::to_string(I);
+    Sent.push_back(Shop.sendLater(Shop.entry(I % 2), Read));
+    if (I == 20)
+      Shop.killGate(0);
+  }
+  for (const ShopAnswer &Answer : all(std::move(Sent)))
+    CHECK(Answer.verdict() != "none");
+  Shop.check();
+}
--- /dev/null
+++ b/testsuite/random_faults/random_faults_test.cpp
@@ -0,0 +1,183 @@
+/// Bookings and reads under a random sequence of faults. The sequence is drawn
+/// from a fixed seed; COLTSFOOT_SEEDS gives the number of seeds to run.
+
+#include "bookingfleet.h"
+
+#include <algorithm>
+#include <csignal>
+#include <cstdlib>
+#include <doctest/doctest.h>
+#include <random>
+#include <thread>
+
+using namespace coltsfoot;
+
+namespace {
+
+constexpr int DefaultSeeds = 3;
+constexpr int Steps = 7;
+constexpr int DeadlineMs = 1200;
+
+int seedCount() {
+  const char *Given = std::getenv("COLTSFOOT_SEEDS");
+  return Given ? std::max(1, std::atoi(Given)) : DefaultSeeds;
+}
+
+/// Draws faults and requests for one fleet.
+class RandomRun {
+public:
+  explicit RandomRun(int Seed)
+      : Random_(static_cast<uint64_t>(Seed)), Shop_(options()) {
+    Shop_.warmUp();
+  }
+
+  void run() {
+    for (int Step = 0; Step < Steps; ++Step) {
+      auto Requests = drawRequests(Step);
+      std::vector<std::future<ShopAnswer>> Sent;
+      auto Half = Requests.begin() + static_cast<long>(Requests.size() / 2);
+      send(Requests.begin(), Half, Sent);
+      sleepUpTo(40);
+      std::string Fault = drawFault();
+      MESSAGE("step ", Step, ": ", Fault);
+      send(Half, Requests.end(), Sent);
+      sleepUpTo(200);
+      if (draw(2) == 0)
+        send(Requests.begin(), Requests.end(), Sent);
+      for (auto &Later : Sent)
+        Later.get();
+      Sent.clear();
+      heal();
+      // Each booking once more: its verdict may only become more certain.
+      send(Requests.begin(), Requests.end(), Sent);
+      for (auto &Later : Sent)
+        Later.get();
+    }
+    Shop_.check();
+    MESSAGE("ran ", Shop_.told("ran"), " not-run ", Shop_.told("not-run"),
+            " may-have-run ", Shop_.told("may-have-run"), " none ",
+            Shop_.told("none"));
+  }
+
+private:
+  static BookingOptions options() {
+    BookingOptions Options;
+    Options.Gates_ = 2;
+    Options.DeadlineMs_ = DeadlineMs;
+    Options.Backend_.Work_ = Millis(60);
+    Options.Backend_.Spread_ = Spread::Exponential;
+    Options.Backend_.Padding_ = 2000;
+    return Options;
+  }
+
+  size_t draw(size_t Below) { return Random_() % Below; }
+  void sleepUpTo(size_t Most) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(draw(Most)));
+  }
+
+  std::vector<ShopRequest> drawRequests(int Step) {
+    std::vector<ShopRequest> Requests;
+    for (int I = 0; I < 8; ++I) {
+      ShopRequest Request;
+      Request.Tag_ = std::to_string(Step) + "-" + std::to_string(I);
+      Request.Body_ = "body of " + Request.Tag_;
+      if (I % 4 != 0)
+        Request.Ticket_ = Shop_.mint(draw(2));
+      Request.Timeout_ = Millis(6000);
+      Requests.push_back(Request);
+    }
+    return Requests;
+  }
+
+  template <typename It>
+  void send(It First, It Last, std::vector<std::future<ShopAnswer>> &Sent) {
+    for (It Next = First; Next != Last; ++Next) {
+      bool IsBooking = !Next->Ticket_.empty();
+      Sent.push_back(Shop_.sendLater(Shop_.entry(draw(2)), read(*Next)));
+      if (IsBooking && draw(3) == 0)
+        Sent.push_back(Shop_.sendLater(Shop_.entry(draw(2)), *Next));
+    }
+  }
+
+  // A read is a new request each time, so it gets a tag of its own.
+  ShopRequest read(ShopRequest Request) {
+    if (Request.Ticket_.empty())
+      Request.Tag_ += "-read-" + std::to_string(++Reads_);
+    return Request;
+  }
+
+  std::string drawFault() {
+    size_t Gate = draw(2);
+    std::string Where = " at gate " + std::to_string(Gate);
+    Which Set = draw(2) == 0 ? Which::Existing : Which::All;
+    switch (draw(11)) {
+    case 0:
+      Shop_.proxy(Gate).swallow(Direction::ToTarget, Set);
+      return "offers lost" + Where;
+    case 1:
+      Shop_.proxy(Gate).swallow(Direction::FromTarget, Set);
+      return "answers lost" + Where;
+    case 2:
+      Shop_.proxy(Gate).cut(Which::Existing);
+      return "connections cut" + Where;
+    case 3:
+      Shop_.proxy(Gate).cutAfterBytes(Direction::FromTarget, draw(6000));
+      return "answers cut" + Where;
+    case 4:
+      Shop_.proxy(Gate).delay(Millis(double(200 + draw(1800))),
+                              Direction::ToTarget, Set);
+      return "offers late" + Where;
+    case 5:
+      Shop_.proxy(Gate).delay(Millis(double(200 + draw(1800))),
+                              Direction::FromTarget, Set);
+      return "answers late" + Where;
+    case 6:
+      Shop_.killGate(Gate);
+      Restart_ = Gate;
+      return "killed" + Where;
+    case 7:
+      Shop_.gate(Gate).process().pause();
+      sleepUpTo(1500);
+      Shop_.gate(Gate).process().resume();
+      return "paused" + Where;
+    case 8:
+      Shop_.entry(0).process().pause();
+      sleepUpTo(1500);
+      Shop_.entry(0).process().resume();
+      return "entry paused";
+    case 9:
+      Shop_.backend(Gate).closeBeforeAnswer(2);
+      return "backend answers lost" + Where;
+    default:
+      Shop_.backend(Gate).closeMidAnswer(2);
+      return "backend answers cut" + Where;
+    }
+  }
+
+  void heal() {
+    for (size_t Gate = 0; Gate < Shop_.gateCount(); ++Gate) {
+      Shop_.proxy(Gate).heal();
+      Shop_.backend(Gate).closeBeforeAnswer(0);
+      Shop_.backend(Gate).closeMidAnswer(0);
+    }
+    if (Restart_)
+      Shop_.restartGate(*Restart_);
+    Restart_.reset();
+  }
+
+  std::mt19937_64 Random_;
+  BookingFleet Shop_;
+  std::optional<size_t> Restart_;
+  int Reads_ = 0;
+};
+
+} // namespace
+
+TEST_CASE("no sequence of faults runs a booking twice or makes a verdict "
+          "false") {
+  for (int Seed = 1; Seed <= seedCount(); ++Seed) {
+    INFO("seed ", Seed);
+    MESSAGE("seed ", Seed);
+    RandomRun(Seed).run();
+  }
+}
