--- a/testsuite/process_death/process_death_test.cpp
+++ b/testsuite/process_death/process_death_test.cpp
@@ -21,6 +21,9 @@
 
 std::vector<ShopRequest> bookings(BookingFleet &Shop, const std::string &Name) {
   std::vector<ShopRequest> Requests;
+  // Other nodes may still hold a gate for dead that was paused.
+  waitUntil([&] { return !Shop.tryMint(1).empty(); }, WaitLimit,
+            "the entry knows a gate");
   for (size_t I = 0; I < Parallel; ++I)
     Requests.push_back(booking(Name + "-" + std::to_string(I), Shop.mint(1)));
   return Requests;
