Let a gate's report of leaving lapse after a second

Cause: an entry that had once heard "leaving" in a gate's answer never chose that gate again, since only a later answer of the same gate could clear the report. A VM whose backend server was replaced beside the same node stayed unused by such entries for good. Ruled out: clearing it when gossip says "alive", since the report must hold exactly when gossip is late or cut off. Change: the report counts for 1 s after it came. A gate that is still leaving refuses the next offer before any work and at no credit, which renews it. Measured: the new unit test fails on the balancer before (2 of 10237 assertions: 0 gates chosen after 1.1 s in place of 2) and passes with the change (12 of 12 cases). Conclusion: replaced backend servers get work again; new work at a leaving gate is still refused at once by the gate itself.

--- a/src/libstate/balancer.cpp
+++ b/src/libstate/balancer.cpp
@@ -27,12 +27,19 @@
 constexpr Millis KnowledgeHalfLife(2000);
 /// A gate's report of its own load counts for this long.
 constexpr Millis ReportAge(1000);
+/// A gate's report that it is leaving counts for this long: its VM may have got
+/// another backend server since, and to be refused once more costs little.
+constexpr Millis LeavingReportAge(1000);
 constexpr double LeastLatencyMs = 0.05;
 
 double fadeFactor(Millis Age) {
   return std::exp2(-std::max(0.0, Age.count()) / KnowledgeHalfLife.count());
 }
 
+bool saysLeaving(const GateReport &Reported, Millis Age) {
+  return Reported.Leaving_ && Age < LeavingReportAge;
+}
+
 bool contains(std::span<const NodeRef> Refs, const NodeRef &Ref) {
   return std::find(Refs.begin(), Refs.end(), Ref) != Refs.end();
 }
@@ -92,7 +99,8 @@
   for (const GateInfo &Gate : Gates) {
     auto Found = Stats_.find(Gate.Ref_);
     const Stats *Known = Found == Stats_.end() ? nullptr : &Found->second;
-    if (Gate.Leaving_ || (Known && Known->Reported_.Leaving_))
+    if (Gate.Leaving_ ||
+        (Known && saysLeaving(Known->Reported_, Now - Known->ReportedAt_)))
       continue;
     bool Out = Known && Known->EjectedUntil_ > Now;
     (Out ? Ejected : Options).push_back({&Gate, Known});
@@ -124,7 +132,9 @@
   for (const GateInfo &Gate : Gates) {
     auto Found = Stats_.find(Gate.Ref_);
     const Stats *Known = Found == Stats_.end() ? nullptr : &Found->second;
-    bool Leaving = Gate.Leaving_ || (Known && Known->Reported_.Leaving_);
+    bool Leaving =
+        Gate.Leaving_ || (Known && saysLeaving(Known->Reported_,
+                                               From.Now_ - Known->ReportedAt_));
     if (!Leaving && !contains(Exclude, Gate.Ref_))
       Options.push_back({&Gate, Known});
   }
--- a/src/libstate/balancer_test.cpp
+++ b/src/libstate/balancer_test.cpp
@@ -92,6 +92,22 @@
   CHECK(shares(Chooser, Gates).empty());
 }
 
+TEST_CASE("balancer: a report of leaving holds until the gate may be back") {
+  Balancer Chooser;
+  std::vector<GateInfo> Gates = {gate(1, "a"), gate(2, "a")};
+  for (const GateInfo &Gate : Gates)
+    answer(Chooser, Gate, Millis(1), AttemptResult::Refused, Now,
+           {0, 10, true});
+  Balancer::Scope Soon = Home;
+  Soon.Now_ = Now + Millis(900);
+  CHECK(shares(Chooser, Gates, Soon).empty());
+  Balancer::Scope Later = Home;
+  Later.Now_ = Now + Millis(1100);
+  CHECK(shares(Chooser, Gates, Later).size() == 2);
+  Gates[0].Leaving_ = true;
+  CHECK(shares(Chooser, Gates, Later).size() == 1);
+}
+
 TEST_CASE("balancer: a cold gate is ramped up") {
   Balancer Chooser;
   std::vector<GateInfo> Gates = {gate(1, "a"), gate(2, "a")};
