--- a/src/libcoordination/entry.cpp
+++ b/src/libcoordination/entry.cpp
@@ -344,7 +344,10 @@
 size_t Entry::pending() const { return *Pending_; }
 
 bool Entry::isCall(const HttpRequest &Request) const {
-  if (!Request.field("Coltsfoot-Service").empty())
+  // A call with a ticket is never for the node's own API, even when its host
+  // is the name of a service that this node does not know yet.
+  if (!Request.field("Coltsfoot-Service").empty() ||
+      !Request.field("Coltsfoot-Ticket").empty())
     return true;
   std::string_view Label = hostLabel(Request.field("Host"));
   return !Label.empty() && Parts_->Knowledge_.Config_()->service(Label);
--- a/src/libcoordination/gate.cpp
+++ b/src/libcoordination/gate.cpp
@@ -357,7 +357,8 @@
 }
 
 void Gate::Impl::carryOut(const Decisions &Due) {
-  for (const auto &[Next, What] : Due)
+  for (const auto &Decided : Due) {
+    const CallPointer &Next = Decided.first;
     std::visit(
         Overloaded{[&](const AdmissionQueue::Start &) { startCall(Next); },
                    [&](const AdmissionQueue::Refuse &Refused) {
@@ -367,7 +368,8 @@
                      }
                      refuse(Next, Refused.Reason_);
                    }},
-        What.What_);
+        Decided.second.What_);
+  }
 }
 
 void Gate::Impl::startCall(const CallPointer &Due) {
--- a/testsuite/at_most_once/callers_test.cpp
+++ b/testsuite/at_most_once/callers_test.cpp
@@ -157,5 +157,11 @@
   ShopAnswer Blocked = Shop.send(*Unready, Request);
   CHECK(Blocked.status() >= 500);
   CHECK(Blocked.verdict() == "may-have-run");
+  // No service is named, as by a host name that the node does not know.
+  HttpReply Nameless = Unready->call("POST", "/bookings",
+                                     {{"Coltsfoot-Client", Request.Client_},
+                                      {"Coltsfoot-Ticket", Request.Ticket_}},
+                                     Request.Body_);
+  CHECK(Nameless.header("Coltsfoot-Verdict") == "may-have-run");
   Shop.check();
 }
--- a/testsuite/at_most_once/lost_messages_test.cpp
+++ b/testsuite/at_most_once/lost_messages_test.cpp
@@ -37,6 +37,7 @@
 
 std::vector<ShopAnswer> all(std::vector<std::future<ShopAnswer>> &&Sent) {
   std::vector<ShopAnswer> Answers;
+  Answers.reserve(Sent.size());
   for (auto &Later : Sent)
     Answers.push_back(Later.get());
   return Answers;
--- a/testsuite/process_death/process_death_test.cpp
+++ b/testsuite/process_death/process_death_test.cpp
@@ -40,6 +40,7 @@
 
 std::vector<ShopAnswer> all(std::vector<std::future<ShopAnswer>> &&Sent) {
   std::vector<ShopAnswer> Answers;
+  Answers.reserve(Sent.size());
   for (auto &Later : Sent)
     Answers.push_back(Later.get());
   return Answers;
