Let a watch that reconnects miss nothing on any node

Cause: a node that had not seen a deletion itself (fresh, or moved over several records at once) answered a watch from an older version with what exists, so the deletion was lost; that list was by name, so a watcher that went on from its last line skipped lower versions; a connected watcher got versions that it had before. An operator whose node died before its answer had no change id to ask another node with. Found by reading, without a run that shows them: a seed append without an answer was not repeated for half the retention, a gap was asked of the one peer last heard ahead even when it had gone, and a node that no peer reaches read the log only if it was a reader already.

Ruled out: keeping deletions in the state for ever; it grows without bound.

Change: a watch from a version that the kept events don't cover gets a line {"kind":…,"reset":true} and then all there is, by version; moves over several records count as not covered inside. PUT and DELETE take an id in Coltsfoot-Change. The three points of seeds, gaps and lonely nodes as above.

A change that was surely not written stays "unknown" at GET /v1/changes/ID, since nothing of it is in the log.

--- a/src/libcoordination/configsync.cpp
+++ b/src/libcoordination/configsync.cpp
@@ -21,6 +21,8 @@
 constexpr std::chrono::milliseconds TickSpan(200);
 constexpr size_t BatchBytes = 512 * 1024;
 constexpr size_t PeersToAsk = 3;
+/// A node that no peer has reached for this time reads the log itself.
+constexpr Millis LonelySpan(1000);
 
 } // namespace
 
@@ -36,8 +38,9 @@
 void ConfigSync::start() {
   Config_.FetchFromPeers_ = [this](int64_t From) {
     asio::dispatch(Strand_, [this, From] {
-      if (!AheadPeer_.empty())
-        fetch(AheadPeer_, From, false);
+      std::string Peer = peerAhead(From);
+      if (!Peer.empty())
+        fetch(Peer, From, false);
     });
   };
   Config_.OnApplied_ = [this](std::span<const LogRecord> Records) {
@@ -73,7 +76,8 @@
   bool Reader = false;
   for (const auto &Known : Members->readersOf(Zone_))
     Reader = Reader || Known->Member_.Node_ == Node_;
-  Config_.setReader(Reader || Members->presentCount() <= 1);
+  bool Lonely = Gossip_.status().Silence_ > LonelySpan;
+  Config_.setReader(Reader || Lonely || Members->presentCount() <= 1);
 }
 
 // The log may be down: what three peers hold, or all there are, is then the
@@ -96,6 +100,22 @@
     Config_.peersSettled();
 }
 
+// The peer that was last heard to be ahead may have gone since.
+std::string ConfigSync::peerAhead(int64_t Offset) const {
+  std::string Found;
+  auto Members = Gossip_.view();
+  for (const auto &Known : Members->all()) {
+    const Member &Peer = Known->Member_;
+    if (Peer.Node_ == Node_ || Peer.State_ == MemberState::Dead)
+      continue;
+    if (Peer.Node_ == AheadPeer_)
+      return AheadPeer_;
+    if (Peer.ConfigOffset_ > Offset && Peer.State_ != MemberState::Suspect)
+      Found = Peer.Node_;
+  }
+  return Found;
+}
+
 void ConfigSync::onPeerAhead(const std::string &Peer, int64_t NextOffset) {
   asio::dispatch(Strand_, [this, Peer, NextOffset] {
     AheadPeer_ = Peer;
@@ -117,6 +137,8 @@
                   // One that does not answer may be asked again.
                   if (!Answer) {
                     Asked_.erase(Peer);
+                    if (AheadPeer_ == Peer)
+                      AheadPeer_.clear();
                     return;
                   }
                   onBatch((*Answer)->config_batch);
--- a/src/libcoordination/configsync.h
+++ b/src/libcoordination/configsync.h
@@ -47,6 +47,9 @@
   void arm();
   void tick();
   void askPeersWhileFresh();
+  /// Returns a peer that has applied records from this offset on, or an empty
+  /// text.
+  std::string peerAhead(int64_t Offset) const;
   void fetch(const std::string &Peer, int64_t From, bool Fresh);
   void onBatch(const wire::ConfigBatch &Batch);
 
--- a/src/libcoordination/resourceapi.cpp
+++ b/src/libcoordination/resourceapi.cpp
@@ -18,6 +18,7 @@
 namespace {
 
 constexpr size_t KeptEvents = 4096;
+constexpr size_t KeptJumps = 256;
 
 std::string_view queryValue(std::string_view Query, std::string_view Name) {
   while (!Query.empty()) {
@@ -71,6 +72,14 @@
   return json::serialize(Out) + "\n";
 }
 
+/// Tells a watcher that the lines that follow replace all it holds.
+std::string resetLine(ResourceKind Kind) {
+  json::object Out;
+  Out["kind"] = std::string(resourceKindName(Kind));
+  Out["reset"] = true;
+  return json::serialize(Out) + "\n";
+}
+
 constexpr std::array<ResourceKind, ResourceKindCount> AllKinds = {
     ResourceKind::Service, ResourceKind::Rank, ResourceKind::RetryPolicy,
     ResourceKind::Objective};
@@ -160,30 +169,55 @@
   Exchange->respond(jsonAnswer(200, json::serialize(Out)));
 }
 
+bool ResourceApi::covers(int64_t From) const {
+  return From >= KeptFrom_ &&
+         std::none_of(Jumps_.begin(), Jumps_.end(), [From](const Jump &Known) {
+           return From > Known.From_ && From < Known.To_;
+         });
+}
+
+// Deletions are only in the recent changes. A watcher from before them is told
+// to forget what it holds and gets all there is, by version, so that it can go
+// on from any line.
+std::string ResourceApi::backlog(ResourceKind Kind, int64_t From) const {
+  std::string Lines;
+  if (covers(From)) {
+    for (const Event &Known : Events_)
+      if (Known.Kind_ == Kind && Known.Version_ > From)
+        Lines += Known.Line_;
+    return Lines;
+  }
+  if (From > 0)
+    Lines = resetLine(Kind);
+  auto Present = Latest_->list(Kind);
+  std::sort(Present.begin(), Present.end(),
+            [](const auto &Left, const auto &Right) {
+              return Left->Version_ < Right->Version_;
+            });
+  for (const auto &Stored : Present)
+    Lines += eventLine(Kind, Stored->Name_, Stored->Version_, Stored.get());
+  return Lines;
+}
+
 void ResourceApi::watch(const HttpExchange::Pointer &Exchange,
                         ResourceKind Kind, int64_t From) {
   Exchange->startStream("application/x-ndjson");
-  std::string Backlog;
-  {
-    std::lock_guard<std::mutex> Lock(Mutex_);
-    // Deletions are only in the recent changes; a watcher from before them
-    // gets what exists.
-    bool Covered = !Events_.empty() && Events_.front().Version_ <= From + 1;
-    if (Covered) {
-      for (const Event &Known : Events_)
-        if (Known.Kind_ == Kind && Known.Version_ > From)
-          Backlog += Known.Line_;
-    } else {
-      for (const auto &Stored : Latest_->list(Kind))
-        if (Stored->Version_ > From)
-          Backlog +=
-              eventLine(Kind, Stored->Name_, Stored->Version_, Stored.get());
-    }
-    Watchers_.push_back({Exchange, Kind});
-    // Written under the lock, so that no later change overtakes it.
-    if (!Backlog.empty())
-      Exchange->write(std::move(Backlog));
-  }
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  std::string Backlog = backlog(Kind, From);
+  Watchers_.push_back({Exchange, Kind, From});
+  // Written under the lock, so that no later change overtakes it.
+  if (!Backlog.empty())
+    Exchange->write(std::move(Backlog));
+}
+
+void ResourceApi::noteJump(int64_t From, int64_t To) {
+  if (To - From <= 1)
+    return;
+  Jumps_.push_back({From, To});
+  if (Jumps_.size() <= KeptJumps)
+    return;
+  KeptFrom_ = std::max(KeptFrom_, Jumps_.front().To_);
+  Jumps_.pop_front();
 }
 
 void ResourceApi::onChange(const ConfigState &) {
@@ -204,6 +238,7 @@
             {Fresh->nextOffset(), Kind,
              eventLine(Kind, Stored->Name_, Fresh->nextOffset(), nullptr)});
   }
+  noteJump(Latest_->nextOffset(), Fresh->nextOffset());
   Latest_ = Fresh;
   std::sort(Changes.begin(), Changes.end(),
             [](const Event &Left, const Event &Right) {
@@ -211,13 +246,15 @@
             });
   for (Event &Change : Changes) {
     std::erase_if(Watchers_, [&](const Watcher &Known) {
-      return Known.Kind_ == Change.Kind_ &&
+      return Known.Kind_ == Change.Kind_ && Known.From_ < Change.Version_ &&
              !Known.Exchange_->write(Change.Line_);
     });
     Events_.push_back(std::move(Change));
   }
-  while (Events_.size() > KeptEvents)
+  while (Events_.size() > KeptEvents) {
+    KeptFrom_ = std::max(KeptFrom_, Events_.front().Version_);
     Events_.pop_front();
+  }
 }
 
 void ResourceApi::change(const HttpExchange::Pointer &Exchange,
@@ -232,7 +269,11 @@
     return Exchange->respond(errorAnswer(
         400, "If-Match: expected the version to delete or *", "If-Match"));
   Change Fresh;
-  Fresh.Id_ = newRequestId() + newRequestId();
+  // With an id of its own an operator can ask for the change even when the
+  // answer is lost with the node.
+  Fresh.Id_ = Caller.field("Coltsfoot-Change");
+  if (Fresh.Id_.empty())
+    Fresh.Id_ = newRequestId() + newRequestId();
   Fresh.Kind_ = Kind;
   Fresh.Name_ = Name;
   Fresh.ExpectedVersion_ = *Expected;
--- a/src/libcoordination/resourceapi.h
+++ b/src/libcoordination/resourceapi.h
@@ -39,7 +39,14 @@
   };
   struct Watcher {
     HttpExchange::Pointer Exchange_;
-    ResourceKind Kind_;
+    ResourceKind Kind_ = ResourceKind::Service;
+    int64_t From_ = 0; ///< Later versions are new to it.
+  };
+  /// A move of the state over several records at once. What came and went in
+  /// between is not among the events.
+  struct Jump {
+    int64_t From_ = 0;
+    int64_t To_ = 0;
   };
 
   void get(const HttpExchange::Pointer &Exchange, ResourceKind Kind,
@@ -52,6 +59,11 @@
   void showChange(const HttpExchange::Pointer &Exchange, const std::string &Id);
   void respondOutcome(const HttpExchange::Pointer &Exchange,
                       const std::string &Id, const ChangeOutcome &Outcome);
+  /// Returns whether the events tell all that a watcher has missed that knows
+  /// the state up to a version.
+  bool covers(int64_t From) const;
+  std::string backlog(ResourceKind Kind, int64_t From) const;
+  void noteJump(int64_t From, int64_t To);
   void onChange(const ConfigState &Fresh);
   std::pair<int, int> inForce(int64_t Version) const;
 
@@ -60,6 +72,9 @@
   std::mutex Mutex_;
   std::shared_ptr<const ConfigState> Latest_;
   std::deque<Event> Events_;
+  std::deque<Jump> Jumps_;
+  /// The events and jumps since this version are kept.
+  int64_t KeptFrom_ = 0;
   std::vector<Watcher> Watchers_;
 };
 
--- a/src/libcoordination/seedkeeper.cpp
+++ b/src/libcoordination/seedkeeper.cpp
@@ -118,9 +118,10 @@
   WrittenAt_ = Clock_.now();
   Log_.append(Stream_, json::serialize(Record),
               [this](const AppendResult &Result) {
-                bool Refused = std::holds_alternative<AppendRefused>(Result);
-                asio::dispatch(Strand_, [this, Refused] {
-                  if (Refused)
+                // A second record costs little, a missing one hides the zone.
+                bool Done = std::holds_alternative<Appended>(Result);
+                asio::dispatch(Strand_, [this, Done] {
+                  if (!Done)
                     Written_ = false;
                 });
               });
--- /dev/null
+++ b/testsuite/config_fleet/config_fleet_test.cpp
@@ -0,0 +1,529 @@
+/// The configuration of a fleet of separate processes in two zones: races,
+/// lost answers, outages and trims of the log, nodes that are killed, paused,
+/// fresh or cut off.
+
+#include "faultproxy.h"
+#include "fleet.h"
+
+#include <algorithm>
+#include <atomic>
+#include <boost/asio.hpp>
+#include <boost/json/parse.hpp>
+#include <csignal>
+#include <doctest/doctest.h>
+#include <future>
+#include <map>
+#include <optional>
+#include <thread>
+
+using namespace coltsfoot;
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+/// The bound for a change to be in force on every reachable node.
+constexpr Millis ForceLimit(5000);
+constexpr Millis StartLimit(20000);
+constexpr const char *Token = "Bearer test-operator-token";
+
+/// Polls the version of one node's configuration and notes when it goes back.
+class VersionWatch {
+public:
+  explicit VersionWatch(const TestNode &Node)
+      : Ip_(Node.ip()), Port_(Node.httpPort()), Thread_([this] { run(); }) {}
+  ~VersionWatch() {
+    Ending_ = true;
+    Thread_.join();
+    CHECK_FALSE(WentBack_);
+    CHECK(Polls_ > 0);
+  }
+  VersionWatch(const VersionWatch &) = delete;
+  VersionWatch &operator=(const VersionWatch &) = delete;
+
+private:
+  void run() {
+    int64_t Last = 0;
+    while (!Ending_) {
+      try {
+        HttpReply Reply = request(Ip_, Port_, "GET", "/v1/services",
+                                  {{"Authorization", Token}}, {}, Millis(500));
+        int64_t Now = json::parse(Reply.Body_).at("version").as_int64();
+        WentBack_ = WentBack_ || Now < Last;
+        Last = Now;
+        ++Polls_;
+      } catch (const HttpError &) {
+        // The node is paused, killed or not there yet.
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+  }
+
+  const std::string Ip_;
+  const uint16_t Port_;
+  std::atomic<bool> Ending_ = false;
+  std::atomic<bool> WentBack_ = false;
+  std::atomic<int> Polls_ = 0;
+  std::thread Thread_;
+};
+
+/// Nodes in two zones by turns.
+struct Town {
+  Fleet Fleet_;
+  std::vector<std::unique_ptr<TestNode>> Nodes_;
+  std::vector<std::unique_ptr<VersionWatch>> Watches_;
+
+  explicit Town(int Count, const NodeSpec &Spec = {}) {
+    for (int Index = 0; Index < Count; ++Index)
+      add(Spec);
+    for (const auto &Node : Nodes_)
+      Node->waitServing(StartLimit);
+    for (const auto &Node : Nodes_)
+      waitMembers(*Node, Count);
+  }
+
+  TestNode &add(NodeSpec Spec) {
+    Spec.Zone_ = Nodes_.size() % 2 == 0 ? "zone-a" : "zone-b";
+    Nodes_.push_back(Fleet_.startNode(Spec));
+    Watches_.push_back(std::make_unique<VersionWatch>(*Nodes_.back()));
+    return *Nodes_.back();
+  }
+
+  TestNode &at(size_t Index) { return *Nodes_[Index]; }
+
+  static void waitMembers(const TestNode &Node, int Count) {
+    waitUntil(
+        [&] {
+          auto Status = json::parse(Node.operate("GET", "/v1/status").Body_);
+          return Status.at("members").to_number<int>() == Count;
+        },
+        StartLimit, "the node knows the others");
+  }
+
+  std::vector<const TestNode *> all() const {
+    std::vector<const TestNode *> Some;
+    for (const auto &Node : Nodes_)
+      if (Node->process().running())
+        Some.push_back(Node.get());
+    return Some;
+  }
+};
+
+/// Returns the version of a service at a node, 0 when it is absent.
+int64_t versionAt(const TestNode &Node, const std::string &Service) {
+  HttpReply Reply = Node.operate("GET", "/v1/services/" + Service);
+  if (Reply.Status_ != 200)
+    return 0;
+  return json::parse(Reply.Body_).at("version").as_int64();
+}
+
+void waitInForce(const std::vector<const TestNode *> &Nodes,
+                 const std::string &Service, int64_t Version,
+                 Millis Limit = ForceLimit) {
+  waitUntil(
+      [&] {
+        for (const TestNode *Node : Nodes)
+          if (versionAt(*Node, Service) != Version)
+            return false;
+        return true;
+      },
+      Limit, Service + " is in force everywhere");
+}
+
+/// Returns the number of records of the log that hold a text.
+int written(const LogServer &Log, std::string_view Text) {
+  int Count = 0;
+  for (const LogRecord &Record : Log.records("config"))
+    if (Record.Data_.find(Text) != std::string::npos)
+      ++Count;
+  return Count;
+}
+
+/// Starts a PUT of a service that is to be answered later.
+std::future<HttpReply> putLater(const TestNode &Node, std::string Service,
+                                std::string ChangeId = {}) {
+  return std::async(std::launch::async, [&Node, Service = std::move(Service),
+                                         ChangeId = std::move(ChangeId)] {
+    std::vector<HttpField> Fields = {{"If-Match", "*"}};
+    if (!ChangeId.empty())
+      Fields.push_back({"Coltsfoot-Change", ChangeId});
+    return Node.operate("PUT", "/v1/services/" + Service, shopService(),
+                        Fields);
+  });
+}
+
+void waitWritten(Town &Where, const std::string &Text) {
+  waitUntil([&] { return written(Where.Fleet_.log(), Text) == 1; }, ForceLimit,
+            "the change is in the log");
+}
+
+std::string outcomeAt(const TestNode &Node, const std::string &Id) {
+  HttpReply Reply = Node.operate("GET", "/v1/changes/" + Id);
+  return std::string(json::parse(Reply.Body_).at("outcome").as_string());
+}
+
+/// Returns the reason with which a node refuses a call, empty when it doesn't.
+std::string refusal(const TestNode &Node) {
+  HttpReply Reply = Node.call("GET", "/items/1", fieldsOf("shop"));
+  if (Reply.header("Coltsfoot-Verdict") != "not-run")
+    return {};
+  CHECK(Reply.Status_ == 503);
+  return std::string(json::parse(Reply.Body_).at("reason").as_string());
+}
+
+/// A reader of a watch's lines over a connection that stays open. Each line
+/// comes whole in one piece of the chunked answer.
+class Watcher {
+public:
+  Watcher(const TestNode &Node, int64_t From) {
+    Socket_.connect({asio::ip::make_address(Node.ip()), Node.httpPort()});
+    asio::write(
+        Socket_,
+        asio::buffer("GET /v1/services?watch=1&from=" + std::to_string(From) +
+                     " HTTP/1.1\r\nHost: node\r\nAuthorization: " + Token +
+                     "\r\n\r\n"));
+  }
+
+  /// Returns the next change; lines of the protocol are passed over.
+  json::value next(Millis Limit = ForceLimit) {
+    for (;;) {
+      std::string Line = readLine(Limit);
+      if (Line.starts_with('{'))
+        return json::parse(Line);
+    }
+  }
+
+private:
+  std::string readLine(Millis Limit) {
+    std::optional<size_t> Size;
+    Io_.restart();
+    asio::async_read_until(
+        Socket_, asio::dynamic_buffer(Received_), '\n',
+        [&](const boost::system::error_code &Error, size_t Count) {
+          if (!Error)
+            Size = Count;
+        });
+    Io_.run_for(std::chrono::milliseconds(Limit.whole()));
+    if (!Size) {
+      Socket_.close();
+      Io_.restart();
+      Io_.run();
+      throw WaitTimeout("the watch told of no change in time");
+    }
+    std::string Line = Received_.substr(0, *Size);
+    Received_.erase(0, *Size);
+    return Line;
+  }
+
+  asio::io_context Io_;
+  asio::ip::tcp::socket Socket_{Io_};
+  std::string Received_;
+};
+
+} // namespace
+
+TEST_CASE("a change is in force on all, races have one winner") {
+  Town Town(6);
+  int64_t Version =
+      Fleet::put(Town.at(2), "services/chairs", shopService(), "");
+  waitInForce(Town.all(), "chairs", Version);
+
+  for (int Round = 0; Round < 10; ++Round) {
+    std::string Match = std::to_string(Version);
+    auto Race = [&](size_t Index) {
+      return std::async(std::launch::async, [&Town, Index, Match, Round] {
+        return Town.at(Index).operate(
+            "PUT", "/v1/services/chairs",
+            shopService(1000 + 10 * Round + static_cast<int>(Index)),
+            {{"If-Match", Match}});
+      });
+    };
+    auto First = Race(0);
+    auto Second = Race(3);
+    HttpReply Replies[] = {First.get(), Second.get()};
+    int Won = Replies[0].Status_ == 200 ? 0 : 1;
+    REQUIRE(Replies[Won].Status_ == 200);
+    CHECK(Replies[1 - Won].Status_ == 409);
+    Version = json::parse(Replies[Won].Body_).at("version").as_int64();
+    waitInForce(Town.all(), "chairs", Version);
+    std::string Text = Town.at(0).operate("GET", "/v1/services").Body_;
+    for (const TestNode *Node : Town.all())
+      CHECK(Node->operate("GET", "/v1/services").Body_ == Text);
+  }
+}
+
+TEST_CASE("versions to match, bad input and a wrong token") {
+  Town Town(2);
+  const TestNode &Node = Town.at(0);
+  const std::string Path = "/v1/services/chairs";
+  auto Put = [&](const std::string &Match) {
+    return Node.operate("PUT", Path, shopService(), {{"If-Match", Match}})
+        .Status_;
+  };
+  int64_t Version = Fleet::put(Node, "services/chairs", shopService(), "");
+  CHECK(Node.operate("PUT", Path, shopService()).Status_ == 409);
+  CHECK(Put(std::to_string(Version + 7)) == 409);
+  CHECK(Put("soon") == 400);
+  CHECK(Put('"' + std::to_string(Version) + '"') == 200);
+  CHECK(Put("*") == 200);
+  CHECK(Node.operate("DELETE", Path).Status_ == 400);
+  CHECK(Node.operate("DELETE", Path, "", {{"If-Match", "1000000"}}).Status_ ==
+        409);
+  CHECK(Node.operate("DELETE", Path, "", {{"If-Match", "*"}}).Status_ == 200);
+  CHECK(Node.operate("DELETE", Path, "", {{"If-Match", "*"}}).Status_ == 404);
+
+  HttpReply Bad =
+      Node.operate("PUT", "/v1/ranks/low", R"({"order":1,"weight":-4})",
+                   {{"If-Match", "*"}});
+  CHECK(Bad.Status_ == 422);
+  CHECK(json::parse(Bad.Body_).at("field").as_string() == "weight");
+  for (const char *Wrong : {"Bearer other", "test-operator-token", ""}) {
+    std::vector<HttpField> Fields = {{"Authorization", Wrong}};
+    CHECK(Node.call("GET", "/v1/services", Fields).Status_ == 401);
+    CHECK(Node.call("PUT", Path, Fields, shopService()).Status_ == 401);
+  }
+}
+
+TEST_CASE("a node killed between append and answer; an append's lost answer") {
+  Town Town(5);
+  LogServer &Log = Town.Fleet_.log();
+  waitUntil([&] { return Log.records("seeds-test").size() >= 2; }, StartLimit,
+            "each zone has a seed");
+
+  Log.setDelay(Millis(1500));
+  auto Cut = putLater(Town.at(4), "cut-service", "change-of-the-cut-node");
+  waitWritten(Town, "cut-service");
+  Town.at(4).process().kill(SIGKILL);
+  Log.setDelay(Millis(0));
+  CHECK_THROWS_AS(Cut.get(), HttpError);
+  waitUntil(
+      [&] {
+        return outcomeAt(Town.at(1), "change-of-the-cut-node") == "accepted";
+      },
+      ForceLimit, "another node tells of the change");
+  waitInForce(Town.all(), "cut-service", versionAt(Town.at(1), "cut-service"));
+  // The same id again through another node writes nothing.
+  CHECK(putLater(Town.at(2), "cut-service", "change-of-the-cut-node")
+            .get()
+            .Status_ == 200);
+  CHECK(written(Log, "change-of-the-cut-node") == 1);
+
+  waitUntil([&] { return !Log.records("config-snapshots").empty(); },
+            StartLimit, "the first snapshot is written");
+  // Seeds and snapshots are appended too, so that it may be one of them whose
+  // answer is lost.
+  constexpr int MaxRounds = 10;
+  Process &Writer = Town.at(1).process();
+  size_t From = Writer.lineCount();
+  bool Lost = false;
+  for (int Round = 1; Round <= MaxRounds && !Lost; ++Round) {
+    std::string Service = "lost-answer-" + std::to_string(Round) + "-";
+    Log.loseNextAppendAnswer();
+    HttpReply Reply = putLater(Town.at(1), Service).get();
+    REQUIRE(Reply.Status_ == 200);
+    int64_t Version = json::parse(Reply.Body_).at("version").as_int64();
+    waitInForce(Town.all(), Service, Version);
+    CHECK(written(Log, Service) == 1);
+    std::vector<std::string> Lines = Writer.lines();
+    Lost = std::any_of(Lines.begin() + static_cast<std::ptrdiff_t>(From),
+                       Lines.end(), [](const std::string &Line) {
+                         return field(Line, "event") == "config_append_unknown";
+                       });
+  }
+  CHECK(Lost);
+}
+
+TEST_CASE("the log goes down, for long, and is slow") {
+  Town Town(5);
+  LogServer &Log = Town.Fleet_.log();
+  int64_t Version = Fleet::put(Town.at(0), "services/before", shopService());
+  Log.setDown(true);
+  Log.dropConnections();
+  waitInForce(Town.all(), "before", Version);
+
+  HttpReply Refused = putLater(Town.at(1), "while-down", "change-1").get();
+  CHECK(Refused.Status_ == 503);
+  auto Body = json::parse(Refused.Body_);
+  CHECK(Body.at("outcome").as_string() == "not-written");
+  CHECK(Body.at("change").as_string() == "change-1");
+  CHECK(outcomeAt(Town.at(1), "change-1") == "unknown");
+  Log.setDown(false);
+
+  Log.setDelay(Millis(1500));
+  auto Late = putLater(Town.at(1), "unknown-yet");
+  waitWritten(Town, "unknown-yet");
+  Log.setDown(true);
+  Log.dropConnections();
+  HttpReply Unknown = Late.get();
+  CHECK(Unknown.Status_ == 503);
+  Body = json::parse(Unknown.Body_);
+  CHECK(Body.at("outcome").as_string() == "unknown");
+  std::string Id(Body.at("change").as_string());
+  CHECK(outcomeAt(Town.at(1), Id) == "unknown");
+  Log.setDelay(Millis(0));
+  Log.setDown(false);
+  for (const TestNode *Node : Town.all())
+    waitUntil([&] { return outcomeAt(*Node, Id) == "accepted"; }, ForceLimit,
+              "each node tells what became of the change");
+  CHECK(written(Log, "unknown-yet") == 1);
+  CHECK(written(Log, "while-down") == 0);
+  CHECK(outcomeAt(Town.at(2), "change-1") == "unknown");
+
+  Log.setDelay(Millis(1500));
+  Version = Fleet::put(Town.at(2), "services/slow", shopService());
+  waitInForce(Town.all(), "slow", Version);
+  Log.setDelay(Millis(0));
+}
+
+TEST_CASE("the log is trimmed past a paused node") {
+  Town Town(5);
+  Fleet::put(Town.at(0), "services/kept", shopService());
+  TestNode &Paused = Town.at(3);
+  Paused.process().pause();
+  int64_t Version = 0;
+  for (int Change = 0; Change < 20; ++Change)
+    Version = Fleet::put(Town.at(0), "services/kept", shopService());
+  Town.Fleet_.log().trim("config", Version - 1);
+  Paused.process().resume();
+  waitInForce(Town.all(), "kept", Version, Millis(10000));
+}
+
+TEST_CASE("fresh nodes while the log is down") {
+  Town Town(3);
+  int64_t Version = Fleet::put(Town.at(0), "services/shop", shopService());
+  waitInForce(Town.all(), "shop", Version);
+  Town.Fleet_.log().setDown(true);
+  Town.Fleet_.log().dropConnections();
+
+  NodeSpec Alone;
+  TestNode &Lost = Town.add(Alone);
+  NodeSpec WithPeers;
+  WithPeers.Peers_ = {Town.at(0).name(), Town.at(1).name()};
+  TestNode &Fresh = Town.add(WithPeers);
+  Fresh.waitServing(StartLimit);
+  CHECK(versionAt(Fresh, "shop") == Version);
+  CHECK(refusal(Fresh) != "not-ready");
+
+  // The node that serves came later than this one, so it has had the time.
+  CHECK(refusal(Lost) == "not-ready");
+  CHECK(Lost.call("GET", "/healthz").Status_ == 503);
+  Town.Fleet_.log().setDown(false);
+  Lost.waitServing(StartLimit);
+  CHECK(versionAt(Lost, "shop") == Version);
+}
+
+TEST_CASE("a node that is cut off refuses calls until it is reached again") {
+  Fleet Fleet;
+  FaultProxy LogProxy;
+  LogProxy.setTarget("127.0.0.1", Fleet.log().port());
+  constexpr int Count = 5;
+  constexpr const char *CutIp = "127.0.0.2";
+  std::vector<std::unique_ptr<FaultProxy>> Proxies;
+  std::vector<std::unique_ptr<TestNode>> Nodes;
+  std::vector<std::unique_ptr<VersionWatch>> Watches;
+  for (int Index = 0; Index < Count; ++Index) {
+    Proxies.push_back(std::make_unique<FaultProxy>());
+    NodeSpec Spec;
+    Spec.Zone_ = Index % 2 == 0 ? "zone-a" : "zone-b";
+    Spec.Advertise_ = Proxies.back()->address();
+    if (Index == 0) {
+      Spec.Ip_ = CutIp;
+      Spec.UseLog_ = false;
+      Spec.LogService_ = "address = \"" + LogProxy.address() + "\"\n";
+    }
+    Nodes.push_back(Fleet.startNode(Spec));
+    Proxies.back()->setTarget(Spec.Ip_, Nodes.back()->peerPort());
+    Watches.push_back(std::make_unique<VersionWatch>(*Nodes.back()));
+  }
+  for (const auto &Node : Nodes) {
+    Node->waitServing(StartLimit);
+    Town::waitMembers(*Node, Count);
+  }
+  TestNode &Cut = *Nodes[0];
+  Fleet::put(Cut, "services/shop", shopService());
+
+  LogProxy.cut(Which::All);
+  Proxies[0]->swallow(Direction::Both, Which::All);
+  for (int Index = 1; Index < Count; ++Index) {
+    Proxies[Index]->onlyFrom({CutIp});
+    Proxies[Index]->swallow(Direction::Both, Which::All);
+  }
+  waitUntil([&] { return refusal(Cut) == "isolated"; }, Millis(8000),
+            "the node that is cut off refuses calls");
+  CHECK(Cut.call("GET", "/healthz").Status_ == 503);
+  int64_t Version = Fleet::put(*Nodes[1], "services/shop", shopService(2000));
+  std::vector<const TestNode *> Others;
+  for (int Index = 1; Index < Count; ++Index) {
+    Others.push_back(Nodes[Index].get());
+    CHECK(refusal(*Nodes[Index]) != "isolated");
+  }
+  waitInForce(Others, "shop", Version);
+  CHECK(versionAt(Cut, "shop") < Version);
+  CHECK(refusal(Cut) == "isolated");
+
+  LogProxy.heal();
+  for (const auto &Proxy : Proxies)
+    Proxy->heal();
+  waitUntil([&] { return refusal(Cut) != "isolated"; }, Millis(10000),
+            "the node takes calls up again");
+  waitInForce({&Cut}, "shop", Version);
+  for (const auto &Node : Nodes)
+    Town::waitMembers(*Node, Count);
+}
+
+TEST_CASE("a watch streams changes and misses none after a reconnect") {
+  Town Town(5);
+  int64_t First = Fleet::put(Town.at(0), "services/one", shopService());
+  int64_t Last = 0;
+  {
+    Watcher Watch(Town.at(1), 0);
+    json::value Seen = Watch.next();
+    CHECK(Seen.at("name").as_string() == "one");
+    Last = Seen.at("version").as_int64();
+    CHECK(Last == First);
+  }
+  Fleet::put(Town.at(0), "services/two", shopService());
+  CHECK(Town.at(2)
+            .operate("DELETE", "/v1/services/one", "", {{"If-Match", "*"}})
+            .Status_ == 200);
+  int64_t Third = Fleet::put(Town.at(0), "services/three", shopService());
+
+  // At the same node, at another, and at one that starts only now.
+  waitInForce(Town.all(), "three", Third);
+  TestNode &Fresh = Town.add({});
+  Fresh.waitServing(StartLimit);
+  std::vector<std::unique_ptr<Watcher>> Watches;
+  for (size_t Index : {1, 3, 5}) {
+    CAPTURE(Index);
+    Watches.push_back(std::make_unique<Watcher>(Town.at(Index), Last));
+    Watcher &Again = *Watches.back();
+    std::map<std::string, bool> Held = {{"one", true}};
+    int64_t Newest = Last;
+    while (Newest < Third) {
+      json::value Line = Again.next();
+      if (Line.as_object().contains("reset")) {
+        Held.clear();
+        continue;
+      }
+      CHECK(Line.at("version").as_int64() >= Newest);
+      Newest = std::max(Newest, Line.at("version").as_int64());
+      std::string Name(Line.at("name").as_string());
+      if (Line.at("deleted").as_bool())
+        Held.erase(Name);
+      else
+        Held[Name] = true;
+    }
+    CHECK(Held == std::map<std::string, bool>{{"two", true}, {"three", true}});
+  }
+  int64_t Next = Fleet::put(Town.at(0), "services/next", shopService());
+  for (const auto &Watch : Watches)
+    CHECK(Watch->next().at("version").as_int64() == Next);
+  CHECK(Town.at(2)
+            .operate("DELETE", "/v1/services/next", "", {{"If-Match", "*"}})
+            .Status_ == 200);
+  for (const auto &Watch : Watches) {
+    json::value Gone = Watch->next();
+    CHECK(Gone.at("deleted").as_bool());
+    CHECK(Gone.at("version").as_int64() > Next);
+  }
+}
