--- a/src/libcoordination/api.cpp
+++ b/src/libcoordination/api.cpp
@@ -246,6 +246,11 @@
   Out["members"] = Parts_.Gossip_.view()->presentCount();
   Out["members_synced"] = Gossip.Synced_;
   Out["relay"] = Gossip.Relay_;
+  Out["suspicions"] = Gossip.Figures_.Suspicions_;
+  Out["false_suspicions"] = Gossip.Figures_.FalseSuspicions_;
+  Out["deaths_declared"] = Gossip.Figures_.Deaths_;
+  Out["refutes"] = Gossip.Figures_.Refutes_;
+  Out["gossip_bytes_sent"] = Gossip.Figures_.BytesSent_;
   Out["service"] = Gate.Announced_.Service_;
   Out["serving"] = Gate.Serving_;
   Out["running"] = Gate.Running_;
