Keep a stopping HTTP server from dropping what it has taken

Cause, found by reading: closing the listening socket reset the connections in its backlog; one accepted while stop() came was closed unanswered; a kept connection was closed after an answer that had promised to keep it; and a configuration watch counts as a pending answer, so it would hold a drain open to drain_ms and end it as cut. Change: the backlog is taken before the close, taken connections are served, awaitRequest() no longer closes on stop, and watches can be ended. Ruled out: closing idle connections early, which would race with callers. Conclusion: a request sent on an idle kept connection in the instant in which the process ends can still be lost, as HTTP/1.1 has it.

--- a/src/libcoordination/api.cpp
+++ b/src/libcoordination/api.cpp
@@ -122,6 +122,7 @@
   void handle(const HttpExchange::Pointer &Exchange);
   std::string localStatus(std::string_view What, std::string_view Argument);
   void record(const CallRecord &Ended);
+  void endWatches() { Resources_.endWatches(); }
 
 private:
   bool handleOpen(const HttpExchange::Pointer &Exchange, std::string_view Path);
@@ -334,4 +335,6 @@
 
 void Api::record(const CallRecord &Ended) { Impl_->record(Ended); }
 
+void Api::endWatches() { Impl_->endWatches(); }
+
 } // namespace coltsfoot
--- a/src/libcoordination/api.h
+++ b/src/libcoordination/api.h
@@ -52,6 +52,8 @@
   std::string localStatus(std::string_view What, std::string_view Argument);
   /// Takes a call's end into the service-level record.
   void record(const CallRecord &Ended);
+  /// Ends the streams to watchers, who resume at another node.
+  void endWatches();
 
 private:
   class Impl;
--- a/src/libcoordination/resourceapi.cpp
+++ b/src/libcoordination/resourceapi.cpp
@@ -179,13 +179,24 @@
           Backlog +=
               eventLine(Kind, Stored->Name_, Stored->Version_, Stored.get());
     }
-    Watchers_.push_back({Exchange, Kind});
     // Written under the lock, so that no later change overtakes it.
     if (!Backlog.empty())
       Exchange->write(std::move(Backlog));
+    if (WatchesEnded_)
+      Exchange->finishStream();
+    else
+      Watchers_.push_back({Exchange, Kind});
   }
 }
 
+void ResourceApi::endWatches() {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  WatchesEnded_ = true;
+  for (const Watcher &Known : Watchers_)
+    Known.Exchange_->finishStream();
+  Watchers_.clear();
+}
+
 void ResourceApi::onChange(const ConfigState &) {
   auto Fresh = Config_.current();
   std::lock_guard<std::mutex> Lock(Mutex_);
--- a/src/libcoordination/resourceapi.h
+++ b/src/libcoordination/resourceapi.h
@@ -30,6 +30,8 @@
   /// `services`, `chairs`. Returns false when it concerns no resource.
   bool handle(const HttpExchange::Pointer &Exchange,
               const std::vector<std::string> &Path, std::string_view Query);
+  /// Ends all watches, and each later one after its backlog.
+  void endWatches();
 
 private:
   struct Event {
@@ -61,6 +63,7 @@
   std::shared_ptr<const ConfigState> Latest_;
   std::deque<Event> Events_;
   std::vector<Watcher> Watchers_;
+  bool WatchesEnded_ = false;
 };
 
 } // namespace coltsfoot
--- a/src/libtransport/httpserver.cpp
+++ b/src/libtransport/httpserver.cpp
@@ -72,6 +72,8 @@
         Port_(Acceptor_.local_endpoint().port()) {}
 
   void accept();
+  void take(tcp::socket Socket);
+  void takeBacklog();
   void pauseAccepting();
 
   asio::io_context &Context_;
@@ -252,21 +254,37 @@
 void HttpServer::Shared::accept() {
   if (Stopped_)
     return;
-  Acceptor_.async_accept(
-      asio::make_strand(Context_),
-      [Self = boost::intrusive_ptr<Shared>(this)](const error_code &Error,
-                                                  tcp::socket Socket) {
-        if (Self->Stopped_)
-          return;
-        if (Error)
-          return Self->pauseAccepting();
-        if (Self->Callers_ < Self->Options_.Callers_) {
-          Session::Pointer Caller(new Session(std::move(Socket), Self));
-          asio::dispatch(Caller->executor(),
-                         [Caller] { Caller->awaitRequest(); });
-        }
-        Self->accept();
-      });
+  Acceptor_.async_accept(asio::make_strand(Context_),
+                         [Self = boost::intrusive_ptr<Shared>(this)](
+                             const error_code &Error, tcp::socket Socket) {
+                           if (Error && Self->Stopped_)
+                             return;
+                           if (Error)
+                             return Self->pauseAccepting();
+                           Self->take(std::move(Socket));
+                           Self->accept();
+                         });
+}
+
+void HttpServer::Shared::take(tcp::socket Socket) {
+  if (Callers_ >= Options_.Callers_)
+    return;
+  Session::Pointer Caller(
+      new Session(std::move(Socket), boost::intrusive_ptr<Shared>(this)));
+  asio::dispatch(Caller->executor(), [Caller] { Caller->awaitRequest(); });
+}
+
+// Closing the listening socket resets the connections that wait in its
+// backlog, whose callers may have sent their requests already.
+void HttpServer::Shared::takeBacklog() {
+  error_code Error;
+  Acceptor_.non_blocking(true, Error);
+  while (!Error) {
+    tcp::socket Socket(asio::make_strand(Context_));
+    Acceptor_.accept(Socket, Error);
+    if (!Error)
+      take(std::move(Socket));
+  }
 }
 
 // Out of file descriptors, say: a pause in place of a busy loop.
@@ -279,9 +297,9 @@
       });
 }
 
+// A caller that was not told that the connection closes may have sent its next
+// request already, so that a stopped server still reads it.
 void HttpServer::Shared::Session::awaitRequest() {
-  if (Server_->Stopped_)
-    return close();
   Parser_.emplace();
   Parser_->header_limit(static_cast<uint32_t>(Server_->Options_.HeaderBytes_));
   Parser_->body_limit(Server_->Options_.BodyBytes_);
@@ -471,6 +489,7 @@
   if (Shared_->Stopped_.exchange(true))
     return;
   asio::post(Shared_->Acceptor_.get_executor(), [Self = Shared_] {
+    Self->takeBacklog();
     error_code Ignored;
     Self->Acceptor_.close(Ignored);
     Self->PauseTimer_.cancel();
