--- a/src/libcoordination/node.cpp
+++ b/src/libcoordination/node.cpp
@@ -316,6 +316,8 @@
               {"state", memberStateName(Change.New_.State_)},
               {"service", Change.New_.Service_},
               {"zone", Change.New_.Zone_}});
+    if (Change.New_.State_ == MemberState::Alive)
+      Balancer_.onServing({Change.New_.Node_, Change.New_.Incarnation_});
     if (Change.New_.State_ == MemberState::Dead)
       Balancer_.forget({Change.New_.Node_, Change.New_.Incarnation_});
   };
@@ -443,6 +445,7 @@
     Closing_ = true;
     IdleSince_ = Now;
     Http_->stop();
+    Api_.endWatches();
     return;
   }
   if (!Late && !(Closing_ && Quiet))
--- a/src/libstate/balancer.cpp
+++ b/src/libstate/balancer.cpp
@@ -23,23 +23,18 @@
 /// A gate that refuses everything counts as loaded this much more.
 constexpr double RefusedPenalty = 8;
 constexpr double FailurePenalty = 4;
+/// Failures raise the load of a gate for this long after the last one.
+constexpr Millis FailureAge(5000);
 /// Without answers, what is known of a gate halves in this time.
 constexpr Millis KnowledgeHalfLife(2000);
 /// A gate's report of its own load counts for this long.
 constexpr Millis ReportAge(1000);
-/// A gate's report that it is leaving counts for this long: its VM may have got
-/// another backend server since, and to be refused once more costs little.
-constexpr Millis LeavingReportAge(1000);
 constexpr double LeastLatencyMs = 0.05;
 
 double fadeFactor(Millis Age) {
   return std::exp2(-std::max(0.0, Age.count()) / KnowledgeHalfLife.count());
 }
 
-bool saysLeaving(const GateReport &Reported, Millis Age) {
-  return Reported.Leaving_ && Age < LeavingReportAge;
-}
-
 bool contains(std::span<const NodeRef> Refs, const NodeRef &Ref) {
   return std::find(Refs.begin(), Refs.end(), Ref) != Refs.end();
 }
@@ -99,8 +94,7 @@
   for (const GateInfo &Gate : Gates) {
     auto Found = Stats_.find(Gate.Ref_);
     const Stats *Known = Found == Stats_.end() ? nullptr : &Found->second;
-    if (Gate.Leaving_ ||
-        (Known && saysLeaving(Known->Reported_, Now - Known->ReportedAt_)))
+    if (Gate.Leaving_ || (Known && Known->Reported_.Leaving_))
       continue;
     bool Out = Known && Known->EjectedUntil_ > Now;
     (Out ? Ejected : Options).push_back({&Gate, Known});
@@ -132,9 +126,7 @@
   for (const GateInfo &Gate : Gates) {
     auto Found = Stats_.find(Gate.Ref_);
     const Stats *Known = Found == Stats_.end() ? nullptr : &Found->second;
-    bool Leaving =
-        Gate.Leaving_ || (Known && saysLeaving(Known->Reported_,
-                                               From.Now_ - Known->ReportedAt_));
+    bool Leaving = Gate.Leaving_ || (Known && Known->Reported_.Leaving_);
     if (!Leaving && !contains(Exclude, Gate.Ref_))
       Options.push_back({&Gate, Known});
   }
@@ -155,7 +147,10 @@
                        : Typical;
   double Load = (Known.InFlight_ + 1) * std::max(Latency, LeastLatencyMs);
   Load *= 1 + RefusedPenalty * Known.RefusedShare_ * Fade;
-  Load *= 1 + FailurePenalty * Known.Failures_;
+  // Without an end to it a gate that has recovered would never be tried again
+  // while others are idle.
+  if (From.Now_ - Known.FailedAt_ < FailureAge)
+    Load *= 1 + FailurePenalty * Known.Failures_;
   bool Reported =
       Known.Reported_.Limit_ > 0 && From.Now_ - Known.ReportedAt_ < ReportAge;
   if (Reported)
@@ -265,6 +260,7 @@
 
 void Balancer::noteFailure(Stats &Known, Millis Now) {
   ++Known.Failures_;
+  Known.FailedAt_ = Now;
   if (Known.Failures_ < EjectAfterFailures || Known.EjectedUntil_ > Now)
     return;
   Millis Span = FirstEjection * std::exp2(std::min(Known.Ejections_, 10));
@@ -306,6 +302,13 @@
   Known.LatencyAt_ = Now;
 }
 
+void Balancer::onServing(const NodeRef &Gate) {
+  std::lock_guard Lock(Mutex_);
+  auto Found = Stats_.find(Gate);
+  if (Found != Stats_.end())
+    Found->second.Reported_.Leaving_ = false;
+}
+
 void Balancer::forget(const NodeRef &Gate) {
   std::lock_guard Lock(Mutex_);
   Stats_.erase(Gate);
--- a/src/libstate/balancer.h
+++ b/src/libstate/balancer.h
@@ -86,6 +86,9 @@
   /// Records its end. Each onStart() is followed by one onEnd().
   void onEnd(const NodeRef &Gate, Millis Latency, AttemptResult Result,
              const GateReport &Reported, Millis Now);
+  /// The membership has news that the gate serves: an earlier answer that it
+  /// is leaving no longer holds.
+  void onServing(const NodeRef &Gate);
   /// Drops what is known of a gate that is gone.
   void forget(const NodeRef &Gate);
 
@@ -113,6 +116,7 @@
     GateReport Reported_;
     Millis ReportedAt_;
     int Failures_ = 0;
+    Millis FailedAt_;
     int Ejections_ = 0;
     Millis EjectedUntil_;
   };
--- a/src/libstate/balancer_test.cpp
+++ b/src/libstate/balancer_test.cpp
@@ -92,20 +92,31 @@
   CHECK(shares(Chooser, Gates).empty());
 }
 
-TEST_CASE("balancer: a report of leaving holds until the gate may be back") {
+TEST_CASE("balancer: a report of leaving holds until the gate serves again") {
   Balancer Chooser;
   std::vector<GateInfo> Gates = {gate(1, "a"), gate(2, "a")};
   for (const GateInfo &Gate : Gates)
     answer(Chooser, Gate, Millis(1), AttemptResult::Refused, Now,
            {0, 10, true});
-  Balancer::Scope Soon = Home;
-  Soon.Now_ = Now + Millis(900);
-  CHECK(shares(Chooser, Gates, Soon).empty());
+  CHECK(shares(Chooser, Gates).empty());
+  Chooser.onServing(Gates[0].Ref_);
+  auto Seen = shares(Chooser, Gates);
+  CHECK(Seen.size() == 1);
+  CHECK(Seen.count(Gates[0].Ref_) == 1);
+}
+
+TEST_CASE("balancer: a gate that failed for long is tried again") {
+  Balancer Chooser;
+  std::vector<GateInfo> Gates = {gate(1, "a"), gate(2, "a"), gate(3, "a")};
+  for (const GateInfo &Gate : Gates)
+    answer(Chooser, Gate, Millis(10));
+  for (int I = 0; I < 8; ++I)
+    answer(Chooser, Gates[0], Millis(10), AttemptResult::Failed);
   Balancer::Scope Later = Home;
-  Later.Now_ = Now + Millis(1100);
-  CHECK(shares(Chooser, Gates, Later).size() == 2);
-  Gates[0].Leaving_ = true;
-  CHECK(shares(Chooser, Gates, Later).size() == 1);
+  Later.Now_ = Now + Millis(15000);
+  answer(Chooser, Gates[1], Millis(20), AttemptResult::Ok, Later.Now_);
+  answer(Chooser, Gates[2], Millis(20), AttemptResult::Ok, Later.Now_);
+  CHECK(shares(Chooser, Gates, Later).count(Gates[0].Ref_) == 1);
 }
 
 TEST_CASE("balancer: a cold gate is ramped up") {
