--- a/src/libcoordination/resourceapi.cpp
+++ b/src/libcoordination/resourceapi.cpp
@@ -204,10 +204,13 @@
   Exchange->startStream("application/x-ndjson");
   std::lock_guard<std::mutex> Lock(Mutex_);
   std::string Backlog = backlog(Kind, From);
-  Watchers_.push_back({Exchange, Kind, From});
   // Written under the lock, so that no later change overtakes it.
   if (!Backlog.empty())
     Exchange->write(std::move(Backlog));
+  if (WatchesEnded_)
+    Exchange->finishStream();
+  else
+    Watchers_.push_back({Exchange, Kind, From});
 }
 
 void ResourceApi::noteJump(int64_t From, int64_t To) {
@@ -220,6 +223,14 @@
   Jumps_.pop_front();
 }
 
+void ResourceApi::endWatches() {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  WatchesEnded_ = true;
+  for (const Watcher &Known : Watchers_)
+    Known.Exchange_->finishStream();
+  Watchers_.clear();
+}
+
 void ResourceApi::onChange(const ConfigState &) {
   auto Fresh = Config_.current();
   std::lock_guard<std::mutex> Lock(Mutex_);
--- a/src/libcoordination/resourceapi.h
+++ b/src/libcoordination/resourceapi.h
@@ -30,6 +30,8 @@
   /// `services`, `chairs`. Returns false when it concerns no resource.
   bool handle(const HttpExchange::Pointer &Exchange,
               const std::vector<std::string> &Path, std::string_view Query);
+  /// Ends all watches, and each later one after its backlog.
+  void endWatches();
 
 private:
   struct Event {
@@ -76,6 +78,7 @@
   /// The events and jumps since this version are kept.
   int64_t KeptFrom_ = 0;
   std::vector<Watcher> Watchers_;
+  bool WatchesEnded_ = false;
 };
 
 } // namespace coltsfoot
