Wire thresholds along paths, retry tokens once, and the baseline's retries

Cause: replies carried only the threshold of the call's kind and nothing of the learned path, which nobody taught; a route was looked up by its bare name, which two services may share. A retry token could be used again at the same entry, and a failed or fully spent read left none, so that its retry counted as new. Policy `none` had no retries of its own at each hop. Refusals at the door all said Retry-After 1.

Ruled out: nothing by experiment. A general threshold mixed with that of the last answered route was weighed and not taken, since it refuses other routes.

Change: replies carry the general threshold and that of the path; gates learn the path from the nested calls of a parent; paths are keyed by service and route. Tokens are spent once at an entry, handed out after a 5xx answer too and with no credits left, and given back by a refusal at the door, whose Retry-After is jittered. Under `none` each hop has three retries and lends none.

--- a/src/libcoordination/entry.cpp
+++ b/src/libcoordination/entry.cpp
@@ -8,6 +8,7 @@
 #include "refusal.h"
 #include "requestledger.h"
 #include "retrytoken.h"
+#include "spenttokens.h"
 
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
@@ -23,6 +24,9 @@
 namespace {
 
 constexpr size_t MaxNameBytes = 128;
+/// Under PolicyKind::None each hop has these of its own.
+constexpr int RetriesPerHop = 3;
+constexpr int DoorRetryAfterMs = 500;
 
 std::mt19937_64 &generator() {
   thread_local std::mt19937_64 Random(randomBits());
@@ -71,8 +75,9 @@
 /// Turns what a caller sent into an EntryRequest, or throws Refusal.
 class Entry::Intake {
 public:
-  Intake(const EntryParts &Parts, const HttpRequest &Caller)
-      : Parts_(Parts), Caller_(Caller), Config_(Parts.Knowledge_.Config_()),
+  Intake(const EntryParts &Parts, SpentTokens &Spent, const HttpRequest &Caller)
+      : Parts_(Parts), Spent_(Spent), Caller_(Caller),
+        Config_(Parts.Knowledge_.Config_()),
         Now_(Parts.Knowledge_.Clock_->now()) {}
 
   EntryRequest read() {
@@ -106,10 +111,13 @@
   [[noreturn]] void askForTicket();
 
   const EntryParts &Parts_;
+  SpentTokens &Spent_;
   const HttpRequest &Caller_;
   const std::shared_ptr<const ConfigState> Config_;
   const Millis Now_;
   EntryRequest Request_;
+  /// A credit that is given back when the retry gets no attempt.
+  int RetryCredit_ = 0;
   Millis ParentDeadline_{std::numeric_limits<double>::max()};
 };
 
@@ -134,9 +142,11 @@
     throw Refusal{NotRun{Reason::BadRequest}, "Coltsfoot-Client is too long"};
   Request_.Client_ = Client.empty() ? Caller_.Remote_ : std::string(Client);
   Request_.Credits_ = Config_->retryPolicy(Request_.Service_).Credits_;
-  if (Request_.Route_.Idempotent_)
+  if (Parts_.Policy_ == PolicyKind::None)
+    Request_.Credits_ = RetriesPerHop;
+  else if (Request_.Route_.Idempotent_)
     readRetryToken();
-  else
+  if (!Request_.Route_.Idempotent_)
     readRootTicket();
   Request_.Bucket_ = bucketOf(Request_.RequestId_);
 }
@@ -155,7 +165,10 @@
     throw Refusal{NotRun{Reason::TicketExpired}, "the retry token has expired"};
   // The retry itself is an extra attempt of the same request.
   if (Token->Credits_ <= 0)
-    throw Refusal{NotRun{Reason::BudgetSpent}};
+    throw Refusal{NotRun{Reason::BudgetSpent}, "no retry is left"};
+  if (!Spent_.spend(*Token, Parts_.Knowledge_.Clock_->wallNow()))
+    throw Refusal{NotRun{Reason::BudgetSpent}, "the retry token was used"};
+  RetryCredit_ = 1;
   Request_.RequestId_ = Token->RequestId_;
   Request_.Credits_ = Token->Credits_ - 1;
 }
@@ -212,13 +225,19 @@
     readStepTicket(*Parent);
   if (Step.empty())
     Step = Caller_.Method_ + " " + Caller_.Target_;
+  Request_.ParentKey_ = Context;
+  if (Parts_.Policy_ == PolicyKind::None) {
+    Request_.Credits_ = RetriesPerHop;
+    return;
+  }
   NestedStart Start =
       Parts_.Attempts_.startNested(Context, Request_.Service_ + " " + Step);
   if (const auto *Refused = std::get_if<NestedRefused>(&Start))
     throw Refusal{Request_.Ticket_ ? Verdict(MayHaveRun{Refused->Reason_})
                                    : Verdict(NotRun{Refused->Reason_})};
   Request_.Credits_ = std::get<NestedLent>(Start).Credits_;
-  Request_.ParentKey_ = Context;
+  Parts_.Attempts_.noteCalled(
+      Context, routeKey(Request_.Service_, Request_.Route_.Name_));
 }
 
 void Entry::Intake::readStepTicket(const ParentCall &Parent) {
@@ -264,7 +283,8 @@
     return;
   DoorRequest Asked;
   Asked.Service_ = Request_.Service_;
-  Asked.Route_ = Request_.Route_.Name_;
+  std::string Key = routeKey(Request_.Service_, Request_.Route_.Name_);
+  Asked.Route_ = Key;
   Asked.Kind_ = Request_.Route_.Kind_;
   Asked.RankOrder_ = Request_.RankOrder_;
   Asked.Bucket_ = Request_.Bucket_;
@@ -274,9 +294,13 @@
       static_cast<int>(Parts_.Office_.gatesOf(Request_.Service_).size());
   if (!Parts_.Thresholds_.wouldRefuse(Asked, Now_, generator()))
     return;
+  Refusal Door{NotRun{Reason::Overload}, "refused at the door", {}};
   if (!Request_.ParentKey_.empty())
     Parts_.Attempts_.endNested(Request_.ParentKey_, Request_.Credits_);
-  throw Refusal{NotRun{Reason::Overload}, "refused at the door"};
+  else
+    Door.Fields_.push_back(
+        retryTokenField(Request_, Request_.Credits_ + RetryCredit_, Parts_));
+  throw Door;
 }
 
 /// The offers of each nested step whose parent has not ended.
@@ -288,7 +312,8 @@
 Entry::Entry(EntryParts Parts)
     : Parts_(std::make_shared<EntryParts>(std::move(Parts))),
       Pending_(std::make_shared<std::atomic<size_t>>(0)),
-      Steps_(std::make_shared<Steps>()) {}
+      Steps_(std::make_shared<Steps>()),
+      SpentTokens_(std::make_unique<SpentTokens>()) {}
 
 Entry::~Entry() = default;
 
@@ -302,7 +327,7 @@
 }
 
 void Entry::handle(const HttpExchange::Pointer &Exchange) {
-  Intake In(*Parts_, Exchange->request());
+  Intake In(*Parts_, *SpentTokens_, Exchange->request());
   try {
     EntryRequest Request = In.read();
     std::string ParentKey = Request.ParentKey_;
@@ -323,7 +348,7 @@
         refusalAnswer(Refused.Verdict_, In.requestId(), Refused.Detail_);
     Reply.Fields_.push_back({"Coltsfoot-Request-Id", In.requestId()});
     if (Reply.Status_ == 429 || Reply.Status_ == 503)
-      Reply.Fields_.push_back({"Retry-After", "1"});
+      addRetryAfter(Reply, DoorRetryAfterMs, generator()());
     for (const HttpField &Field : Refused.Fields_)
       Reply.Fields_.push_back(Field);
     Exchange->respond(std::move(Reply));
--- a/src/libcoordination/entry.h
+++ b/src/libcoordination/entry.h
@@ -17,6 +17,7 @@
 class EntryThreshold;
 class PeerPool;
 class RequestLedger;
+class SpentTokens;
 class StepOffers;
 enum class PolicyKind;
 
@@ -76,6 +77,7 @@
   const std::shared_ptr<EntryParts> Parts_;
   const std::shared_ptr<std::atomic<size_t>> Pending_;
   const std::shared_ptr<Steps> Steps_;
+  const std::unique_ptr<SpentTokens> SpentTokens_;
 };
 
 } // namespace coltsfoot
--- a/src/libcoordination/entrycall.cpp
+++ b/src/libcoordination/entrycall.cpp
@@ -15,6 +15,7 @@
 #include <algorithm>
 #include <boost/asio/dispatch.hpp>
 #include <random>
+#include <span>
 
 namespace coltsfoot {
 
@@ -28,6 +29,7 @@
 constexpr int GoneAfterRefusals = 3;
 constexpr Millis RetryTokenLife(120'000);
 constexpr int MinRetryAfterMs = 50;
+constexpr int FirstServerError = 500;
 
 std::mt19937_64 &generator() {
   thread_local std::mt19937_64 Random(randomBits());
@@ -74,6 +76,23 @@
 
 } // namespace
 
+HttpField retryTokenField(const EntryRequest &Request, int Credits,
+                          const EntryParts &Parts) {
+  RetryToken Token{Request.RequestId_,
+                   Request.Client_,
+                   Request.Service_,
+                   Request.Route_.Name_,
+                   Credits,
+                   Parts.Knowledge_.Clock_->wallNow() + RetryTokenLife};
+  return {"Coltsfoot-Retry-Token", sealRetryToken(Token, Parts.Office_.keys())};
+}
+
+void addRetryAfter(Answer &Reply, int WaitMs, uint64_t Random) {
+  int Wait = WaitMs + static_cast<int>(Random % uint64_t(WaitMs));
+  Reply.Fields_.push_back({"Retry-After", std::to_string((Wait + 999) / 1000)});
+  Reply.Fields_.push_back({"Coltsfoot-Retry-After-Ms", std::to_string(Wait)});
+}
+
 bool StepOffers::mayLeave(size_t Candidate) {
   std::lock_guard<std::mutex> Lock(Mutex_);
   if (Counts_[Candidate].PassedOver_)
@@ -208,9 +227,19 @@
                       Millis Latency) {
   Parts_->Balancer_.onEnd(Gate, Latency, resultOf(Reply),
                           {Reply.in_flight, Reply.limit, Reply.leaving}, now());
-  Parts_->Thresholds_.heard(Request_.Service_, Gate,
-                            {Reply.threshold.rank, Reply.threshold.bucket},
-                            now(), Request_.Route_.Kind_);
+  AdmissionThreshold Own{Reply.threshold.rank, Reply.threshold.bucket};
+  EntryThreshold &Known = Parts_->Thresholds_;
+  Known.heard(Request_.Service_, Gate, Own, now(), Request_.Route_.Kind_);
+  if (Reply.__isset.general)
+    Known.heard(Request_.Service_, Gate,
+                {Reply.general.rank, Reply.general.bucket}, now());
+  // What the whole path under this route refuses, for those above it.
+  AdmissionThreshold Whole = Own;
+  if (Reply.__isset.path)
+    Whole =
+        std::min(Whole, AdmissionThreshold{Reply.path.rank, Reply.path.bucket});
+  Known.heard(routeKey(Request_.Service_, Request_.Route_.Name_), Gate, Whole,
+              now());
   if (Reply.retry_after_ms > 0)
     RetryAfterMs_ = Reply.retry_after_ms;
 }
@@ -224,14 +253,22 @@
   });
 }
 
+// Without a shared budget each hop keeps its own retries.
+int EntryCall::lend() {
+  return Parts_->Policy_ == PolicyKind::None ? 0 : Credits_.lend();
+}
+
 void EntryCall::offerNextGate() {
   std::vector<GateInfo> Gates = Parts_->Office_.gatesOf(Request_.Service_);
+  std::span<const NodeRef> Exclude = Tried_;
+  if (Parts_->Policy_ == PolicyKind::None)
+    Exclude = {};
   auto Chosen = Parts_->Balancer_.pick(
-      Gates, Parts_->Office_.scope(Request_.Service_), Tried_, generator());
+      Gates, Parts_->Office_.scope(Request_.Service_), Exclude, generator());
   if (!Chosen)
     return end(NotRun{Reason::NoUpstream});
   Tried_.push_back(*Chosen);
-  Lent_ = Credits_.lend();
+  Lent_ = lend();
   wire::Frame Message;
   Message.__set_offer(newOffer(Lent_));
   Pointer Self(this);
@@ -288,7 +325,7 @@
       return offerCandidate(Candidate + 1);
     return end(NotRun{Reason::ConnectionLost});
   }
-  Lent_ = Credits_.lend();
+  Lent_ = lend();
   wire::Frame Message;
   Message.__set_offer(newOffer(Lent_));
   Pointer Self(this);
@@ -475,24 +512,14 @@
     Reply.Fields_.push_back({"Coltsfoot-Ticket", Successor});
   bool Refused = Reply.Status_ == 429 || Reply.Status_ == 503;
   if (!Answered && Refused) {
-    // Jitter keeps the callers that were refused together apart.
-    int Base = std::max(MinRetryAfterMs, RetryAfterMs_);
-    int Wait = Base + static_cast<int>(generator()() % uint64_t(Base));
-    Reply.Fields_.push_back(
-        {"Retry-After", std::to_string((Wait + 999) / 1000)});
-    Reply.Fields_.push_back({"Coltsfoot-Retry-After-Ms", std::to_string(Wait)});
-  }
-  if (!Answered && !Request_.Ticket_ && Request_.ParentKey_.empty() &&
-      Credits_.held() > 0) {
-    RetryToken Token{Request_.RequestId_,
-                     Request_.Client_,
-                     Request_.Service_,
-                     Request_.Route_.Name_,
-                     Credits_.held(),
-                     Parts_->Knowledge_.Clock_->wallNow() + RetryTokenLife};
-    Reply.Fields_.push_back({"Coltsfoot-Retry-Token",
-                             sealRetryToken(Token, Parts_->Office_.keys())});
+    addRetryAfter(Reply, std::max(MinRetryAfterMs, RetryAfterMs_),
+                  generator()());
   }
+  // Even when none is left: the caller's retry is then refused, not new.
+  bool Failed = !Answered || Reply.Status_ >= FirstServerError;
+  if (Failed && !Request_.Ticket_ && Request_.ParentKey_.empty())
+    Reply.Fields_.push_back(
+        retryTokenField(Request_, Credits_.held(), *Parts_));
   int Status = Reply.Status_;
   Exchange_->respond(std::move(Reply));
   if (Parts_->OnEnd_)
--- a/src/libcoordination/entrycall.h
+++ b/src/libcoordination/entrycall.h
@@ -66,6 +66,16 @@
   std::shared_ptr<StepOffers> Step_;
 };
 
+/// Returns the field of a retry token that leaves these credits to the caller
+/// of a root read.
+HttpField retryTokenField(const EntryRequest &Request, int Credits,
+                          const EntryParts &Parts);
+
+/// Adds the fields that tell a refused caller when to come back: the wait and
+/// up to as much again, by a random number, so that callers which were refused
+/// together stay apart.
+void addRetryAfter(Answer &Reply, int WaitMs, uint64_t Random);
+
 /// One call on its way through this entry.
 ///
 /// An idempotent call is offered to one gate after another while retry credits
@@ -97,6 +107,7 @@
   void parentEnded();
 
 private:
+  int lend();
   void offerNextGate();
   void onGateReply(const NodeRef &Gate, const wire::Reply &Reply);
   void onGateLost(const NodeRef &Gate, const PeerLost &Lost);
--- a/src/libcoordination/gate.cpp
+++ b/src/libcoordination/gate.cpp
@@ -4,6 +4,7 @@
 #include "attempttable.h"
 #include "coltsfoot_types.h"
 #include "configstate.h"
+#include "entrythreshold.h"
 #include "policy.h"
 #include "requestledger.h"
 #include "ticket.h"
@@ -31,6 +32,7 @@
 constexpr Millis TickSpan(25);
 constexpr int TicksPerExpiry = 40;
 constexpr int ShedStatus = 503;
+constexpr int FirstServerError = 500;
 
 /// Where an offer came from, and its number there.
 using CallKey = std::pair<uint64_t, int64_t>;
@@ -89,10 +91,12 @@
 public:
   Impl(asio::io_context &Context, NodeKnowledge Knowledge,
        const TicketOffice &Office, AttemptTable &Attempts,
-       RequestLedger &Ledger, PolicyKind Policy, Options Limits)
+       EntryThreshold &Thresholds, RequestLedger &Ledger, PolicyKind Policy,
+       Options Limits)
       : Knowledge_(std::move(Knowledge)), Office_(Office), Attempts_(Attempts),
-        Ledger_(Ledger), Options_(Limits), Strand_(asio::make_strand(Context)),
-        Timer_(Strand_), Upstream_(Context, {}),
+        Thresholds_(Thresholds), Ledger_(Ledger), Options_(Limits),
+        Strand_(asio::make_strand(Context)), Timer_(Strand_),
+        Upstream_(Context, {}),
         Tickets_(*Knowledge_.Clock_,
                  {Limits.TicketEntries_, Limits.KeptAnswerBytes_}),
         Queue_(*Knowledge_.Clock_, Policy, {1, Limits.QueueLimit_, Millis(5)}) {
@@ -116,10 +120,12 @@
                 boost::intrusive_ref_counter<Call, boost::thread_safe_counter> {
     Call(AdmissionRequest Request, CallKey Key, wire::Offer Offered, Route Kind)
         : Waiting(std::move(Request)), Key_(std::move(Key)),
-          Offer_(std::move(Offered)), Route_(std::move(Kind)) {}
+          Offer_(std::move(Offered)), Route_(std::move(Kind)),
+          PathKey_(routeKey(Offer_.service_name, Route_.Name_)) {}
     const CallKey Key_;
     wire::Offer Offer_;
     const Route Route_;
+    const std::string PathKey_;
     std::optional<Ticket> Ticket_;
     Respond Respond_; // of an idempotent call
     std::string AttemptKey_;
@@ -143,7 +149,9 @@
   void refuse(const CallPointer &Due, Reason Why);
   void onUpstreamEnd(const CallPointer &Due, Verdict Outcome);
   void endCall(const CallPointer &Due, const Verdict &Outcome, int Credits);
-  wire::Reply newReply(int64_t Attempt, std::string_view Kind) const;
+  wire::Reply newReply(int64_t Attempt, std::string_view Kind,
+                       std::string_view Path = {}) const;
+  void learnPath(const Call &Ended, const Verdict &Outcome);
   std::string successorOf(const Ticket &Closed) const;
   std::optional<size_t> ownIndex(const Ticket &Asked) const;
   void tick();
@@ -153,6 +161,7 @@
   const NodeKnowledge Knowledge_;
   const TicketOffice &Office_;
   AttemptTable &Attempts_;
+  EntryThreshold &Thresholds_;
   RequestLedger &Ledger_;
   const Options Options_;
   asio::strand<asio::io_context::executor_type> Strand_;
@@ -298,7 +307,8 @@
 void Gate::Impl::offerTicketed(const CallPointer &Fresh, Respond Answer) {
   const wire::Offer &Offered = Fresh->Offer_;
   auto RespondNow = [&](const Verdict &Outcome) {
-    wire::Reply Reply = newReply(Offered.attempt, Fresh->Route_.Kind_);
+    wire::Reply Reply =
+        newReply(Offered.attempt, Fresh->Route_.Kind_, Fresh->PathKey_);
     setOutcome(Reply, Outcome);
     Reply.credits_left = Offered.credits;
     Answer(std::move(Reply));
@@ -319,9 +329,9 @@
     Tickets_.closeIfUnknown(*Fresh->Ticket_, Why, successorOf(*Fresh->Ticket_));
   auto Owner = std::make_shared<std::atomic<bool>>(false);
   auto Handler = [this, Owner, Answer, Attempt = Offered.attempt,
-                  Credits = Offered.credits,
-                  Kind = Fresh->Route_.Kind_](const Outcome &Result) {
-    wire::Reply Reply = newReply(Attempt, Kind);
+                  Credits = Offered.credits, Kind = Fresh->Route_.Kind_,
+                  Path = Fresh->PathKey_](const Outcome &Result) {
+    wire::Reply Reply = newReply(Attempt, Kind, Path);
     setOutcome(Reply, Result.Verdict_);
     Reply.closed = Result.Closed_;
     Reply.successor = Result.Successor_;
@@ -429,7 +439,8 @@
 }
 
 void Gate::Impl::refuse(const CallPointer &Due, Reason Why) {
-  wire::Reply Reply = newReply(Due->Offer_.attempt, Due->Route_.Kind_);
+  wire::Reply Reply =
+      newReply(Due->Offer_.attempt, Due->Route_.Kind_, Due->PathKey_);
   std::string Detail = "service=" + Due->Offer_.service_name +
                        " reason=" + std::string(reasonName(Why)) + " " +
                        figuresText(Reply, Due->Route_);
@@ -444,6 +455,7 @@
 }
 
 void Gate::Impl::onUpstreamEnd(const CallPointer &Due, Verdict Outcome) {
+  learnPath(*Due, Outcome);
   int Credits = Attempts_.close(Due->AttemptKey_);
   Millis Latency = Knowledge_.Clock_->now() - Due->Started_;
   Decisions Next;
@@ -472,7 +484,8 @@
 
 void Gate::Impl::endCall(const CallPointer &Due, const Verdict &Outcome,
                          int Credits) {
-  wire::Reply Reply = newReply(Due->Offer_.attempt, Due->Route_.Kind_);
+  wire::Reply Reply =
+      newReply(Due->Offer_.attempt, Due->Route_.Kind_, Due->PathKey_);
   if (!std::holds_alternative<Ran>(Outcome)) {
     Reason Why =
         std::visit(Overloaded{[](const Ran &) { return Reason::None; },
@@ -498,13 +511,33 @@
   Due->Respond_(std::move(Reply));
 }
 
-wire::Reply Gate::Impl::newReply(int64_t Attempt, std::string_view Kind) const {
+// A call that failed on its own may not have come to its nested calls.
+void Gate::Impl::learnPath(const Call &Ended, const Verdict &Outcome) {
+  std::vector<std::string> Called = Attempts_.called(Ended.AttemptKey_);
+  const Ran *Answered = std::get_if<Ran>(&Outcome);
+  if (Called.empty() &&
+      (Answered == nullptr || Answered->Answer_.Status_ >= FirstServerError))
+    return;
+  Thresholds_.learn(Ended.PathKey_, Called);
+}
+
+wire::Reply Gate::Impl::newReply(int64_t Attempt, std::string_view Kind,
+                                 std::string_view Path) const {
   wire::Reply Reply;
   Reply.attempt = Attempt;
+  AdmissionThreshold Below =
+      Thresholds_.tightest(Path, Knowledge_.Clock_->now());
+  Reply.__isset.path = true;
+  Reply.path.rank = Below.Rank_;
+  Reply.path.bucket = Below.Bucket_;
   std::lock_guard<std::mutex> Lock(Mutex_);
   AdmissionThreshold Now = Queue_.threshold(Kind);
   Reply.threshold.rank = Now.Rank_;
   Reply.threshold.bucket = Now.Bucket_;
+  AdmissionThreshold General = Queue_.threshold();
+  Reply.__isset.general = true;
+  Reply.general.rank = General.Rank_;
+  Reply.general.bucket = General.Bucket_;
   Reply.in_flight = Queue_.running() + Queue_.waiting();
   Reply.limit = Queue_.limit();
   Reply.leaving =
@@ -607,9 +640,11 @@
 
 Gate::Gate(asio::io_context &Context, NodeKnowledge Knowledge,
            const TicketOffice &Office, AttemptTable &Attempts,
-           RequestLedger &Ledger, PolicyKind Policy, Options Limits)
+           EntryThreshold &Thresholds, RequestLedger &Ledger, PolicyKind Policy,
+           Options Limits)
     : Impl_(std::make_unique<Impl>(Context, std::move(Knowledge), Office,
-                                   Attempts, Ledger, Policy, Limits)) {}
+                                   Attempts, Thresholds, Ledger, Policy,
+                                   Limits)) {}
 
 Gate::~Gate() = default;
 
--- a/src/libcoordination/gate.h
+++ b/src/libcoordination/gate.h
@@ -63,7 +63,8 @@
 
   Gate(boost::asio::io_context &Context, NodeKnowledge Knowledge,
        const TicketOffice &Office, AttemptTable &Attempts,
-       RequestLedger &Ledger, PolicyKind Policy, Options Limits);
+       EntryThreshold &Thresholds, RequestLedger &Ledger, PolicyKind Policy,
+       Options Limits);
   ~Gate();
   Gate(const Gate &) = delete;
   Gate &operator=(const Gate &) = delete;
--- a/src/libprotocol/coltsfoot.thrift
+++ b/src/libprotocol/coltsfoot.thrift
@@ -62,6 +62,8 @@
   13: bool leaving
   14: i32 retry_after_ms
   15: string trace        // what this hop decided and why, for explain
+  16: optional Threshold general // for any kind; threshold is that of the call's kind
+  17: optional Threshold path    // the tightest further down the learned path
 }
 
 // Asks what became of an attempt or a ticket. With close set, a ticket or
--- a/src/libprotocol/gen-cpp/coltsfoot_types.cpp
+++ b/src/libprotocol/gen-cpp/coltsfoot_types.cpp
@@ -1005,6 +1005,16 @@
 void Reply::__set_trace(const std::string& val) {
   this->trace = val;
 }
+
+void Reply::__set_general(const Threshold& val) {
+  this->general = val;
+__isset.general = true;
+}
+
+void Reply::__set_path(const Threshold& val) {
+  this->path = val;
+__isset.path = true;
+}
 std::ostream& operator<<(std::ostream& out, const Reply& obj)
 {
   obj.printTo(out);
@@ -1167,6 +1177,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->general.read(iprot);
+          this->__isset.general = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->path.read(iprot);
+          this->__isset.path = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1252,6 +1278,16 @@
   xfer += oprot->writeString(this->trace);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.general) {
+    xfer += oprot->writeFieldBegin("general", ::apache::thrift::protocol::T_STRUCT, 16);
+    xfer += this->general.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.path) {
+    xfer += oprot->writeFieldBegin("path", ::apache::thrift::protocol::T_STRUCT, 17);
+    xfer += this->path.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1274,6 +1310,8 @@
   swap(a.leaving, b.leaving);
   swap(a.retry_after_ms, b.retry_after_ms);
   swap(a.trace, b.trace);
+  swap(a.general, b.general);
+  swap(a.path, b.path);
   swap(a.__isset, b.__isset);
 }
 
@@ -1293,6 +1331,8 @@
   leaving = other29.leaving;
   retry_after_ms = other29.retry_after_ms;
   trace = other29.trace;
+  general = other29.general;
+  path = other29.path;
   __isset = other29.__isset;
 }
 Reply::Reply(Reply&& other30) noexcept {
@@ -1311,6 +1351,8 @@
   leaving = other30.leaving;
   retry_after_ms = other30.retry_after_ms;
   trace = std::move(other30.trace);
+  general = std::move(other30.general);
+  path = std::move(other30.path);
   __isset = other30.__isset;
 }
 Reply& Reply::operator=(const Reply& other31) {
@@ -1329,6 +1371,8 @@
   leaving = other31.leaving;
   retry_after_ms = other31.retry_after_ms;
   trace = other31.trace;
+  general = other31.general;
+  path = other31.path;
   __isset = other31.__isset;
   return *this;
 }
@@ -1348,6 +1392,8 @@
   leaving = other32.leaving;
   retry_after_ms = other32.retry_after_ms;
   trace = std::move(other32.trace);
+  general = std::move(other32.general);
+  path = std::move(other32.path);
   __isset = other32.__isset;
   return *this;
 }
@@ -1369,6 +1415,8 @@
   out << ", " << "leaving=" << to_string(leaving);
   out << ", " << "retry_after_ms=" << to_string(retry_after_ms);
   out << ", " << "trace=" << to_string(trace);
+  out << ", " << "general="; (__isset.general ? (out << to_string(general)) : (out << "<null>"));
+  out << ", " << "path="; (__isset.path ? (out << to_string(path)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libprotocol/gen-cpp/coltsfoot_types.h
+++ b/src/libprotocol/gen-cpp/coltsfoot_types.h
@@ -410,7 +410,7 @@
 std::ostream& operator<<(std::ostream& out, const Threshold& obj);
 
 typedef struct _Reply__isset {
-  _Reply__isset() : attempt(false), outcome(false), status(false), fields(false), body(false), reason(false), credits_left(false), closed(false), successor(false), threshold(false), in_flight(false), limit(false), leaving(false), retry_after_ms(false), trace(false) {}
+  _Reply__isset() : attempt(false), outcome(false), status(false), fields(false), body(false), reason(false), credits_left(false), closed(false), successor(false), threshold(false), in_flight(false), limit(false), leaving(false), retry_after_ms(false), trace(false), general(false), path(false) {}
   bool attempt :1;
   bool outcome :1;
   bool status :1;
@@ -426,6 +426,8 @@
   bool leaving :1;
   bool retry_after_ms :1;
   bool trace :1;
+  bool general :1;
+  bool path :1;
 } _Reply__isset;
 
 class Reply : public virtual ::apache::thrift::TBase {
@@ -471,6 +473,8 @@
   bool leaving;
   int32_t retry_after_ms;
   std::string trace;
+  Threshold general;
+  Threshold path;
 
   _Reply__isset __isset;
 
@@ -504,6 +508,10 @@
 
   void __set_trace(const std::string& val);
 
+  void __set_general(const Threshold& val);
+
+  void __set_path(const Threshold& val);
+
   bool operator == (const Reply & rhs) const
   {
     if (!(attempt == rhs.attempt))
@@ -536,6 +544,14 @@
       return false;
     if (!(trace == rhs.trace))
       return false;
+    if (__isset.general != rhs.__isset.general)
+      return false;
+    else if (__isset.general && !(general == rhs.general))
+      return false;
+    if (__isset.path != rhs.__isset.path)
+      return false;
+    else if (__isset.path && !(path == rhs.path))
+      return false;
     return true;
   }
   bool operator != (const Reply &rhs) const {
--- a/src/libstate/attempttable.cpp
+++ b/src/libstate/attempttable.cpp
@@ -7,6 +7,7 @@
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 #include <map>
 #include <mutex>
+#include <set>
 #include <stdexcept>
 #include <unordered_map>
 #include <utility>
@@ -30,6 +31,7 @@
   const ParentCall Call_;
   CreditPool Credits_;
   std::map<std::string, Step, std::less<>> Steps_;
+  std::set<std::string> Called_;
   std::vector<std::function<void()>> CloseHandlers_;
   std::optional<Millis> EndedAt_;
   intrusive::list_member_hook<> EndedHook_; // Linked once it has ended.
@@ -114,6 +116,20 @@
   return NestedLent{.Credits_ = Found->Credits_.lend(), .Repeat_ = Repeat};
 }
 
+void AttemptTable::noteCalled(std::string_view Key, std::string Route) {
+  std::lock_guard Lock(State_->Mutex_);
+  if (Parent *Found = State_->findOpen(Key))
+    Found->Called_.insert(std::move(Route));
+}
+
+std::vector<std::string> AttemptTable::called(std::string_view Key) const {
+  std::lock_guard Lock(State_->Mutex_);
+  const Parent *Found = State_->findOpen(Key);
+  if (Found == nullptr)
+    return {};
+  return {Found->Called_.begin(), Found->Called_.end()};
+}
+
 void AttemptTable::endNested(std::string_view Key, int Unspent) {
   std::lock_guard Lock(State_->Mutex_);
   if (Parent *Found = State_->findOpen(Key))
@@ -170,6 +186,7 @@
     Found->EndedAt_ = State_->Time_.now();
     State_->Ended_.push_back(*Found);
     Found->Steps_.clear();
+    Found->Called_.clear();
     Handlers.swap(Found->CloseHandlers_);
     Left = Found->Credits_.held();
   }
--- a/src/libstate/attempttable.h
+++ b/src/libstate/attempttable.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 namespace coltsfoot {
 
@@ -76,6 +77,12 @@
   /// the caller passes in its place, such as method and target.
   NestedStart startNested(std::string_view Key, std::string_view Step);
 
+  /// Notes the route, by its key, that a nested call uses. Without effect once
+  /// the parent has ended.
+  void noteCalled(std::string_view Key, std::string Route);
+  /// Returns the routes noted for a parent that has not ended, each once.
+  std::vector<std::string> called(std::string_view Key) const;
+
   /// Takes back what a nested call left unspent; call at most once for each
   /// NestedLent, with no more than it lent. Without effect once the parent has
   /// ended.
--- a/src/libstate/entrythreshold.cpp
+++ b/src/libstate/entrythreshold.cpp
@@ -33,6 +33,10 @@
 
 } // namespace
 
+std::string routeKey(std::string_view Service, std::string_view Route) {
+  return std::string(Service) + ' ' + std::string(Route);
+}
+
 void EntryThreshold::heard(std::string_view Service, const NodeRef &Gate,
                            AdmissionThreshold Threshold, Millis Now,
                            std::string_view Kind) {
@@ -91,7 +95,8 @@
   {
     std::lock_guard Lock(Mutex_);
     Refused = serviceRefuses(Asked.Service_, Asked, Asked.Kind_,
-                             Asked.GateCount_, Now);
+                             Asked.GateCount_, Now) ||
+              serviceRefuses(Asked.Route_, Asked, {}, Asked.GateCount_, Now);
     auto Path = Routes_.find(Asked.Route_);
     if (!Refused && Path != Routes_.end())
       for (const auto &[Service, Share] : Path->second.Shares_)
--- a/src/libstate/entrythreshold.h
+++ b/src/libstate/entrythreshold.h
@@ -15,10 +15,14 @@
 
 namespace coltsfoot {
 
+/// Returns the key of a service's route in learned paths.
+std::string routeKey(std::string_view Service, std::string_view Route);
+
 /// What an entry asks before it sends a request on.
 struct DoorRequest {
   std::string_view Service_;
-  /// Key of the root's route, as given to learn(); empty when unknown.
+  /// Key of the route, as given to learn(); empty when unknown. Thresholds
+  /// heard under it as a service count too: they hold its path's.
   std::string_view Route_;
   /// Kind of the route; thresholds heard for it go before general ones.
   std::string_view Kind_;
--- /dev/null
+++ b/src/libstate/spenttokens_test.cpp
@@ -0,0 +1,27 @@
+#include "spenttokens.h"
+
+#include <doctest/doctest.h>
+
+using namespace coltsfoot;
+
+TEST_CASE("a retry token is spent once") {
+  SpentTokens Spent(2);
+  RetryToken First{"r", "c", "s", "t", 2, Millis(1000)};
+  CHECK(Spent.spend(First, Millis(1)));
+  CHECK_FALSE(Spent.spend(First, Millis(2)));
+  RetryToken Next = First;
+  Next.Credits_ = 1;
+  CHECK(Spent.spend(Next, Millis(3)));
+  CHECK_FALSE(Spent.spend(Next, Millis(4)));
+}
+
+TEST_CASE("spent tokens are bounded, and the oldest go first") {
+  SpentTokens Spent(2);
+  RetryToken Token{"r", "c", "s", "t", 9, Millis(1000)};
+  for (int Credits = 9; Credits > 5; --Credits) {
+    Token.Credits_ = Credits;
+    CHECK(Spent.spend(Token, Millis(1)));
+  }
+  Token.Credits_ = 6;
+  CHECK_FALSE(Spent.spend(Token, Millis(1)));
+}
