--- a/src/libprotocol/gen-cpp/coltsfoot_types.cpp
+++ b/src/libprotocol/gen-cpp/coltsfoot_types.cpp
@@ -974,6 +974,16 @@
 void Reply::__set_trace(const std::string& val) {
   this->trace = val;
 }
+
+void Reply::__set_general(const Threshold& val) {
+  this->general = val;
+__isset.general = true;
+}
+
+void Reply::__set_path(const Threshold& val) {
+  this->path = val;
+__isset.path = true;
+}
 std::ostream& operator<<(std::ostream& out, const Reply& obj)
 {
   obj.printTo(out);
@@ -1134,6 +1144,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->general.read(iprot);
+          this->__isset.general = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->path.read(iprot);
+          this->__isset.path = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1219,6 +1245,16 @@
   xfer += oprot->writeString(this->trace);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.general) {
+    xfer += oprot->writeFieldBegin("general", ::apache::thrift::protocol::T_STRUCT, 16);
+    xfer += this->general.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.path) {
+    xfer += oprot->writeFieldBegin("path", ::apache::thrift::protocol::T_STRUCT, 17);
+    xfer += this->path.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1241,6 +1277,8 @@
   swap(a.leaving, b.leaving);
   swap(a.retry_after_ms, b.retry_after_ms);
   swap(a.trace, b.trace);
+  swap(a.general, b.general);
+  swap(a.path, b.path);
   swap(a.__isset, b.__isset);
 }
 
@@ -1260,6 +1298,8 @@
   leaving = other28.leaving;
   retry_after_ms = other28.retry_after_ms;
   trace = other28.trace;
+  general = other28.general;
+  path = other28.path;
   __isset = other28.__isset;
 }
 Reply::Reply(Reply&& other29) noexcept {
@@ -1278,6 +1318,8 @@
   leaving = other29.leaving;
   retry_after_ms = other29.retry_after_ms;
   trace = std::move(other29.trace);
+  general = std::move(other29.general);
+  path = std::move(other29.path);
   __isset = other29.__isset;
 }
 Reply& Reply::operator=(const Reply& other30) {
@@ -1296,6 +1338,8 @@
   leaving = other30.leaving;
   retry_after_ms = other30.retry_after_ms;
   trace = other30.trace;
+  general = other30.general;
+  path = other30.path;
   __isset = other30.__isset;
   return *this;
 }
@@ -1315,6 +1359,8 @@
   leaving = other31.leaving;
   retry_after_ms = other31.retry_after_ms;
   trace = std::move(other31.trace);
+  general = std::move(other31.general);
+  path = std::move(other31.path);
   __isset = other31.__isset;
   return *this;
 }
@@ -1336,6 +1382,8 @@
   out << ", " << "leaving=" << to_string(leaving);
   out << ", " << "retry_after_ms=" << to_string(retry_after_ms);
   out << ", " << "trace=" << to_string(trace);
+  out << ", " << "general="; (__isset.general ? (out << to_string(general)) : (out << "<null>"));
+  out << ", " << "path="; (__isset.path ? (out << to_string(path)) : (out << "<null>"));
   out << ")";
 }
 
