--- /dev/null
+++ b/src/libutil/burn.cpp
@@ -0,0 +1,124 @@
+#include "coltsfootpoint/burn.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <stdexcept>
+
+namespace coltsfoot {
+
+namespace json = boost::json;
+
+namespace {
+
+/// Least share of failures that a report divides by.
+constexpr double LeastBudget = 1e-9;
+
+[[noreturn]] void malformed() {
+  throw std::invalid_argument("malformed counts of requests");
+}
+
+BurnRow makeRow(const BurnObjective &Objective, int Window,
+                const std::map<int, BurnSlot> *Slots) {
+  BurnRow Row;
+  Row.Key_ = Objective.Key_;
+  Row.Target_ = Objective.Target_;
+  Row.Window_ = BurnSlotTime * Window;
+  if (Slots)
+    for (auto It = Slots->begin(); It != Slots->lower_bound(Window); ++It) {
+      Row.Total_ += It->second.Total_;
+      Row.Bad_ += It->second.Bad_;
+    }
+  if (Row.Total_ > 0)
+    Row.ErrorShare_ =
+        static_cast<double>(Row.Bad_) / static_cast<double>(Row.Total_);
+  Row.BurnRate_ =
+      Row.ErrorShare_ / std::max(1 - Objective.Target_, LeastBudget);
+  Row.BudgetLeft_ = 1 - Row.BurnRate_;
+  return Row;
+}
+
+/// Reads `[age, total, bad]`.
+void readSlot(const json::value &Value, std::map<int, BurnSlot> &Slots) {
+  const json::array &Numbers = Value.as_array();
+  if (Numbers.size() != 3)
+    malformed();
+  auto Age = Numbers[0].to_number<int>();
+  BurnSlot Slot{Numbers[1].to_number<uint64_t>(),
+                Numbers[2].to_number<uint64_t>()};
+  if (Age < 0 || Age >= BurnSlotCount || Slot.Bad_ > Slot.Total_)
+    malformed();
+  Slots[Age] = Slot;
+}
+
+} // namespace
+
+void addCounts(BurnCounts &Sum, const BurnCounts &Other) {
+  for (const auto &[Key, Slots] : Other.Slots_) {
+    std::map<int, BurnSlot> &Target = Sum.Slots_[Key];
+    for (const auto &[Age, Slot] : Slots) {
+      Target[Age].Total_ += Slot.Total_;
+      Target[Age].Bad_ += Slot.Bad_;
+    }
+  }
+}
+
+std::string encodeCounts(const BurnCounts &Counts) {
+  json::array All;
+  for (const auto &[Key, Slots] : Counts.Slots_) {
+    json::array Ages;
+    for (const auto &[Age, Slot] : Slots)
+      Ages.push_back(json::array{Age, Slot.Total_, Slot.Bad_});
+    All.push_back(json::object{{"service", Key.Service_},
+                               {"rank", Key.Rank_},
+                               {"slots", std::move(Ages)}});
+  }
+  return json::serialize(json::object{{"counts", std::move(All)}});
+}
+
+BurnCounts decodeCounts(std::string_view Text) {
+  BurnCounts Counts;
+  try {
+    json::value Parsed = json::parse({Text.data(), Text.size()});
+    for (const json::value &Each : Parsed.at("counts").as_array()) {
+      BurnKey Key{std::string(Each.at("service").as_string()),
+                  std::string(Each.at("rank").as_string())};
+      std::map<int, BurnSlot> &Slots = Counts.Slots_[Key];
+      for (const json::value &Slot : Each.at("slots").as_array())
+        readSlot(Slot, Slots);
+    }
+  } catch (const std::exception &) {
+    malformed();
+  }
+  return Counts;
+}
+
+std::vector<BurnRow> burnReport(const BurnCounts &Counts,
+                                const std::vector<BurnObjective> &Objectives) {
+  std::vector<BurnRow> Rows;
+  Rows.reserve(Objectives.size() * std::size(BurnWindows));
+  for (const BurnObjective &Objective : Objectives) {
+    auto Found = Counts.Slots_.find(Objective.Key_);
+    bool Counted = Found != Counts.Slots_.end();
+    for (int Window : BurnWindows)
+      Rows.push_back(
+          makeRow(Objective, Window, Counted ? &Found->second : nullptr));
+  }
+  return Rows;
+}
+
+std::string burnReportJson(const std::vector<BurnRow> &Rows) {
+  json::array All;
+  for (const BurnRow &Row : Rows)
+    All.push_back(json::object{{"service", Row.Key_.Service_},
+                               {"rank", Row.Key_.Rank_},
+                               {"window_ms", Row.Window_.whole()},
+                               {"target", Row.Target_},
+                               {"total", Row.Total_},
+                               {"bad", Row.Bad_},
+                               {"error_share", Row.ErrorShare_},
+                               {"burn_rate", Row.BurnRate_},
+                               {"budget_left", Row.BudgetLeft_}});
+  return json::serialize(json::object{{"rows", std::move(All)}});
+}
+
+} // namespace coltsfoot
--- /dev/null
+++ b/src/libutil/burn_test.cpp
@@ -0,0 +1,119 @@
+#include "coltsfootpoint/burn.h"
+
+#include "coltsfootpoint/burnrecorder.h"
+
+#include <doctest/doctest.h>
+#include <stdexcept>
+#include <thread>
+
+using namespace coltsfoot;
+
+namespace {
+
+const BurnKey Book{"chairs", "booking"};
+const std::vector<BurnObjective> Objectives = {{Book, 0.99}};
+
+void recordMany(BurnRecorder &Recorder, int Good, int Bad, Millis Now) {
+  for (int I = 0; I < Good + Bad; ++I)
+    Recorder.record("chairs", "booking", I < Good, Now);
+}
+
+} // namespace
+
+TEST_CASE("burn is reported by window") {
+  BurnRecorder Recorder;
+  Millis Start(5'000'000);
+  recordMany(Recorder, 90, 10, Start);
+  recordMany(Recorder, 100, 0, Start + Millis(120'000));
+  auto Rows = burnReport(Recorder.counts(Start + Millis(120'000)), Objectives);
+  REQUIRE(Rows.size() == 4);
+  CHECK(Rows[0].Window_ == Millis(60'000));
+  CHECK(Rows[0].Total_ == 100);
+  CHECK(Rows[0].Bad_ == 0);
+  CHECK(Rows[0].BurnRate_ == 0);
+  CHECK(Rows[0].BudgetLeft_ == 1);
+  CHECK(Rows[1].Window_ == Millis(300'000));
+  CHECK(Rows[1].Total_ == 200);
+  CHECK(Rows[1].Bad_ == 10);
+  CHECK(Rows[1].ErrorShare_ == doctest::Approx(0.05));
+  CHECK(Rows[1].BurnRate_ == doctest::Approx(5));
+  CHECK(Rows[1].BudgetLeft_ == doctest::Approx(-4));
+  CHECK(Rows[3].Window_ == Millis(3'600'000));
+  CHECK(Rows[3].Total_ == 200);
+}
+
+TEST_CASE("counts leave the windows as time passes") {
+  BurnRecorder Recorder;
+  Millis Start(5'000'000);
+  recordMany(Recorder, 0, 1, Start);
+  CHECK(burnReport(Recorder.counts(Start + Millis(3'599'000)), Objectives)[3]
+            .Total_ == 1);
+  CHECK(burnReport(Recorder.counts(Start + Millis(3'610'000)), Objectives)[3]
+            .Total_ == 0);
+  // The slot is used again an hour later, and a straggler of before is left
+  // out.
+  recordMany(Recorder, 2, 0, Start + Millis(3'600'000));
+  recordMany(Recorder, 5, 0, Start);
+  CHECK(burnReport(Recorder.counts(Start + Millis(3'600'000)), Objectives)[3]
+            .Total_ == 2);
+}
+
+TEST_CASE("an objective without requests has its whole budget") {
+  BurnRow Row = burnReport({}, Objectives)[0];
+  CHECK(Row.Key_ == Book);
+  CHECK(Row.Total_ == 0);
+  CHECK(Row.BurnRate_ == 0);
+  CHECK(Row.BudgetLeft_ == 1);
+}
+
+TEST_CASE("counts of nodes are coded and summed by age") {
+  BurnRecorder One;
+  BurnRecorder Other;
+  recordMany(One, 9, 1, Millis(1'000'000));
+  recordMany(Other, 5, 5, Millis(77'000'000));
+  Other.record("stock", "lookup", true, Millis(77'000'000));
+  BurnCounts Sum = One.counts(Millis(1'000'000));
+  BurnCounts Coded =
+      decodeCounts(encodeCounts(Other.counts(Millis(77'000'000))));
+  CHECK(Coded == Other.counts(Millis(77'000'000)));
+  addCounts(Sum, Coded);
+  BurnRow Row = burnReport(Sum, Objectives)[0];
+  CHECK(Row.Total_ == 20);
+  CHECK(Row.Bad_ == 6);
+  CHECK(Sum.Slots_.count({"stock", "lookup"}) == 1);
+}
+
+TEST_CASE("malformed counts are refused") {
+  for (const char *Text :
+       {"", "{}", "[]", R"({"counts":1})", R"({"counts":[{}]})",
+        R"({"counts":[{"service":"a","rank":"b","slots":[[0,1]]}]})",
+        R"({"counts":[{"service":"a","rank":"b","slots":[[360,1,0]]}]})",
+        R"({"counts":[{"service":"a","rank":"b","slots":[[-1,1,0]]}]})",
+        R"({"counts":[{"service":"a","rank":"b","slots":[[0,1,2]]}]})",
+        R"({"counts":[{"service":"a","rank":"b","slots":[[0,-1,-2]]}]})"})
+    CHECK_THROWS_AS_MESSAGE(decodeCounts(Text), std::invalid_argument, Text);
+}
+
+TEST_CASE("the report is coded as rows") {
+  BurnRecorder Recorder;
+  recordMany(Recorder, 1, 1, Millis(1'000'000));
+  std::string Text = burnReportJson(
+      burnReport(Recorder.counts(Millis(1'000'000)), {{Book, 0.5}}));
+  CHECK(Text.find(R"({"rows":[{"service":"chairs","rank":"booking",)"
+                  R"("window_ms":60000,"target":5E-1,"total":2,"bad":1,)"
+                  R"("error_share":5E-1,"burn_rate":1E0,)") == 0);
+}
+
+TEST_CASE("threads record without loss") {
+  BurnRecorder Recorder;
+  std::vector<std::thread> Threads;
+  Threads.reserve(4);
+  for (int I = 0; I < 4; ++I)
+    Threads.emplace_back(
+        [&] { recordMany(Recorder, 4000, 1000, Millis(1'000'000)); });
+  for (std::thread &Each : Threads)
+    Each.join();
+  BurnRow Row = burnReport(Recorder.counts(Millis(1'000'000)), Objectives)[0];
+  CHECK(Row.Total_ == 20000);
+  CHECK(Row.Bad_ == 4000);
+}
