--- a/src/libprotocol/coltsfoot.thrift
+++ b/src/libprotocol/coltsfoot.thrift
@@ -33,8 +33,9 @@
   11: i32 bucket          // 0..127, hash of the root request
   12: i32 depth           // 0 for a root call
   13: string ticket       // empty for an idempotent call
-  14: string digest       // of method, target and body, for ticketed calls
-  15: string route        // name of the route that the entry matched
+  14: string route        // name of the route that the entry matched
+  15: i32 rank_order      // of the root call; the more urgent of it and the route's counts
+  16: bool protected_call // inherited from the root call
 }
 
 // What the gate's admission would refuse at this moment: ranks behind
@@ -71,7 +72,7 @@
   3: i64 asked_incarnation // of the process that sent that offer
   4: string ticket
   5: bool close
-  6: i32 remaining_ms
+  6: string digest        // of method, target and body of the call asked for
 }
 
 struct Cancel {
@@ -133,7 +134,7 @@
   1: string node          // ip:port that the member advertises
   2: i64 incarnation      // identifies the process
   3: i64 generation       // orders records of one node; only it raises it
-  4: WireMemberState state
+  4: i32 state            // WireMemberState; a number, as any may arrive
   5: string zone
   6: string region
   7: string service_name       // empty until a backend server has announced itself
