Add the operators' command line tool

Cause: operators need to write, watch and explain from scripts, with an outcome that is never guessed. Ruled out: sending a change again after a lost answer, since a lost race could then not be told from one's own success; it is settled by reading. Letting drain go on to the next node, which would stop the wrong one. Change: coltsfootctl with apply, get, delete, watch, nodes, status, drain, explain, burn and log-level; programs get unit tests as libraries do; burn objectives may cover all ranks and name their windows.

--- /dev/null
+++ b/src/coltsfootctl/options.cpp
@@ -0,0 +1,125 @@
+#include "options.h"
+
+#include "commanderror.h"
+
+#include <cmath>
+#include <cxxopts.hpp>
+#include <iostream>
+
+namespace coltsfoot {
+
+namespace {
+
+constexpr const char *Commands =
+    R"(Commands:
+  apply -f FILE       write the resources of a file, '-' for standard input
+  get KIND [NAME]     show resources
+  delete KIND NAME    delete a resource
+  watch KIND          print each change as a line of JSON
+  nodes               show the nodes of the fleet
+  status              show the state of a node
+  drain               make a node leave gracefully; needs one --node
+  explain ID          show what became of a request
+  burn                show service-level burn; exit 1 above a rate of 1
+  log-level LEVEL     set the lowest level that the nodes log
+
+KIND is service, rank, retry-policy or objective.
+
+Exit codes: 0 done, 1 refused or failed, 2 usage or settings, 3 no node
+reached, 4 lost race, 5 outcome unknown.
+)";
+
+cxxopts::Options makeParser() {
+  cxxopts::Options Parser("coltsfootctl", "Operators' tool of coltsfootpoint");
+  Parser.custom_help("[OPTION...]");
+  Parser.positional_help("COMMAND [ARGUMENT...]");
+  auto Add = Parser.add_options();
+  Add("node",
+      "node to speak to; repeatable, the next is tried when one isn't "
+      "reached",
+      cxxopts::value<std::vector<std::string>>(), "IP:PORT");
+  Add("token-file", "file with the operators' token",
+      cxxopts::value<std::string>(), "FILE");
+  Add("output", "table or json",
+      cxxopts::value<std::string>()->default_value("table"), "FORMAT");
+  Add("timeout-ms", "time for the whole command",
+      cxxopts::value<double>()->default_value("10000"), "MS");
+  Add("f,file", "file of resources", cxxopts::value<std::string>(), "FILE");
+  Add("force-version", "expect this version in place of the present one",
+      cxxopts::value<int64_t>(), "N");
+  Add("from", "watch: begin after this version",
+      cxxopts::value<int64_t>()->default_value("0"), "VERSION");
+  Add("no-wait", "don't wait until a change is in force on all nodes");
+  Add("help", "print this text");
+  Add("version", "print the version");
+  Add("words", "", cxxopts::value<std::vector<std::string>>());
+  Parser.parse_positional({"words"});
+  return Parser;
+}
+
+[[noreturn]] void misused(const std::string &Text) {
+  throw CommandError(ExitCode::Usage, Text + "; see --help");
+}
+
+std::vector<IpPort> parseNodes(const cxxopts::ParseResult &Given) {
+  std::vector<IpPort> Nodes;
+  if (Given.count("node") == 0)
+    misused("--node is missing");
+  for (const auto &Text : Given["node"].as<std::vector<std::string>>()) {
+    auto Node = parseIpPort(Text);
+    if (!Node)
+      misused("--node: expected IP:PORT, found '" + Text + "'");
+    Nodes.push_back(*Node);
+  }
+  return Nodes;
+}
+
+Options makeOptions(const cxxopts::ParseResult &Given) {
+  Options Result;
+  if (Given.count("words") == 0)
+    misused("a command is missing");
+  Result.Arguments_ = Given["words"].as<std::vector<std::string>>();
+  Result.Command_ = Result.Arguments_.front();
+  Result.Arguments_.erase(Result.Arguments_.begin());
+  Result.Nodes_ = parseNodes(Given);
+  auto Output = Given["output"].as<std::string>();
+  if (Output != "table" && Output != "json")
+    misused("--output: expected table or json, found '" + Output + "'");
+  Result.Json_ = Output == "json";
+  Result.Timeout_ = Millis(Given["timeout-ms"].as<double>());
+  if (!std::isfinite(Result.Timeout_.count()) || Result.Timeout_ <= Millis(0))
+    misused("--timeout-ms: expected a number above 0");
+  if (Given.count("file") > 0)
+    Result.File_ = Given["file"].as<std::string>();
+  if (Given.count("force-version") > 0)
+    Result.ForcedVersion_ = Given["force-version"].as<int64_t>();
+  if (Result.ForcedVersion_.value_or(0) < 0)
+    misused("--force-version: expected a number of 0 or more");
+  Result.From_ = Given["from"].as<int64_t>();
+  Result.NoWait_ = Given.count("no-wait") > 0;
+  if (Given.count("token-file") > 0)
+    Result.Token_ = loadSecret(Given["token-file"].as<std::string>());
+  return Result;
+}
+
+} // namespace
+
+std::optional<Options> parseOptions(int Argc, const char *const *Argv) {
+  cxxopts::Options Parser = makeParser();
+  try {
+    cxxopts::ParseResult Given = Parser.parse(Argc, Argv);
+    if (Given.count("help") > 0) {
+      std::cout << Parser.help() << '\n' << Commands;
+      return std::nullopt;
+    }
+    if (Given.count("version") > 0) {
+      std::cout << "coltsfootctl " COLTSFOOTPOINT_VERSION "\n";
+      return std::nullopt;
+    }
+    return makeOptions(Given);
+  } catch (const cxxopts::exceptions::exception &Error) {
+    misused(Error.what());
+  }
+}
+
+} // namespace coltsfoot
--- a/src/include/coltsfootpoint/burn.h
+++ b/src/include/coltsfootpoint/burn.h
@@ -14,7 +14,7 @@
 constexpr Millis BurnSlotTime(10'000);
 /// Slots of the longest window, one hour.
 constexpr int BurnSlotCount = 360;
-/// The windows of a report, in slots: 1, 5, 30 and 60 minutes.
+/// The windows of objectives that name none, in slots: 1, 5, 30 and 60 minutes.
 constexpr int BurnWindows[] = {6, 30, 180, BurnSlotCount};
 
 /// The service and rank that requests are counted under.
@@ -38,10 +38,13 @@
   bool operator==(const BurnCounts &) const = default;
 };
 
-/// The share of requests that must succeed, below 1.
+/// The share of requests that must succeed, below 1, in each of the windows.
 struct BurnObjective {
+  /// An empty rank stands for all ranks of the service together.
   BurnKey Key_;
   double Target_ = 0;
+  /// Empty for BurnWindows; windows beyond the hour that is kept are cut to it.
+  std::vector<Millis> Windows_;
   bool operator==(const BurnObjective &) const = default;
 };
 
--- a/src/libutil/burn.cpp
+++ b/src/libutil/burn.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <cmath>
+#include <set>
 #include <stdexcept>
 
 namespace coltsfoot {
@@ -17,17 +19,42 @@
   throw std::invalid_argument("malformed counts of requests");
 }
 
+/// Returns the objective's windows in slots, each once, in order.
+std::set<int> windowsOf(const BurnObjective &Objective) {
+  if (Objective.Windows_.empty())
+    return {std::begin(BurnWindows), std::end(BurnWindows)};
+  std::set<int> Slots;
+  for (Millis Window : Objective.Windows_) {
+    double Exact = std::ceil(Window.count() / BurnSlotTime.count());
+    Slots.insert(static_cast<int>(std::clamp<double>(Exact, 1, BurnSlotCount)));
+  }
+  return Slots;
+}
+
+/// Returns the requests of one window that an objective covers.
+BurnSlot sumWindow(const BurnCounts &Counts, const BurnKey &Covered,
+                   int Window) {
+  BurnSlot Sum;
+  for (const auto &[Key, Slots] : Counts.Slots_) {
+    bool RankFits = Covered.Rank_.empty() || Covered.Rank_ == Key.Rank_;
+    if (Key.Service_ != Covered.Service_ || !RankFits)
+      continue;
+    for (auto It = Slots.begin(); It != Slots.lower_bound(Window); ++It) {
+      Sum.Total_ += It->second.Total_;
+      Sum.Bad_ += It->second.Bad_;
+    }
+  }
+  return Sum;
+}
+
 BurnRow makeRow(const BurnObjective &Objective, int Window,
-                const std::map<int, BurnSlot> *Slots) {
+                const BurnSlot &Sum) {
   BurnRow Row;
   Row.Key_ = Objective.Key_;
   Row.Target_ = Objective.Target_;
   Row.Window_ = BurnSlotTime * Window;
-  if (Slots)
-    for (auto It = Slots->begin(); It != Slots->lower_bound(Window); ++It) {
-      Row.Total_ += It->second.Total_;
-      Row.Bad_ += It->second.Bad_;
-    }
+  Row.Total_ = Sum.Total_;
+  Row.Bad_ = Sum.Bad_;
   if (Row.Total_ > 0)
     Row.ErrorShare_ =
         static_cast<double>(Row.Bad_) / static_cast<double>(Row.Total_);
@@ -95,14 +122,10 @@
 std::vector<BurnRow> burnReport(const BurnCounts &Counts,
                                 const std::vector<BurnObjective> &Objectives) {
   std::vector<BurnRow> Rows;
-  Rows.reserve(Objectives.size() * std::size(BurnWindows));
-  for (const BurnObjective &Objective : Objectives) {
-    auto Found = Counts.Slots_.find(Objective.Key_);
-    bool Counted = Found != Counts.Slots_.end();
-    for (int Window : BurnWindows)
-      Rows.push_back(
-          makeRow(Objective, Window, Counted ? &Found->second : nullptr));
-  }
+  for (const BurnObjective &Objective : Objectives)
+    for (int Window : windowsOf(Objective))
+      Rows.push_back(makeRow(Objective, Window,
+                             sumWindow(Counts, Objective.Key_, Window)));
   return Rows;
 }
 
--- a/src/libutil/burn_test.cpp
+++ b/src/libutil/burn_test.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 const BurnKey Book{"chairs", "booking"};
-const std::vector<BurnObjective> Objectives = {{Book, 0.99}};
+const std::vector<BurnObjective> Objectives = {{Book, 0.99, {}}};
 
 void recordMany(BurnRecorder &Recorder, int Good, int Bad, Millis Now) {
   for (int I = 0; I < Good + Bad; ++I)
@@ -58,6 +58,22 @@
             .Total_ == 2);
 }
 
+TEST_CASE("an objective may cover all ranks and have its own windows") {
+  BurnRecorder Recorder;
+  Millis Now(5'000'000);
+  recordMany(Recorder, 8, 2, Now);
+  Recorder.record("chairs", "lookup", false, Now);
+  Recorder.record("stock", "lookup", false, Now);
+  auto Rows = burnReport(
+      Recorder.counts(Now),
+      {{{"chairs", ""}, 0.5, {Millis(15'000), Millis(4e6), Millis(9e6)}}});
+  REQUIRE(Rows.size() == 2);
+  CHECK(Rows[0].Window_ == Millis(20'000));
+  CHECK(Rows[0].Total_ == 11);
+  CHECK(Rows[0].Bad_ == 3);
+  CHECK(Rows[1].Window_ == Millis(3'600'000));
+}
+
 TEST_CASE("an objective without requests has its whole budget") {
   BurnRow Row = burnReport({}, Objectives)[0];
   CHECK(Row.Key_ == Book);
@@ -98,7 +114,7 @@
   BurnRecorder Recorder;
   recordMany(Recorder, 1, 1, Millis(1'000'000));
   std::string Text = burnReportJson(
-      burnReport(Recorder.counts(Millis(1'000'000)), {{Book, 0.5}}));
+      burnReport(Recorder.counts(Millis(1'000'000)), {{Book, 0.5, {}}}));
   CHECK(Text.find(R"({"rows":[{"service":"chairs","rank":"booking",)"
                   R"("window_ms":60000,"target":5E-1,"total":2,"bad":1,)"
                   R"("error_share":5E-1,"burn_rate":1E0,)") == 0);
