--- a/src/cmake/Targets.cmake
+++ b/src/cmake/Targets.cmake
@@ -18,6 +18,8 @@
     add_executable(${NAME}_test ${TESTS}
                    ${CMAKE_SOURCE_DIR}/testsuite/common/doctest_main.cpp)
     target_link_libraries(${NAME}_test PRIVATE coltsfoot_${NAME})
+    target_compile_definitions(${NAME}_test PRIVATE
+                               COLTSFOOT_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
     add_test(NAME unit.${NAME} COMMAND ${NAME}_test)
   endif()
 endfunction()
--- a/src/libutil/settings_test.cpp
+++ b/src/libutil/settings_test.cpp
@@ -8,6 +8,7 @@
 #include <cstdio>
 #include <doctest/doctest.h>
 #include <fstream>
+#include <iterator>
 #include <random>
 
 using namespace coltsfoot;
@@ -200,6 +201,13 @@
   CHECK(Help.find("a whole number from 1 to 64") != std::string::npos);
 }
 
+TEST_CASE("the operators' page holds the table as it is in the code") {
+  std::ifstream File(COLTSFOOT_SOURCE_DIR "/docs/OPERATIONS.md");
+  std::string Page{std::istreambuf_iterator<char>(File), {}};
+  CHECK(Page.find("<!-- settings: begin -->\n" + settingsMarkdown() +
+                  "<!-- settings: end -->") != std::string::npos);
+}
+
 TEST_CASE("each default lies within its range") {
   for (const SettingEntry &Entry : settingsTable())
     if (const auto *Kind = std::get_if<NumberSetting>(&Entry.Kind_)) {
