--- a/src/libtransport/upstreamclient.h
+++ b/src/libtransport/upstreamclient.h
@@ -50,7 +50,7 @@
   };
   using Handler = std::function<void(Verdict)>;
 
-  /// A call in progress.
+  /// A call in progress. It must not outlive the io_context.
   class Call
       : public boost::intrusive_ref_counter<Call, boost::thread_safe_counter> {
   public:
--- a/src/libtransport/upstreamclient_test.cpp
+++ b/src/libtransport/upstreamclient_test.cpp
@@ -53,7 +53,12 @@
       : Client_(Workers_.context(), Limits) {
     Client_.setTarget(Server_.endpoint(), Connections);
   }
-  ~Fixture() { Workers_.stop(); }
+  ~Fixture() {
+    Workers_.stop();
+    // A call must not outlive its io_context.
+    for (Outcome &Out : Outcomes_)
+      Out.Call_ = nullptr;
+  }
 
   Outcome &call(std::string Target = "/x", Millis Limit = Millis(5000),
                 std::string Method = "GET") {
