--- a/src/libcoordination/peerpool.cpp
+++ b/src/libcoordination/peerpool.cpp
@@ -1,5 +1,6 @@
 #include "peerpool.h"
 
+#include "codec.h"
 #include "coltsfoot_types.h"
 
 #include "coltsfootpoint/log.h"
@@ -71,27 +72,26 @@
   Link(PeerPool &Pool, std::string Node)
       : Pool_(Pool), Node_(std::move(Node)) {}
 
-  void send(int64_t Number, wire::Frame Message,
+  void send(int64_t Number, std::string Bytes,
             std::optional<Incarnation> Wanted, Handler OnEnd) {
     std::unique_lock<std::mutex> Lock(Mutex_);
-    Waiting Entry{std::move(Message), Wanted, std::move(OnEnd)};
+    if (Closed_) {
+      Lock.unlock();
+      OnEnd(PeerLost{false, false, CloseCause::Local});
+      return;
+    }
+    Waiting Entry{std::move(Bytes), Wanted, std::move(OnEnd)};
     if (!Open_) {
       Waiting_.emplace(Number, std::move(Entry));
       if (!Connection_)
         connect(Lock);
       return;
     }
-    if (Entry.Wanted_ && *Entry.Wanted_ != Incarnation_) {
-      Lock.unlock();
-      Entry.OnEnd_(PeerLost{false, true, CloseCause::Local});
-      return;
-    }
-    FrameConnection::Pointer Connection = Connection_;
-    Pending_.emplace(Number, std::move(Entry.OnEnd_));
-    Connection->awaitReplies(true);
+    std::optional<PeerLost> Lost = pass(Number, Entry);
+    updateAwaiting();
     Lock.unlock();
-    // When it has closed meanwhile, onClosed() ends the message.
-    Connection->send(Entry.Message_);
+    if (Lost)
+      Entry.OnEnd_(*Lost);
   }
 
   bool forget(int64_t Number, bool Tell) {
@@ -101,10 +101,8 @@
     if (Pending_.erase(Number) == 0)
       return true;
     updateAwaiting();
-    FrameConnection::Pointer Connection = Connection_;
-    Lock.unlock();
-    if (Tell && Connection)
-      Connection->send(cancelFrame(Number));
+    if (Tell && Connection_)
+      Connection_->send(cancelFrame(Number));
     return true;
   }
 
@@ -118,14 +116,13 @@
       OnEnd(PeerLost{false, false, CloseCause::Local});
       return;
     }
-    FrameConnection::Pointer Connection = Connection_;
-    Lock.unlock();
-    if (Connection)
-      Connection->send(cancelFrame(Number));
+    if (Connection_ && Pending_.count(Number) > 0)
+      Connection_->send(cancelFrame(Number));
   }
 
   void close() {
     std::unique_lock<std::mutex> Lock(Mutex_);
+    Closed_ = true;
     FrameConnection::Pointer Connection = Connection_;
     Lock.unlock();
     if (Connection)
@@ -134,11 +131,23 @@
 
 private:
   struct Waiting {
-    wire::Frame Message_;
+    std::string Bytes_;
     std::optional<Incarnation> Wanted_;
     Handler OnEnd_;
   };
 
+  /// Sends a message on the open connection, and takes its handler if that
+  /// goes well. Done under the lock, so that its cancellation can't overtake
+  /// it; no callback is called.
+  std::optional<PeerLost> pass(int64_t Number, Waiting &Entry) {
+    if (Entry.Wanted_ && *Entry.Wanted_ != Incarnation_)
+      return PeerLost{false, true, CloseCause::Local};
+    if (!Connection_->sendEncoded(Entry.Bytes_))
+      return PeerLost{false, false, CloseCause::Lost};
+    Pending_.emplace(Number, std::move(Entry.OnEnd_));
+    return {};
+  }
+
   void connect(std::unique_lock<std::mutex> &Lock) {
     auto Target = parseNode(Node_);
     if (!Target) {
@@ -150,9 +159,9 @@
       return;
     }
     FrameConnection::Handlers Handlers;
-    Handlers.OnOpen_ = [Self = shared_from_this()](FrameConnection &Connection,
+    Handlers.OnOpen_ = [Self = shared_from_this()](FrameConnection &,
                                                    const wire::Hello &Hello) {
-      Self->onOpen(Connection, Hello);
+      Self->onOpen(Hello);
     };
     Handlers.OnFrame_ = [Self = shared_from_this()](FrameConnection &,
                                                     wire::Frame &&Message) {
@@ -170,25 +179,21 @@
     Connection->connect(Pool_.From_, *Target);
   }
 
-  void onOpen(FrameConnection &Connection, const wire::Hello &Hello) {
-    std::vector<Handler> Replaced;
-    std::unique_lock<std::mutex> Lock(Mutex_);
-    Open_ = true;
-    Incarnation_ = static_cast<Incarnation>(Hello.incarnation);
-    auto Ready = std::move(Waiting_);
-    Waiting_.clear();
-    for (auto &[Number, Entry] : Ready) {
-      if (Entry.Wanted_ && *Entry.Wanted_ != Incarnation_) {
-        Replaced.push_back(std::move(Entry.OnEnd_));
-        continue;
-      }
-      Pending_.emplace(Number, std::move(Entry.OnEnd_));
-      Connection.send(Entry.Message_);
+  void onOpen(const wire::Hello &Hello) {
+    std::vector<std::pair<Handler, PeerLost>> Unsent;
+    {
+      std::lock_guard<std::mutex> Lock(Mutex_);
+      Open_ = true;
+      Incarnation_ = static_cast<Incarnation>(Hello.incarnation);
+      auto Ready = std::move(Waiting_);
+      Waiting_.clear();
+      for (auto &[Number, Entry] : Ready)
+        if (auto Lost = pass(Number, Entry))
+          Unsent.emplace_back(std::move(Entry.OnEnd_), *Lost);
+      updateAwaiting();
     }
-    updateAwaiting();
-    Lock.unlock();
-    for (Handler &OnEnd : Replaced)
-      OnEnd(PeerLost{false, true, CloseCause::Local});
+    for (auto &[OnEnd, Lost] : Unsent)
+      OnEnd(Lost);
   }
 
   void onFrame(wire::Frame &&Message) {
@@ -235,6 +240,7 @@
   std::mutex Mutex_; // guards the members below
   FrameConnection::Pointer Connection_;
   bool Open_ = false;
+  bool Closed_ = false;
   Incarnation Incarnation_ = 0;
   std::map<int64_t, Waiting> Waiting_;
   std::unordered_map<int64_t, Handler> Pending_;
@@ -245,7 +251,7 @@
     : Context_(Context), Options_(Limits), From_(std::move(From)),
       Self_(std::make_unique<wire::Hello>(std::move(Self))) {}
 
-PeerPool::~PeerPool() = default;
+PeerPool::~PeerPool() { close(); }
 
 void PeerPool::setLocal(LocalHandler Local) { Local_ = std::move(Local); }
 
@@ -259,6 +265,12 @@
   return Entry;
 }
 
+std::shared_ptr<PeerPool::Link> PeerPool::findLink(const std::string &Node) {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  auto Entry = Links_.find(Node);
+  return Entry == Links_.end() ? nullptr : Entry->second;
+}
+
 void PeerPool::call(const std::string &Node, int64_t Number,
                     wire::Frame Message, std::optional<Incarnation> Wanted,
                     Handler OnEnd) {
@@ -272,9 +284,13 @@
       });
     return;
   }
-  std::shared_ptr<Link> To = link(Node);
+  std::string Bytes;
+  appendFrame(Bytes, Message);
+  std::shared_ptr<Link> To;
+  if (Bytes.size() <= Options_.MaxFrameBytes_)
+    To = link(Node);
   if (To)
-    To->send(Number, std::move(Message), Wanted, std::move(OnEnd));
+    To->send(Number, std::move(Bytes), Wanted, std::move(OnEnd));
   else
     OnEnd(PeerLost{false, false, CloseCause::Local});
 }
@@ -285,14 +301,14 @@
       cancel(Node, Number);
     return true;
   }
-  std::shared_ptr<Link> To = link(Node);
-  return To && To->forget(Number, Tell);
+  std::shared_ptr<Link> To = findLink(Node);
+  return !To || To->forget(Number, Tell);
 }
 
 void PeerPool::cancel(const std::string &Node, int64_t Number) {
   if (Node == Self_->node)
     Local_(cancelFrame(Number), {});
-  else if (std::shared_ptr<Link> To = link(Node))
+  else if (std::shared_ptr<Link> To = findLink(Node))
     To->cancel(Number);
 }
 
--- a/src/libcoordination/peerpool.h
+++ b/src/libcoordination/peerpool.h
@@ -60,23 +60,28 @@
 
   /// Sends an offer, inquiry, configuration or status request to a node under
   /// a number from reserve(). With Wanted set, it is sent only to the process
-  /// with that incarnation. The handler may be called before this returns.
+  /// with that incarnation. The handler may be called before this returns. A
+  /// message that is larger than a frame may be is lost unsent.
   void call(const std::string &Node, int64_t Number, wire::Frame Message,
             std::optional<Incarnation> Wanted, Handler OnEnd);
 
   /// Gives up on a message: its handler is not called any more. With Tell set
-  /// the other node is asked to cancel it. Returns whether it was sent.
+  /// the other node is asked to cancel it. Returns false when it was still
+  /// waiting, so that it has not been sent and will not be; true when it was
+  /// sent, has ended, or is not known any more.
   bool forget(const std::string &Node, int64_t Number, bool Tell);
 
   /// Asks the other node to cancel a message whose answer is still awaited.
   void cancel(const std::string &Node, int64_t Number);
 
-  /// Closes all connections.
+  /// Closes all connections; every message ends as lost, and so does each that
+  /// follows.
   void close();
 
 private:
   class Link;
   std::shared_ptr<Link> link(const std::string &Node);
+  std::shared_ptr<Link> findLink(const std::string &Node);
 
   boost::asio::io_context &Context_;
   const FrameConnection::Options Options_;
--- /dev/null
+++ b/src/libcoordination/peerpool_test.cpp
@@ -0,0 +1,372 @@
+#include "peerpool.h"
+
+#include "peerserver.h"
+#include "rawframes.h"
+
+#include <boost/asio/post.hpp>
+#include <deque>
+#include <doctest/doctest.h>
+#include <random>
+
+using namespace coltsfoot;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int64_t SelfIncarnation = 5;
+constexpr int64_t PeerIncarnation = 7;
+
+FrameConnection::Options quick() {
+  FrameConnection::Options Limits;
+  Limits.Connect_ = Millis(300);
+  Limits.Heartbeat_ = Millis(50);
+  Limits.Silent_ = Millis(250);
+  Limits.IdleHeartbeat_ = Millis(2000);
+  Limits.MaxFrameBytes_ = size_t{2} * 1024 * 1024;
+  return Limits;
+}
+
+/// What became of one message.
+struct Outcome {
+  Signal Ended_;
+  PeerResult Result_;
+  int64_t Number_ = 0;
+  bool answered() {
+    REQUIRE(Ended_.wait());
+    return std::holds_alternative<std::shared_ptr<const wire::Frame>>(Result_);
+  }
+  PeerLost lost() {
+    REQUIRE(!answered());
+    return std::get<PeerLost>(Result_);
+  }
+  std::string body() {
+    REQUIRE(answered());
+    return std::get<std::shared_ptr<const wire::Frame>>(Result_)->reply.body;
+  }
+};
+
+struct Fixture {
+  Fixture()
+      : Pool_(Workers_.context(), quick(),
+              boost::asio::ip::address_v4::loopback(),
+              testHello("127.0.0.1:9", SelfIncarnation)) {
+    Node_ = "127.0.0.1:" + std::to_string(Listener_.port());
+  }
+  ~Fixture() {
+    Pool_.close();
+    Workers_.stop();
+  }
+  Outcome &call(std::optional<Incarnation> Wanted = {}, std::string Body = {},
+                const std::string &Node = {}) {
+    Outcome &Out = Outcomes_.emplace_back();
+    Out.Number_ = Pool_.reserve();
+    Pool_.call(Node.empty() ? Node_ : Node, Out.Number_,
+               offerFrame(std::move(Body)), Wanted, [&Out](PeerResult What) {
+                 Out.Result_ = std::move(What);
+                 Out.Ended_.raise();
+               });
+    return Out;
+  }
+  /// Accepts a connection and greets.
+  RawSocket accept() {
+    RawSocket Peer = Listener_.accept();
+    auto First = receiveFrame(Peer);
+    REQUIRE(First);
+    CHECK(First->hello.incarnation == SelfIncarnation);
+    Peer.send(helloBytes(PeerIncarnation));
+    return Peer;
+  }
+
+  std::deque<Outcome> Outcomes_;
+  Workers Workers_;
+  RawListener Listener_;
+  PeerPool Pool_;
+  std::string Node_;
+};
+
+/// A PeerServer that answers each offer with its body.
+struct EchoServer {
+  EchoServer()
+      : Server_(Workers_.context(),
+                {boost::asio::ip::address_v4::loopback(), 0}) {
+    PeerServer::Handlers Handlers;
+    Handlers.OnFrame_ = [this](uint64_t, const FrameConnection::Pointer &From,
+                               wire::Frame &&Message) {
+      ++Frames_;
+      if (Message.__isset.offer)
+        From->send(replyFrame(Message.offer.attempt, Message.offer.body));
+    };
+    Handlers.OnClosed_ = [this](uint64_t) { Closed_.raise(); };
+    Server_.start(quick(), testHello("127.0.0.1:1", PeerIncarnation),
+                  std::move(Handlers));
+  }
+  ~EchoServer() {
+    Server_.stop();
+    Workers_.stop();
+  }
+  std::string node() const {
+    return "127.0.0.1:" + std::to_string(Server_.port());
+  }
+
+  std::atomic<int> Frames_ = 0;
+  Signal Closed_;
+  Workers Workers_;
+  PeerServer Server_;
+};
+
+} // namespace
+
+TEST_CASE("answers find their messages in any order") {
+  Fixture Under;
+  std::vector<Outcome *> Calls;
+  for (int I = 0; I < 20; ++I)
+    Calls.push_back(&Under.call(PeerIncarnation, std::to_string(I)));
+  RawSocket Peer = Under.accept();
+  std::vector<wire::Frame> Offers;
+  for (int I = 0; I < 20; ++I)
+    Offers.push_back(*receiveCall(Peer));
+  CHECK(!Under.Listener_.offered(20ms));
+  // Unknown numbers, and messages of kinds that answer nothing, are dropped.
+  Peer.send(encoded(replyFrame(9999, "stray")) + encoded(replyFrame(0)) +
+            encoded(replyFrame(-1)) + encoded(offerFrame()));
+  for (auto Offer = Offers.rbegin(); Offer != Offers.rend(); ++Offer) {
+    auto Answer = encoded(replyFrame(Offer->offer.attempt, Offer->offer.body));
+    Peer.send(Answer + Answer);
+  }
+  for (int I = 0; I < 20; ++I)
+    CHECK(Calls[static_cast<size_t>(I)]->body() == std::to_string(I));
+  for (Outcome &Out : Under.Outcomes_)
+    CHECK(Out.Ended_.count() == 1);
+}
+
+TEST_CASE("a peer that never greets loses the message unsent") {
+  Fixture Under;
+  auto Start = std::chrono::steady_clock::now();
+  Outcome &Out = Under.call();
+  RawSocket Peer = Under.Listener_.accept();
+  CHECK(!Out.lost().Sent_);
+  CHECK(Out.lost().Cause_ == CloseCause::Refused);
+  CHECK(std::chrono::steady_clock::now() - Start < 2s);
+  // Nothing but the greeting was written.
+  CHECK(bool(receiveFrame(Peer)->__isset.hello));
+  CHECK(!receiveFrame(Peer));
+}
+
+TEST_CASE("refused and unknown addresses lose the message unsent") {
+  Fixture Under;
+  Under.Listener_.close();
+  CHECK(!Under.call().lost().Sent_);
+  for (const char *Node : {"nowhere", "127.0.0.1:", "127.0.0.1:x", ":1", ""})
+    CHECK(!Under.call({}, {}, Node[0] == 0 ? "x" : Node).lost().Sent_);
+  CHECK(!Under.call({}, std::string(2200000, 'x')).lost().Sent_);
+}
+
+TEST_CASE("a replaced process does not get the message") {
+  Fixture Under;
+  Outcome &Early = Under.call(PeerIncarnation + 1);
+  RawSocket Peer = Under.accept();
+  CHECK(Early.lost().Replaced_);
+  CHECK(!Early.lost().Sent_);
+  Outcome &Late = Under.call(PeerIncarnation + 1);
+  CHECK(Late.lost().Replaced_);
+  CHECK(!Late.lost().Sent_);
+  Outcome &Meant = Under.call(PeerIncarnation, "meant");
+  auto Offer = receiveCall(Peer);
+  REQUIRE(Offer);
+  CHECK(Offer->offer.body == "meant");
+  Peer.send(encoded(replyFrame(Meant.Number_, "yes")));
+  CHECK(Meant.body() == "yes");
+}
+
+TEST_CASE("a connection that is lost after sending says so once") {
+  Fixture Under;
+  Outcome &First = Under.call();
+  Outcome &Second = Under.call();
+  RawSocket Peer = Under.accept();
+  receiveCall(Peer);
+  receiveCall(Peer);
+  CloseCause Expected = CloseCause::Lost;
+  SUBCASE("closed") { Peer.close(); }
+  SUBCASE("silent") { Expected = CloseCause::Silent; }
+  SUBCASE("garbage") {
+    Peer.send("garbage");
+    Expected = CloseCause::Garbage;
+  }
+  for (Outcome *Out : {&First, &Second}) {
+    CHECK(Out->lost().Sent_);
+    CHECK(!Out->lost().Replaced_);
+    CHECK(Out->lost().Cause_ == Expected);
+  }
+  // The next message makes a new connection.
+  Outcome &Third = Under.call();
+  RawSocket Fresh = Under.accept();
+  auto Offer = receiveCall(Fresh);
+  REQUIRE(Offer);
+  CHECK(Offer->offer.attempt == Third.Number_);
+  Fresh.send(encoded(replyFrame(First.Number_, "late")) +
+             encoded(replyFrame(Third.Number_, "own")));
+  CHECK(Third.body() == "own");
+  for (Outcome &Out : Under.Outcomes_)
+    CHECK(Out.Ended_.count() == 1);
+}
+
+TEST_CASE("a message can be forgotten or cancelled at any moment") {
+  Fixture Under;
+  Outcome &Forgotten = Under.call({}, "forgotten");
+  Outcome &Cancelled = Under.call({}, "cancelled");
+  CHECK(!Under.Pool_.forget(Under.Node_, Forgotten.Number_, true));
+  Under.Pool_.cancel(Under.Node_, Cancelled.Number_);
+  CHECK(!Cancelled.lost().Sent_);
+  Outcome &Sent = Under.call({}, "sent");
+  RawSocket Peer = Under.accept();
+  CHECK(receiveCall(Peer)->offer.body == "sent");
+  Under.Pool_.cancel(Under.Node_, Sent.Number_);
+  CHECK(receiveCall(Peer)->cancel.attempt == Sent.Number_);
+  CHECK(Sent.Ended_.count() == 0);
+  CHECK(Under.Pool_.forget(Under.Node_, Sent.Number_, true));
+  CHECK(receiveCall(Peer)->cancel.attempt == Sent.Number_);
+  Peer.send(encoded(replyFrame(Sent.Number_, "late")));
+  // What has ended or was never known may have been sent, for all that the
+  // pool can tell; asking makes no connection.
+  CHECK(Under.Pool_.forget(Under.Node_, Sent.Number_, true));
+  CHECK(Under.Pool_.forget("127.0.0.1:1", 777, true));
+  Under.Pool_.cancel("127.0.0.1:1", 777);
+  Outcome &Last = Under.call({}, "last");
+  CHECK(receiveCall(Peer)->offer.body == "last");
+  Peer.send(encoded(replyFrame(Last.Number_, "")));
+  CHECK(Last.answered());
+  CHECK(Sent.Ended_.count() == 0);
+  CHECK(Forgotten.Ended_.count() == 0);
+  CHECK(Cancelled.Ended_.count() == 1);
+}
+
+TEST_CASE("closing ends everything and stays closed") {
+  Fixture Under;
+  Outcome &Sent = Under.call();
+  RawSocket Peer = Under.accept();
+  receiveCall(Peer);
+  Under.Pool_.close();
+  CHECK(Sent.lost().Sent_);
+  CHECK(Peer.closes());
+  CHECK(!Under.call().lost().Sent_);
+  // It was sent, so it must not be taken for one that never left.
+  CHECK(Under.Pool_.forget(Under.Node_, Sent.Number_, true));
+  CHECK(!Under.Listener_.offered(20ms));
+}
+
+TEST_CASE("messages to this node stay in it") {
+  Fixture Under;
+  std::atomic<int> Cancels = 0;
+  Under.Pool_.setLocal([&](const wire::Frame &Message,
+                           const std::function<void(wire::Frame)> &Answer) {
+    if (Message.__isset.cancel)
+      ++Cancels;
+    else
+      Answer(replyFrame(Message.offer.attempt, Message.offer.body));
+  });
+  CHECK(Under.call({}, "self", "127.0.0.1:9").body() == "self");
+  CHECK(Under.call(SelfIncarnation + 1, "", "127.0.0.1:9").lost().Replaced_);
+  CHECK(Under.Pool_.forget("127.0.0.1:9", 1, true));
+  CHECK(Cancels == 1);
+}
+
+TEST_CASE("handlers may call the pool again") {
+  EchoServer Server;
+  Fixture Under;
+  Signal Ended;
+  std::function<void(int)> Next = [&](int Left) {
+    Under.Pool_.call(Server.node(), Under.Pool_.reserve(), offerFrame("x"), {},
+                     [&, Left](const PeerResult &) {
+                       Ended.raise();
+                       if (Left > 0)
+                         Next(Left - 1);
+                     });
+  };
+  Next(50);
+  CHECK(Ended.wait(51));
+}
+
+TEST_CASE("many threads share a connection that is lost now and then") {
+  EchoServer Server;
+  Fixture Under;
+  std::atomic<int> Wrong = 0;
+  std::atomic<int> Ended = 0;
+  constexpr int Threads = 4;
+  constexpr int Calls = 300;
+  std::vector<std::thread> Callers;
+  for (int T = 0; T < Threads; ++T)
+    Callers.emplace_back([&, T] {
+      for (int I = 0; I < Calls; ++I) {
+        std::string Body = std::to_string(T) + "-" + std::to_string(I);
+        int64_t Number = Under.Pool_.reserve();
+        Under.Pool_.call(
+            Server.node(), Number, offerFrame(Body), {},
+            [&, Body](const PeerResult &What) {
+              const auto *Answer =
+                  std::get_if<std::shared_ptr<const wire::Frame>>(&What);
+              Wrong += Answer && (*Answer)->reply.body != Body ? 1 : 0;
+              ++Ended;
+            });
+        if (I % 9 == 0)
+          Under.Pool_.cancel(Server.node(), Number);
+      }
+    });
+  for (std::thread &Caller : Callers)
+    Caller.join();
+  CHECK(waitUntil([&] { return Ended == Threads * Calls; }));
+  CHECK(Wrong == 0);
+}
+
+TEST_CASE("a stopped server closes its connections and takes no more") {
+  EchoServer Server;
+  Fixture Under;
+  CHECK(Under.call({}, "x", Server.node()).body() == "x");
+  Server.Server_.stop();
+  CHECK(Server.Closed_.wait());
+  CHECK(waitUntil(
+      [&] { return !Under.call({}, "x", Server.node()).answered(); }));
+}
+
+TEST_CASE("mutated frames neither crash nor hang the server") {
+  EchoServer Server;
+  Fixture Under;
+  std::mt19937_64 Random(20261204);
+  const std::vector<std::string> Seeds = {
+      helloBytes(1), encoded(offerFrame("body")), encoded(replyFrame(3, "x")),
+      heartbeatBytes(1, false), heartbeatBytes(2, true)};
+  auto Port = Server.Server_.port();
+  for (int Round = 0; Round < 1200; ++Round) {
+    std::string Bytes = Round % 3 == 0 ? "" : helloBytes(1);
+    for (size_t Times = 1 + Random() % 4; Times > 0; --Times) {
+      std::string Next = Seeds[Random() % Seeds.size()];
+      for (size_t Flips = Random() % 4; Flips > 0; --Flips)
+        Next[Random() % Next.size()] = static_cast<char>(Random());
+      if (Random() % 8 == 0)
+        Next.resize(Random() % Next.size());
+      Bytes += Next;
+    }
+    RawSocket Peer = RawSocket::connect(Port);
+    Peer.send(Bytes);
+    if (Round % 40 == 0)
+      CHECK(Under.call({}, "good", Server.node()).body() == "good");
+  }
+  CHECK(Under.call({}, "last", Server.node()).body() == "last");
+  CHECK(Server.Closed_.wait(1200));
+}
+
+TEST_CASE("a claimed number of elements costs no memory") {
+  // An offer whose list of fields claims two thousand million elements.
+  std::string Payload = encoded(offerFrame("b")).substr(4);
+  std::string Claim("\x2c\x69\xfc\xff\xff\xff\xff\x07", 8);
+  CHECK_THROWS_AS(decodeFrame(Claim), CodecError);
+  std::mt19937_64 Random(20261204);
+  for (int Round = 0; Round < 2000; ++Round) {
+    std::string Bytes = Payload;
+    Bytes.insert(Random() % Bytes.size(),
+                 std::string("\xfc\xff\xff\xff\xff\x07", 6));
+    try {
+      decodeFrame(Bytes);
+    } catch (const CodecError &) {
+    }
+  }
+}
--- a/src/libcoordination/peerserver.cpp
+++ b/src/libcoordination/peerserver.cpp
@@ -1,9 +1,11 @@
 #include "peerserver.h"
 
 #include "coltsfoot_types.h"
+#include "timer.h"
 
 #include "coltsfootpoint/log.h"
 
+#include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
@@ -17,6 +19,12 @@
 using boost::system::error_code;
 using tcp = asio::ip::tcp;
 
+namespace {
+
+constexpr Millis AcceptPause{20};
+
+} // namespace
+
 struct PeerServer::Shared : std::enable_shared_from_this<Shared> {
   Shared(asio::io_context &Context, const tcp::endpoint &Address)
       : Context_(Context), Acceptor_(asio::make_strand(Context), Address),
@@ -43,6 +51,8 @@
 };
 
 void PeerServer::Shared::accept() {
+  if (!Acceptor_.is_open())
+    return;
   Acceptor_.async_accept(
       asio::make_strand(Context_),
       [Self = shared_from_this()](const error_code &Error, tcp::socket Socket) {
@@ -52,7 +62,7 @@
           Self->onAccepted(std::move(Socket));
           return Self->accept();
         }
-        Self->Pause_.expires_after(std::chrono::milliseconds(20));
+        Self->Pause_.expires_after(toChrono(AcceptPause));
         Self->Pause_.async_wait([Self](const error_code &Failure) {
           if (!Failure)
             Self->accept();
@@ -126,7 +136,8 @@
   Shared_->Options_ = Limits;
   Shared_->Self_ = std::move(Self);
   Shared_->Handlers_ = std::move(Callbacks);
-  Shared_->accept();
+  asio::dispatch(Shared_->Acceptor_.get_executor(),
+                 [Self = Shared_] { Self->accept(); });
 }
 
 void PeerServer::stop() { Shared_->stop(); }
--- a/src/libprotocol/codec.cpp
+++ b/src/libprotocol/codec.cpp
@@ -2,6 +2,7 @@
 
 #include "coltsfoot_types.h"
 
+#include <algorithm>
 #include <memory>
 #include <thrift/TConfiguration.h>
 #include <thrift/protocol/TCompactProtocol.h>
@@ -18,6 +19,8 @@
 
 constexpr int MaxMessageBytes = 64 * 1024 * 1024;
 constexpr int MaxRecursion = 8;
+/// A claimed number of elements is allocated before the elements are read.
+constexpr size_t MaxContainerElements = 100'000;
 
 std::shared_ptr<TConfiguration> limits() {
   static const auto Limits = std::make_shared<TConfiguration>(
@@ -43,7 +46,11 @@
     auto Buffer = std::make_shared<TMemoryBuffer>(
         Bytes, static_cast<uint32_t>(Payload.size()), TMemoryBuffer::OBSERVE,
         limits());
-    Protocol Reader(Buffer);
+    // Each element takes a byte at least, and no string exceeds the payload.
+    auto Size = static_cast<int32_t>(Payload.size());
+    auto Elements = static_cast<int32_t>(
+        std::clamp<size_t>(Payload.size(), 1, MaxContainerElements));
+    Protocol Reader(Buffer, std::max(Size, 1), Elements);
     Message.read(&Reader);
     if (Buffer->available_read() != 0)
       throw CodecError("trailing bytes after the message");
--- a/src/libtransport/frameconnection.cpp
+++ b/src/libtransport/frameconnection.cpp
@@ -18,7 +18,12 @@
 
 namespace {
 
-constexpr size_t ReadChunkBytes = 64 * 1024;
+// Reads grow with the traffic, so that an idle connection costs little.
+constexpr size_t MinReadBytes = size_t{4} * 1024;
+constexpr size_t MaxReadBytes = size_t{256} * 1024;
+constexpr size_t MaxGreetingBytes = size_t{4} * 1024;
+constexpr size_t MaxSpareBytes = size_t{64} * 1024;
+constexpr Millis MinCheck{1};
 constexpr size_t LengthBytes = 4;
 
 uint32_t readLength(const char *Bytes) {
@@ -48,6 +53,8 @@
     return "garbage";
   case CloseCause::Handshake:
     return "handshake";
+  case CloseCause::Overflow:
+    return "overflow";
   }
   return "unknown";
 }
@@ -64,13 +71,15 @@
     : Socket_(std::move(Peer)), Timer_(Socket_.get_executor()),
       Options_(Limits),
       Greeting_(std::make_unique<Greeting>(Greeting{std::move(Self)})),
-      Handlers_(std::move(Callbacks)) {}
+      Handlers_(std::move(Callbacks)), ReadChunk_(MinReadBytes) {}
 
 FrameConnection::~FrameConnection() = default;
 
 void FrameConnection::start() {
   asio::dispatch(Socket_.get_executor(), [Self = Pointer(this)] {
-    Self->LastHeard_ = Self->Clock_.now();
+    if (Self->Life_.state() == ConnectionLife::State::Closed)
+      return;
+    Self->Started_ = Self->LastHeard_ = Self->Clock_.now();
     error_code Ignored;
     Self->Socket_.set_option(asio::ip::tcp::no_delay(true), Ignored);
     Self->greet();
@@ -82,7 +91,9 @@
 void FrameConnection::connect(const asio::ip::address &From,
                               const asio::ip::tcp::endpoint &To) {
   asio::dispatch(Socket_.get_executor(), [Self = Pointer(this), From, To] {
-    Self->LastHeard_ = Self->Clock_.now();
+    if (Self->Life_.state() == ConnectionLife::State::Closed)
+      return;
+    Self->Started_ = Self->LastHeard_ = Self->Clock_.now();
     Self->armTimer();
     error_code Failure;
     Self->Socket_.open(To.protocol(), Failure);
@@ -93,6 +104,8 @@
     Self->Socket_.async_connect(To, [Self](const error_code &Error) {
       if (Error)
         return Self->finish(CloseCause::Refused);
+      if (Self->Life_.state() == ConnectionLife::State::Closed)
+        return;
       error_code Ignored;
       Self->Socket_.set_option(asio::ip::tcp::no_delay(true), Ignored);
       Self->greet();
@@ -120,24 +133,41 @@
 bool FrameConnection::send(const wire::Frame &Message) {
   std::string Bytes;
   appendFrame(Bytes, Message);
+  return sendEncoded(Bytes);
+}
+
+bool FrameConnection::sendEncoded(std::string_view Bytes) {
+  // The other side would take a larger frame for garbage and close.
+  if (Bytes.size() > LengthBytes + Options_.MaxFrameBytes_)
+    return false;
+  bool Full = false;
   {
     std::lock_guard<std::mutex> Lock(OutMutex_);
     if (Closed_)
       return false;
-    Out_ += Bytes;
-    if (WriteActive_ || !HasWritten_)
+    Full = Out_.size() + Bytes.size() > Options_.MaxQueuedBytes_;
+    if (!Full)
+      Out_ += Bytes;
+    if (!Full && (WriteActive_ || !HasWritten_))
       return true;
     WriteActive_ = true;
   }
-  asio::dispatch(Socket_.get_executor(),
-                 [Self = Pointer(this)] { Self->startWrite(); });
-  return true;
+  // Posted, since the caller may hold a lock that a callback takes.
+  asio::post(Socket_.get_executor(), [Self = Pointer(this), Full] {
+    if (Full)
+      Self->finish(CloseCause::Overflow);
+    else
+      Self->startWrite();
+  });
+  return !Full;
 }
 
 void FrameConnection::startWrite() {
   {
     std::lock_guard<std::mutex> Lock(OutMutex_);
     Writing_.clear();
+    if (Writing_.capacity() > MaxSpareBytes)
+      Writing_.shrink_to_fit();
     std::swap(Writing_, Out_);
     if (Writing_.empty() || Closed_) {
       WriteActive_ = false;
@@ -154,8 +184,7 @@
 }
 
 void FrameConnection::read() {
-  if (In_.size() < InUsed_ + ReadChunkBytes)
-    In_.resize(InUsed_ + ReadChunkBytes);
+  fitBuffer();
   Socket_.async_read_some(
       asio::buffer(In_.data() + InUsed_, In_.size() - InUsed_),
       [Self = Pointer(this)](const error_code &Error, size_t Size) {
@@ -165,8 +194,20 @@
       });
 }
 
+void FrameConnection::fitBuffer() {
+  if (InUsed_ == 0 && In_.size() > MaxReadBytes) {
+    In_.clear();
+    In_.shrink_to_fit();
+    ReadChunk_ = MinReadBytes;
+  }
+  if (In_.size() < InUsed_ + ReadChunk_)
+    In_.resize(InUsed_ + ReadChunk_);
+}
+
 void FrameConnection::onRead(size_t Size) {
   LastHeard_ = Clock_.now();
+  if (Size >= ReadChunk_)
+    ReadChunk_ = std::min(ReadChunk_ * 2, MaxReadBytes);
   InUsed_ += Size;
   if (takeFrames())
     read();
@@ -176,7 +217,8 @@
   size_t Start = 0;
   while (InUsed_ - Start >= LengthBytes) {
     size_t Length = readLength(In_.data() + Start);
-    if (Length > Options_.MaxFrameBytes_) {
+    bool Greeted = Life_.state() == ConnectionLife::State::Open;
+    if (Length > (Greeted ? Options_.MaxFrameBytes_ : MaxGreetingBytes)) {
       finish(CloseCause::Garbage);
       return false;
     }
@@ -242,7 +284,10 @@
 void FrameConnection::armTimer() {
   bool Watchful = Awaiting_ || Life_.state() != ConnectionLife::State::Open;
   TimerIsShort_ = Watchful;
-  Millis Wait = Watchful ? Options_.Heartbeat_ : Options_.IdleHeartbeat_;
+  // Looked at again, since awaitReplies() trusts in a short timer.
+  if (!Watchful && Awaiting_)
+    TimerIsShort_ = Watchful = true;
+  Millis Wait = nextCheck(Watchful);
   TimerDue_ = Clock_.now() + Wait;
   Timer_.expires_after(toChrono(Wait));
   Timer_.async_wait([Self = Pointer(this)](const error_code &Error) {
@@ -251,17 +296,30 @@
   });
 }
 
+// A check is never later than the moment at which the connection may end.
+Millis FrameConnection::nextCheck(bool Watchful) const {
+  if (!Watchful)
+    return Options_.IdleHeartbeat_;
+  bool Open = Life_.state() == ConnectionLife::State::Open;
+  Millis End =
+      Open ? LastHeard_ + Options_.Silent_ : Started_ + Options_.Connect_;
+  Millis Left = std::max(MinCheck, End - Clock_.now());
+  return std::min(Options_.Heartbeat_, Left);
+}
+
 void FrameConnection::onTimer() {
   if (Life_.state() == ConnectionLife::State::Closed)
     return;
   Millis Now = Clock_.now();
   // When this process itself was paused, what the other side sent meanwhile
   // is still unread: the silence is our own and is not held against it.
-  if (Now > TimerDue_ + Options_.Heartbeat_)
+  if (Now > TimerDue_ + Options_.Heartbeat_) {
     LastHeard_ = std::max(LastHeard_, Now - Options_.Heartbeat_);
+    Started_ = std::max(Started_, Now - Options_.Heartbeat_);
+  }
   Millis Silence = Now - LastHeard_;
   bool Open = Life_.state() == ConnectionLife::State::Open;
-  if (!Open && Silence >= Options_.Connect_)
+  if (!Open && Now - Started_ >= Options_.Connect_)
     return finish(CloseCause::Refused);
   bool Watchful = Awaiting_;
   Millis Bound = Watchful ? Options_.Silent_ : Options_.IdleHeartbeat_ * 3;
--- a/src/libtransport/frameconnection.h
+++ b/src/libtransport/frameconnection.h
@@ -22,7 +22,15 @@
 } // namespace wire
 
 /// Why a connection between two nodes ended.
-enum class CloseCause { Local, Refused, Lost, Silent, Garbage, Handshake };
+enum class CloseCause {
+  Local,     ///< This side closed it.
+  Refused,   ///< It was never made, or the greeting did not come in time.
+  Lost,      ///< The other side closed it, or the network did.
+  Silent,    ///< Nothing came for too long.
+  Garbage,   ///< What came is no frame.
+  Handshake, ///< A greeting was wrong, missing or came twice.
+  Overflow   ///< The other side does not read what is sent.
+};
 
 /// Returns the cause's name for logs.
 std::string_view closeCauseName(CloseCause Cause);
@@ -30,11 +38,14 @@
 /// One TCP connection between two nodes, on which frames of many calls travel
 /// in both directions.
 ///
-/// Both sides greet with a Hello. From then on a side that awaits something
-/// (see awaitReplies()) sends a heartbeat whenever it has heard nothing for
-/// Options::Heartbeat_, and closes the connection as silent when nothing comes
-/// for Options::Silent_. An idle connection is checked only every
-/// Options::IdleHeartbeat_, so that connections cost little while unused.
+/// Both sides greet with a Hello within Options::Connect_. From then on a side
+/// that awaits something (see awaitReplies()) sends a heartbeat whenever it has
+/// heard nothing for Options::Heartbeat_, and closes the connection as silent
+/// when nothing comes for Options::Silent_. An idle connection is checked only
+/// every Options::IdleHeartbeat_, so that connections cost little while unused.
+/// A pause of this process is not taken for the other side's silence. More than
+/// Options::MaxQueuedBytes_ that the other side does not read close the
+/// connection.
 ///
 /// Objects are reference counted and keep themselves alive while they are
 /// open. All methods are thread-safe. Callbacks run on the connection's
@@ -52,6 +63,7 @@
     Millis Silent_{700};
     Millis IdleHeartbeat_{10000};
     size_t MaxFrameBytes_ = 8 * 1024 * 1024;
+    size_t MaxQueuedBytes_ = 32 * 1024 * 1024;
   };
 
   struct Handlers {
@@ -74,9 +86,12 @@
   void connect(const boost::asio::ip::address &From,
                const boost::asio::ip::tcp::endpoint &To);
 
-  /// Queues a frame. Returns false when the connection has closed already;
-  /// then the frame has not left this process.
+  /// Queues a frame. Returns false when the connection has closed already, or
+  /// the frame is larger than Options::MaxFrameBytes_; then it has not left
+  /// this process.
   bool send(const wire::Frame &Message);
+  /// The same for a frame that appendFrame() has encoded.
+  bool sendEncoded(std::string_view Bytes);
   /// Tells whether replies are awaited, which makes silence a fault.
   void awaitReplies(bool Awaiting);
   /// Closes from this side.
@@ -90,11 +105,13 @@
                   Handlers Callbacks);
   void greet();
   void read();
+  void fitBuffer();
   void onRead(size_t Size);
   bool takeFrames();
   bool handleFrame(wire::Frame &&Message);
   void startWrite();
   void armTimer();
+  Millis nextCheck(bool Watchful) const;
   void onTimer();
   void finish(CloseCause Cause);
 
@@ -109,7 +126,9 @@
   ConnectionLife Life_;
   std::string In_;
   size_t InUsed_ = 0;
+  size_t ReadChunk_;
   std::string Writing_;
+  Millis Started_;
   Millis LastHeard_;
   Millis TimerDue_;
   int64_t HeartbeatSequence_ = 0;
