--- a/src/libcoordination/gate_test.cpp
+++ b/src/libcoordination/gate_test.cpp
@@ -1,6 +1,7 @@
 #include "gate.h"
 
 #include "attempttable.h"
+#include "entrythreshold.h"
 #include "balancer.h"
 #include "coltsfoot_types.h"
 #include "configstate.h"
@@ -74,10 +75,11 @@
   ManualClock Clock_;
   Balancer Balancer_;
   AttemptTable Attempts_{Clock_};
+  EntryThreshold Thresholds_;
   RequestLedger Ledger_{Clock_};
   TicketOffice Office_{knowledge(), SealingKeys("key"), Balancer_};
-  Gate Gate_{Context_, knowledge(),        Office_, Attempts_,
-             Ledger_,  PolicyKind::Static, {}};
+  Gate Gate_{Context_,    knowledge(), Office_,            Attempts_,
+             Thresholds_, Ledger_,     PolicyKind::Static, {}};
   Backend Backend_{Context_};
   std::map<int64_t, wire::Reply> Replies_;
 
