Make the linter clean over the whole tree and one worker the default

Change: reserves, grouped literals, one worker by default; the test fleet takes three under ThreadSanitizer, which runs on the tests in which workers meet.

--- a/src/libcoordination/node.cpp
+++ b/src/libcoordination/node.cpp
@@ -324,6 +324,7 @@
   };
   Callbacks.OnRecords_ = [this](const std::vector<SpreadRecord> &Records) {
     std::vector<LogRecord> Copies;
+    Copies.reserve(Records.size());
     for (const SpreadRecord &Record : Records)
       Copies.push_back({Record.Offset_, Record.Data_});
     Config_.onPeerRecords(std::move(Copies));
--- a/src/libcoordination/peerpool_test.cpp
+++ b/src/libcoordination/peerpool_test.cpp
@@ -119,10 +119,12 @@
 TEST_CASE("answers find their messages in any order") {
   Fixture Under;
   std::vector<Outcome *> Calls;
+  Calls.reserve(20);
   for (int I = 0; I < 20; ++I)
     Calls.push_back(&Under.call(PeerIncarnation, std::to_string(I)));
   RawSocket Peer = Under.accept();
   std::vector<wire::Frame> Offers;
+  Offers.reserve(20);
   for (int I = 0; I < 20; ++I)
     Offers.push_back(*receiveCall(Peer));
   CHECK(!Under.Listener_.offered(20ms));
@@ -294,6 +296,7 @@
   constexpr int Threads = 4;
   constexpr int Calls = 300;
   std::vector<std::thread> Callers;
+  Callers.reserve(Threads);
   for (int T = 0; T < Threads; ++T)
     Callers.emplace_back([&, T] {
       for (int I = 0; I < Calls; ++I) {
--- a/src/libtransport/httpserver_test.cpp
+++ b/src/libtransport/httpserver_test.cpp
@@ -87,8 +87,8 @@
       "POST / HTTP/1.1\r\nContent-Length: 1x\r\n\r\nab",
       "POST / HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n\r\nab",
       "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
-      "POST / HTTP/1.1\r\nTransfer-Encoding: "
-      "chunked\r\n\r\n2\r\nabc\r\n0\r\n\r\n",
+      {"POST / HTTP/1.1\r\nTransfer-Encoding: "
+       "chunked\r\n\r\n2\r\nabc\r\n0\r\n\r\n"},
   };
   for (const std::string &Head : Heads) {
     CAPTURE(Head);
@@ -122,8 +122,9 @@
   };
   for (const std::string &Field : Fields) {
     CAPTURE(Field);
-    std::string Answer = Under.ask("POST / HTTP/1.1\r\nHost: a\r\n" + Field +
-                                   "\r\n0\r\n\r\n" + Hidden);
+    std::string Request = "POST / HTTP/1.1\r\nHost: a\r\n";
+    Request.append(Field).append("\r\n0\r\n\r\n").append(Hidden);
+    std::string Answer = Under.ask(Request);
     CHECK(hasStatus(Answer, 400));
     CHECK(!contains(Answer, "/hidden"));
   }
--- a/src/libtransport/upstreamclient_test.cpp
+++ b/src/libtransport/upstreamclient_test.cpp
@@ -118,8 +118,8 @@
       "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc",
       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabc",
       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
-      "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
-      "3\r\nabc\r\n0\r\n\r\n",
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
+       "3\r\nabc\r\n0\r\n\r\n"},
       "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nabc",
       "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc",
       "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n"
@@ -378,6 +378,7 @@
 TEST_CASE("calls beyond the connection limit wait in order") {
   Fixture Under(2);
   std::vector<Outcome *> Calls;
+  Calls.reserve(6);
   for (int I = 0; I < 6; ++I)
     Calls.push_back(&Under.call("/" + std::to_string(I)));
   RawSocket First = Under.Server_.accept();
--- a/src/libutil/settingstable.cpp
+++ b/src/libutil/settingstable.cpp
@@ -89,7 +89,7 @@
                  "fleet; nodes of other fleets are not talked to",
                  text<Node, &N::Fleet_>(TextForm::Name, "default")},
     SettingEntry{"node", "workers", "", "worker threads",
-                 number<Node, &N::Workers_>(2, 1, 64)},
+                 number<Node, &N::Workers_>(1, 1, 64)},
     SettingEntry{"node", "policy", "",
                  "how overload is decided about; static and none are baselines "
                  "for comparisons",
--- a/testsuite/at_most_once/divided_test.cpp
+++ b/testsuite/at_most_once/divided_test.cpp
@@ -114,6 +114,7 @@
   waitUntil([&] { return Shop.runs("in-the-way") == 1; }, WaitLimit,
             "the first booking runs");
   std::vector<std::future<ShopAnswer>> Sent;
+  Sent.reserve(8);
   for (int I = 0; I < 8; ++I)
     Sent.push_back(Shop.sendLater(
         Shop.entry(0), booking("waits-" + std::to_string(I),
--- a/testsuite/common/fleet.h
+++ b/testsuite/common/fleet.h
@@ -17,6 +17,13 @@
 /// The key that seals the tickets of a test's fleet.
 constexpr std::string_view TestTicketKey = "test-ticket-key-0123456789";
 
+#ifdef __SANITIZE_THREAD__
+/// Several workers, so that ThreadSanitizer sees them meet.
+constexpr int DefaultWorkers = 3;
+#else
+constexpr int DefaultWorkers = 1;
+#endif
+
 /// How one node of a test's fleet is set up.
 struct NodeSpec {
   std::string Ip_ = "127.0.0.1";
@@ -26,7 +33,7 @@
   std::string Advertise_;
   /// 0 for any free port.
   int PeerPort_ = 0;
-  int Workers_ = 1;
+  int Workers_ = DefaultWorkers;
   std::string Policy_ = "adaptive";
   bool UseLog_ = true;
   std::vector<std::string> Peers_;
--- a/testsuite/process_death/process_death_test.cpp
+++ b/testsuite/process_death/process_death_test.cpp
@@ -33,6 +33,7 @@
 sendAll(BookingFleet &Shop, const TestNode &Through,
         const std::vector<ShopRequest> &Requests) {
   std::vector<std::future<ShopAnswer>> Sent;
+  Sent.reserve(Requests.size());
   for (const ShopRequest &Request : Requests)
     Sent.push_back(Shop.sendLater(Through, Request));
   return Sent;
