Serve burn and metrics from every node

Cause: the service-level record was empty and the CLI's burn command had no counterpart. Ruled out: one node that collects for all, since none is special. Change: calls are recorded by service and rank against the objectives' latency; /v1/burn adds the counts of all nodes, /metrics shows call times by verdict.

--- a/src/libcoordination/api.cpp
+++ b/src/libcoordination/api.cpp
@@ -8,9 +8,12 @@
 #include "refusal.h"
 #include "requestledger.h"
 
+#include "coltsfootpoint/burn.h"
+#include "coltsfootpoint/burnrecorder.h"
 #include "coltsfootpoint/ids.h"
 #include "coltsfootpoint/ipport.h"
 #include "coltsfootpoint/log.h"
+#include "coltsfootpoint/metrics.h"
 
 #include <algorithm>
 #include <boost/json/parse.hpp>
@@ -137,8 +140,20 @@
   void setLevel(const HttpExchange::Pointer &Exchange);
   std::string statusJson();
   std::string explainJson(std::string_view Id);
+  void showBurn(const HttpExchange::Pointer &Exchange);
+  LatencyHistogram &callTimes(std::string_view Verdict);
+  LatencyHistogram &newCallTimes(std::string_view Verdict) {
+    return Metrics_.histogram("coltsfoot_call_seconds",
+                              "Time of calls that entered at this node.",
+                              {{"verdict", std::string(Verdict)}});
+  }
 
   ApiParts Parts_;
+  BurnRecorder Burn_;
+  Metrics Metrics_;
+  LatencyHistogram &Ran_ = newCallTimes("ran");
+  LatencyHistogram &NotRun_ = newCallTimes("not-run");
+  LatencyHistogram &MayHaveRun_ = newCallTimes("may-have-run");
   ResourceApi Resources_;
 };
 
@@ -174,6 +189,10 @@
   const std::string &Method = Exchange->request().Method_;
   if (Path == "/healthz" && Method == "GET")
     showHealth(Exchange);
+  else if (Path == "/metrics" && Method == "GET")
+    Exchange->respond(Answer{200,
+                             {{"Content-Type", "text/plain; version=0.0.4"}},
+                             Metrics_.prometheusText()});
   else if (Path == "/v1/tickets" && Method == "POST")
     Parts_.Entry_.mintTicket(Exchange);
   else if (Path == "/v1/announcement" && Method == "PUT")
@@ -195,6 +214,8 @@
     Exchange->respond(jsonAnswer(200, statusJson()));
   else if (Path[0] == "explain" && Path.size() == 2 && Method == "GET")
     explain(Exchange, Path[1]);
+  else if (Path[0] == "burn" && Method == "GET")
+    showBurn(Exchange);
   else if (Path[0] == "log-level" && Method == "PUT")
     setLevel(Exchange);
   else if (Path[0] == "drain" && Method == "POST") {
@@ -282,6 +303,8 @@
     return statusJson();
   if (What == "explain")
     return explainJson(Argument);
+  if (What == "burn")
+    return encodeCounts(Burn_.counts(Parts_.Clock_.now()));
   return "{}";
 }
 
@@ -324,7 +347,49 @@
   }
 }
 
-void Api::Impl::record(const CallRecord & /*Ended*/) {}
+// Good is what the service's objectives for the rank call good: a whole answer
+// that is no error of the server, in time.
+void Api::Impl::record(const CallRecord &Ended) {
+  constexpr int FirstServerError = 500;
+  bool Good = Ended.Verdict_ == "ran" && Ended.Status_ < FirstServerError;
+  auto Now = Parts_.Config_.current();
+  for (const ObjectiveResource *Known : Now->objectives())
+    if (Known->Service_ == Ended.Service_ &&
+        (Known->Rank_.empty() || Known->Rank_ == Ended.Rank_))
+      Good = Good && Ended.Latency_ <= Known->Latency_;
+  Burn_.record(Ended.Service_, Ended.Rank_, Good, Parts_.Clock_.now());
+  if (Ended.Root_)
+    callTimes(Ended.Verdict_).record(Ended.Latency_);
+}
+
+LatencyHistogram &Api::Impl::callTimes(std::string_view Verdict) {
+  if (Verdict == "ran")
+    return Ran_;
+  return Verdict == "not-run" ? NotRun_ : MayHaveRun_;
+}
+
+// Each node counts what entered through it; the counts of all are added.
+void Api::Impl::showBurn(const HttpExchange::Pointer &Exchange) {
+  std::vector<BurnObjective> Objectives;
+  auto Now = Parts_.Config_.current();
+  for (const ObjectiveResource *Known : Now->objectives())
+    Objectives.push_back(
+        {{Known->Service_, Known->Rank_}, Known->Target_, Known->Windows_});
+  askFleet(Parts_.Context_, Parts_.Peers_, *Parts_.Gossip_.view(), "burn", "",
+           [Exchange, Objectives](const FleetAnswers &Answers) {
+             BurnCounts Sum;
+             for (const std::string &Text : Answers.Texts_) {
+               try {
+                 addCounts(Sum, decodeCounts(Text));
+               } catch (const std::invalid_argument &Error) {
+                 logEvent(LogLevel::Warning, "burn_counts_unreadable",
+                          {{"error", Error.what()}});
+               }
+             }
+             Exchange->respond(
+                 jsonAnswer(200, burnReportJson(burnReport(Sum, Objectives))));
+           });
+}
 
 Api::Api(ApiParts Parts) : Impl_(std::make_unique<Impl>(std::move(Parts))) {}
 
--- a/testsuite/thin_path/thin_path_test.cpp
+++ b/testsuite/thin_path/thin_path_test.cpp
@@ -96,3 +96,29 @@
   CHECK(Shop.First_->call("POST", "/bookings", Foreign, "a").Status_ == 403);
   CHECK(Shop.runs("book-2") == 1);
 }
+
+TEST_CASE("burn, metrics and explain tell what became of calls") {
+  Shop Shop;
+  Fleet::put(*Shop.First_, "objectives/reads",
+             R"({"service":"shop","rank":"normal","target":0.9,)"
+             R"("latency_ms":1000})");
+  for (int I = 0; I < 5; ++I)
+    CHECK(Shop.Third_->call("GET", "/items/1", fieldsOf("shop")).Status_ ==
+          200);
+  HttpReply Burn = Shop.First_->operate("GET", "/v1/burn");
+  REQUIRE(Burn.Status_ == 200);
+  auto Rows = boost::json::parse(Burn.Body_).at("rows").as_array();
+  REQUIRE_FALSE(Rows.empty());
+  CHECK(Rows[0].at("total").to_number<int>() == 5);
+  CHECK(Rows[0].at("bad").to_number<int>() == 0);
+  CHECK(Shop.Third_->call("GET", "/metrics")
+            .Body_.find("coltsfoot_call_seconds_count{verdict=\"ran\"} 5") !=
+        std::string::npos);
+
+  HttpReply Refused =
+      Shop.Second_->call("POST", "/bookings", fieldsOf("shop"), "a");
+  std::string Id = Refused.header("Coltsfoot-Request-Id");
+  HttpReply Explained = Shop.First_->operate("GET", "/v1/explain/" + Id);
+  CHECK(Explained.Status_ == 200);
+  CHECK(Explained.Body_.find("ticket-needed") != std::string::npos);
+}
