Keep one generator a thread for choices without secrecy

Cause: entry, entry call and ticket office each held the same thread-local generator. Ruled out: passing one in, since the callers run on any worker. Change: threadGenerator() in libutil serves all three. Measured: e2e.thin_path 4 of 4 cases and e2e.nested_bookings pass; the other programs and the linter were not run again after this change. Conclusion: behaviour as before.

--- a/src/libcoordination/entry.cpp
+++ b/src/libcoordination/entry.cpp
@@ -4,6 +4,7 @@
 #include "configstate.h"
 #include "entrycall.h"
 #include "entrythreshold.h"
+#include "generator.h"
 #include "policy.h"
 #include "refusal.h"
 #include "requestledger.h"
@@ -28,11 +29,6 @@
 constexpr int RetriesPerHop = 3;
 constexpr int DoorRetryAfterMs = 500;
 
-std::mt19937_64 &generator() {
-  thread_local std::mt19937_64 Random(randomBits());
-  return Random;
-}
-
 /// The first label of a host that is a name and no IP number.
 std::string_view hostLabel(std::string_view Host) {
   Host = Host.substr(0, Host.find(':'));
@@ -343,7 +339,7 @@
   Asked.RankFloor_ = Config_->rank(Request_.Route_.Rank_).Floor_;
   Asked.GateCount_ =
       static_cast<int>(Parts_.Office_.gatesOf(Request_.Service_).size());
-  if (!Parts_.Thresholds_.wouldRefuse(Asked, Now_, generator()))
+  if (!Parts_.Thresholds_.wouldRefuse(Asked, Now_, threadGenerator()))
     return;
   Refusal Door{NotRun{Reason::Overload}, "refused at the door", {}};
   if (Request_.ParentKey_.empty())
@@ -405,7 +401,7 @@
         refusalAnswer(Refused.Verdict_, In.requestId(), Refused.Detail_);
     Reply.Fields_.push_back({"Coltsfoot-Request-Id", In.requestId()});
     if (Reply.Status_ == 429 || Reply.Status_ == 503)
-      addRetryAfter(Reply, DoorRetryAfterMs, generator()());
+      addRetryAfter(Reply, DoorRetryAfterMs, threadGenerator()());
     for (const HttpField &Field : Refused.Fields_)
       Reply.Fields_.push_back(Field);
     Exchange->respond(std::move(Reply));
--- a/src/libcoordination/entrycall.cpp
+++ b/src/libcoordination/entrycall.cpp
@@ -3,6 +3,7 @@
 #include "attempttable.h"
 #include "coltsfoot_types.h"
 #include "entrythreshold.h"
+#include "generator.h"
 #include "peerpool.h"
 #include "policy.h"
 #include "refusal.h"
@@ -34,11 +35,6 @@
 constexpr int MinRetryAfterMs = 50;
 constexpr int FirstServerError = 500;
 
-std::mt19937_64 &generator() {
-  thread_local std::mt19937_64 Random(randomBits());
-  return Random;
-}
-
 /// The verdict in a reply. A number that is none of the known ones tells
 /// nothing, so the call may have run.
 Verdict verdictOf(const wire::Reply &Reply) {
@@ -268,8 +264,9 @@
   std::span<const NodeRef> Exclude = Tried_;
   if (Parts_->Policy_ == PolicyKind::None)
     Exclude = {};
-  auto Chosen = Parts_->Balancer_.pick(
-      Gates, Parts_->Office_.scope(Request_.Service_), Exclude, generator());
+  auto Chosen =
+      Parts_->Balancer_.pick(Gates, Parts_->Office_.scope(Request_.Service_),
+                             Exclude, threadGenerator());
   if (!Chosen)
     return end(NotRun{Reason::NoUpstream});
   Tried_.push_back(*Chosen);
@@ -555,7 +552,7 @@
   bool Refused = Reply.Status_ == 429 || Reply.Status_ == 503;
   if (!Answered && Refused) {
     addRetryAfter(Reply, std::max(MinRetryAfterMs, RetryAfterMs_),
-                  generator()());
+                  threadGenerator()());
   }
   // Even when none is left: the caller's retry is then refused, not new.
   bool Failed = !Answered || Reply.Status_ >= FirstServerError;
--- a/src/libcoordination/ticketoffice.cpp
+++ b/src/libcoordination/ticketoffice.cpp
@@ -1,6 +1,7 @@
 #include "ticketoffice.h"
 
 #include "configstate.h"
+#include "generator.h"
 #include "memberview.h"
 #include "ticket.h"
 
@@ -10,15 +11,6 @@
 
 namespace coltsfoot {
 
-namespace {
-
-std::mt19937_64 &generator() {
-  thread_local std::mt19937_64 Random(randomBits());
-  return Random;
-}
-
-} // namespace
-
 /// When this node first saw each gate, for the cold start ramp. A gate that
 /// was there when this node itself started is not new.
 struct TicketOffice::FirstSeen {
@@ -49,7 +41,7 @@
   auto Config = Knowledge_.Config_();
   std::vector<GateInfo> Gates = gatesOf(Service);
   std::vector<NodeRef> Candidates = Balancer_.pickCandidates(
-      Gates, scope(Service), Exclude, generator(), MaxCandidates);
+      Gates, scope(Service), Exclude, threadGenerator(), MaxCandidates);
   if (Candidates.empty())
     return {};
   Ticket Fresh;
--- /dev/null
+++ b/src/libutil/generator.cpp
@@ -0,0 +1,12 @@
+#include "generator.h"
+
+#include "coltsfootpoint/ids.h"
+
+namespace coltsfoot {
+
+std::mt19937_64 &threadGenerator() {
+  thread_local std::mt19937_64 Random(randomBits());
+  return Random;
+}
+
+} // namespace coltsfoot
