--- a/src/coltsfootctl/resourcefile.cpp
+++ b/src/coltsfootctl/resourcefile.cpp
@@ -28,10 +28,10 @@
   std::string_view Path_;
 };
 
-constexpr std::array<KindName, 4> Kinds = {
+constexpr std::array<KindName, 5> Kinds = {
     KindName{"service", "services"}, KindName{"rank", "ranks"},
     KindName{"retry-policy", "retry-policies"},
-    KindName{"objective", "objectives"}};
+    KindName{"objective", "objectives"}, KindName{"host", "hosts"}};
 
 std::string shortened(std::string Text) {
   if (Text.size() > MaxFoundLength)
--- a/src/coltsfootd/coltsfootd.cpp
+++ b/src/coltsfootd/coltsfootd.cpp
@@ -1,7 +1,10 @@
 /// The daemon that runs beside each backend server.
 
+#include "adapters.h"
 #include "node.h"
+#include "platform.h"
 
+#include "coltsfootpoint/ipport.h"
 #include "coltsfootpoint/log.h"
 #include "coltsfootpoint/settings.h"
 #include "coltsfootpoint/settingserror.h"
@@ -32,9 +35,53 @@
     Worker.join();
 }
 
-int runNode(const Settings &Given) {
+/// Returns what joins the node to callers, backend servers and configuration.
+Adapters adaptersOf(boost::asio::io_context &Context, const Settings &Given) {
+  if (Given.Node_.Interface_ == Interface::Own)
+    return {};
+  IpPort Store = parseIpPort(Given.LogService_.Address_).value();
+  return platformAdapters(
+      Context, {boost::asio::ip::make_address(Store.Ip_), Store.Port_});
+}
+
+/// Reads the settings file again when told so, and puts in force what may
+/// change while the node runs. A file that can't be used changes nothing.
+class Reloader {
+public:
+  Reloader(boost::asio::io_context &Context, std::string File)
+      : Signals_(Context, SIGHUP), File_(std::move(File)) {
+    wait();
+  }
+
+private:
+  void wait() {
+    Signals_.async_wait([this](const boost::system::error_code &Error, int) {
+      if (Error)
+        return;
+      reload();
+      wait();
+    });
+  }
+
+  void reload() {
+    try {
+      Settings Fresh = loadSettings(File_);
+      setLogLevel(Fresh.Logging_.Level_);
+      logEvent(LogLevel::Info, "settings_reloaded", {{"file", File_}});
+    } catch (const SettingsError &Error) {
+      logEvent(LogLevel::Error, "settings_not_reloaded",
+               {{"file", File_}, {"why", Error.what()}});
+    }
+  }
+
+  boost::asio::signal_set Signals_;
+  const std::string File_;
+};
+
+int runNode(const Settings &Given, const std::string &File) {
   boost::asio::io_context Context(Given.Node_.Workers_);
-  Node Self(Context, Given);
+  Node Self(Context, Given, adaptersOf(Context, Given));
+  Reloader Reload(Context, File);
   boost::asio::signal_set Signals(Context, SIGINT, SIGTERM);
   Signals.async_wait([&](const boost::system::error_code &Error, int Signal) {
     if (Error)
@@ -83,13 +130,14 @@
     std::cerr << "coltsfootd: expected --config FILE; see --help\n";
     return ExitUsage;
   }
-  Settings Loaded = loadSettings(Given["config"].as<std::string>());
+  auto File = Given["config"].as<std::string>();
+  Settings Loaded = loadSettings(File);
   if (Given.count("check-config") != 0) {
     std::cout << "settings are valid\n";
     return ExitOk;
   }
   setLogLevel(Loaded.Logging_.Level_);
-  return runNode(Loaded);
+  return runNode(Loaded, File);
 }
 
 } // namespace
--- a/src/include/coltsfootpoint/settings.h
+++ b/src/include/coltsfootpoint/settings.h
@@ -18,6 +18,13 @@
   None      ///< First in, first out, with three retries a hop.
 };
 
+/// Whose interface a node speaks to callers, backend servers and the place
+/// that keeps the configuration.
+enum class Interface {
+  Own,     ///< The project's; see docs/PROTOCOL.md.
+  Platform ///< That of the users' platform; see docs/PLATFORM.md.
+};
+
 /// Table `[node]`.
 struct NodeSettings {
   std::string Address_;
@@ -28,11 +35,29 @@
   std::string Zone_;
   std::string Region_;
   std::string Fleet_;
+  /// Service of the backend server of this VM; empty until it says so itself.
+  std::string Service_;
   int Workers_ = 0;
   Policy Policy_ = Policy::Adaptive;
+  Interface Interface_ = Interface::Own;
   bool operator==(const NodeSettings &) const = default;
 };
 
+/// Table `[listen]`; `ip:port` each, empty where http_port serves the duty.
+struct ListenSettings {
+  std::string Calls_;
+  std::string Readiness_;
+  std::string Reports_;
+  bool operator==(const ListenSettings &) const = default;
+};
+
+/// Table `[retries]`.
+struct RetrySettings {
+  double BudgetShare_ = 0;
+  double BudgetSaved_ = 0;
+  bool operator==(const RetrySettings &) const = default;
+};
+
 /// Table `[log_service]`.
 struct LogServiceSettings {
   /// `ip:port`; empty when the node has none and starts from its peers.
@@ -47,6 +72,7 @@
 /// Table `[membership]`.
 struct MembershipSettings {
   std::vector<std::string> Peers_;
+  int PeersPort_ = 0;
   Millis ProbeInterval_;
   Millis ProbeTimeout_;
   Millis Suspicion_;
@@ -66,6 +92,7 @@
   int Queue_ = 0;
   int TicketEntries_ = 0;
   size_t KeptAnswerBytes_ = 0;
+  Millis UpstreamIdle_;
   bool operator==(const LimitSettings &) const = default;
 };
 
@@ -76,6 +103,8 @@
   Millis Silent_;
   Millis Attempt_;
   Millis Drain_;
+  Millis DrainNotice_;
+  Millis Lease_;
   bool operator==(const TimeoutSettings &) const = default;
 };
 
@@ -97,6 +126,8 @@
 /// in one table, which settingsHelp() prints.
 struct Settings {
   NodeSettings Node_;
+  ListenSettings Listen_;
+  RetrySettings Retries_;
   LogServiceSettings LogService_;
   MembershipSettings Membership_;
   LimitSettings Limits_;
--- a/src/libcoordination/configservice.cpp
+++ b/src/libcoordination/configservice.cpp
@@ -131,6 +131,7 @@
   void onPeerHead(int64_t NextOffset);
   void onPeerSnapshot(const std::string &Snapshot);
   void peersSettled();
+  void adopt(const std::shared_ptr<const ConfigState> &State);
 
 private:
   struct PendingChange {
@@ -156,7 +157,6 @@
   // Moving the state.
   void take(std::vector<LogRecord> Records);
   void apply(std::span<const LogRecord> Run);
-  void adopt(const std::shared_ptr<const ConfigState> &State);
   void moved();
   void updateReady();
   void publish(std::shared_ptr<const ConfigState> State,
@@ -258,7 +258,7 @@
 }
 
 bool ConfigService::Impl::wantsLog() const {
-  if (!Running_ || Reading_ || Paused_)
+  if (!Running_ || Reading_ || Paused_ || Settings_.FromSource_)
     return false;
   if (Reader_ || !Ready_)
     return true;
@@ -378,6 +378,8 @@
 // Only records ahead of a gap go through the bounded buffer, so that a long
 // batch of the log neither drops its own end nor is held up by its size.
 void ConfigService::Impl::take(std::vector<LogRecord> Records) {
+  if (Settings_.FromSource_)
+    return;
   std::vector<LogRecord> Run;
   int64_t Next = next();
   for (LogRecord &Record : Records) {
@@ -411,6 +413,8 @@
     logEvent(LogLevel::Error, "config_divergence", {{"next", next()}});
   if (State->nextOffset() <= next())
     return;
+  logEvent(LogLevel::Info, "config_adopted",
+           {{"before", next()}, {"next", State->nextOffset()}});
   publish(State, {});
   moved();
   take({});
@@ -438,6 +442,8 @@
 
 void ConfigService::Impl::updateReady() {
   bool Settled = PeersSettled_ && next() >= PeerHead_;
+  if (Settings_.FromSource_)
+    Settled = next() > 0;
   if (Ready_ || !(ReachedEnd_ || Settled))
     return;
   {
@@ -500,8 +506,9 @@
 }
 
 void ConfigService::Impl::submit(Change Value, Handler Done) {
-  if (!Running_) {
-    Done(NotWritten{"stopped"});
+  if (!Running_ || Settings_.FromSource_) {
+    Done(NotWritten{Running_ ? "the configuration comes from a source outside"
+                             : "stopped"});
     return;
   }
   if (auto Known = State_->result(Value.Id_)) {
@@ -733,6 +740,10 @@
 
 std::string ConfigService::snapshot() const { return current()->snapshot(); }
 
+void ConfigService::adopt(std::shared_ptr<const ConfigState> State) {
+  Impl_->run([State = std::move(State)](Impl &Self) { Self.adopt(State); });
+}
+
 void ConfigService::onPeerSnapshot(std::string Snapshot) {
   Impl_->run([Snapshot = std::move(Snapshot)](Impl &Self) {
     Self.onPeerSnapshot(Snapshot);
--- a/src/libcoordination/configservice.h
+++ b/src/libcoordination/configservice.h
@@ -70,6 +70,9 @@
     size_t KeptBytes_ = 2U << 20U;    ///< Bytes of those.
     size_t WaitingRecords_ = 1024;    ///< Records kept that wait for a gap.
     size_t WaitingBytes_ = 2U << 20U; ///< Bytes of those.
+    /// Whether a source gives whole configurations in place of the log. Then
+    /// the log is not read, and the first configuration makes the node ready.
+    bool FromSource_ = false;
   };
 
   ConfigService(boost::asio::io_context &Io, LogStore &Log,
@@ -113,6 +116,9 @@
   /// Returns the state as a snapshot, for peers that lag far behind.
   std::string snapshot() const;
 
+  /// Takes a whole configuration; one that is not newer is ignored.
+  void adopt(std::shared_ptr<const ConfigState> State);
+
   /// Takes a peer's snapshot; one that is damaged or not newer is ignored.
   void onPeerSnapshot(std::string Snapshot);
 
--- a/src/libcoordination/entry.cpp
+++ b/src/libcoordination/entry.cpp
@@ -1,6 +1,7 @@
 #include "entry.h"
 
 #include "attempttable.h"
+#include "calldialect.h"
 #include "configstate.h"
 #include "entrycall.h"
 #include "entrythreshold.h"
@@ -8,6 +9,7 @@
 #include "policy.h"
 #include "refusal.h"
 #include "requestledger.h"
+#include "retrybudget.h"
 #include "retrytoken.h"
 #include "spenttokens.h"
 
@@ -59,6 +61,21 @@
   return Millis(static_cast<double>(Value));
 }
 
+/// Returns one of the services that share the route's requests, by weight.
+const std::string &chooseShare(const HostRoute &Route,
+                               std::mt19937_64 &Random) {
+  double Sum = 0;
+  for (const TrafficShare &Each : Route.Shares_)
+    Sum += Each.Weight_;
+  double Point = std::uniform_real_distribution<double>(0, Sum)(Random);
+  for (const TrafficShare &Each : Route.Shares_) {
+    if (Point < Each.Weight_)
+      return Each.Service_;
+    Point -= Each.Weight_;
+  }
+  return Route.Shares_.back().Service_;
+}
+
 /// Whether a refusal holds for every call under the same ticket or step, or
 /// only for this one.
 enum class Holds { ThisCall, Always };
@@ -99,6 +116,9 @@
 
 private:
   void readAll();
+  void readInDialect();
+  void readHostRoute(const CallHead &Head);
+  void mintOwnTicket();
   bool mayRepeat() const;
   void giveBackCredits();
   void readRoute();
@@ -126,6 +146,8 @@
 
 void Entry::Intake::readAll() {
   Request_.RequestId_ = newRequestId();
+  if (Parts_.Dialect_)
+    return readInDialect();
   Reason Blocked = Parts_.NotServing_();
   if (Blocked != Reason::None)
     throw Refusal{NotRun{Blocked}};
@@ -139,6 +161,60 @@
   checkDoor();
 }
 
+// Callers of another interface carry no context: a nested call is known by
+// its caller, the backend server of this VM.
+void Entry::Intake::readInDialect() {
+  CallHead Head;
+  try {
+    Head = Parts_.Dialect_->readCall(Caller_);
+  } catch (const std::invalid_argument &Error) {
+    throw Refusal{NotRun{Reason::BadRequest}, Error.what()};
+  }
+  if (!Head.Id_.empty())
+    Request_.RequestId_ = Head.Id_;
+  Reason Blocked = Parts_.NotServing_();
+  if (Blocked != Reason::None)
+    throw Refusal{NotRun{Blocked}};
+  readHostRoute(Head);
+  Request_.Client_ = Caller_.Remote_;
+  Request_.Bucket_ = bucketOf(Request_.RequestId_);
+  Parts_.Budget_.earn(Request_.Service_);
+  checkDoor();
+  if (!Request_.Route_.Idempotent_)
+    mintOwnTicket();
+}
+
+void Entry::Intake::readHostRoute(const CallHead &Head) {
+  const HostRoute *Known = Config_->hostRoute(Head.Host_, Caller_.Target_);
+  if (!Known)
+    throw Refusal{NotRun{Reason::NoRoute},
+                  "no route of host '" + Head.Host_ + "' matches"};
+  bool Nested = Caller_.Remote_ == Parts_.OwnIp_;
+  Request_.Service_ = chooseShare(*Known, threadGenerator());
+  Request_.Route_.Name_ = Known->Name_;
+  Request_.Route_.Kind_ = Known->Name_;
+  Request_.Route_.Idempotent_ = Known->Idempotent_;
+  Idempotent_ = Known->Idempotent_;
+  Request_.Depth_ = Nested ? 1 : 0;
+  // The root of a nested call has used work already, which a refusal wastes.
+  Request_.RankOrder_ = Nested ? 0 : 1 + Known->Order_;
+  Request_.Credits_ = Known->Attempts_ - 1;
+  Request_.Objective_ = Known->Objective_;
+  Millis Span = Known->Timeout_;
+  if (Head.Remaining_)
+    Span = std::min(Span, *Head.Remaining_);
+  Request_.Deadline_ = Now_ + Span;
+}
+
+void Entry::Intake::mintOwnTicket() {
+  auto Fresh = Parts_.Office_.mint(Request_.Service_, Request_.Route_.Name_,
+                                   Request_.Client_);
+  if (!Fresh)
+    throw Refusal{NotRun{Reason::NoUpstream}};
+  useTicket(std::move(*Fresh));
+  Request_.OwnTicket_ = true;
+}
+
 /// Whether the call may be the repetition of one that was sent on: it has a
 /// ticket, or is a step that may have got one.
 bool Entry::Intake::mayRepeat() const {
@@ -365,6 +441,8 @@
 size_t Entry::pending() const { return *Pending_; }
 
 bool Entry::isCall(const HttpRequest &Request) const {
+  if (Parts_->Dialect_)
+    return true;
   // A call with a ticket is never for the node's own API, even when its host
   // is the name of a service that this node does not know yet.
   if (!Request.field("Coltsfoot-Service").empty() ||
@@ -397,6 +475,10 @@
         "reason=" + std::string(reasonName(reasonOf(Refused.Verdict_))) +
             (Refused.Detail_.empty() ? ""
                                      : " detail=\"" + Refused.Detail_ + "\""));
+    if (const CallDialect *Dialect = Parts_->Dialect_)
+      return Exchange->respond(Dialect->writeAnswer(
+          Refused.Verdict_,
+          spreadWait(Millis(DoorRetryAfterMs), threadGenerator()())));
     Answer Reply =
         refusalAnswer(Refused.Verdict_, In.requestId(), Refused.Detail_);
     Reply.Fields_.push_back({"Coltsfoot-Request-Id", In.requestId()});
--- a/src/libcoordination/entry.h
+++ b/src/libcoordination/entry.h
@@ -14,9 +14,11 @@
 
 class AttemptTable;
 class Balancer;
+class CallDialect;
 class EntryThreshold;
 class PeerPool;
 class RequestLedger;
+class RetryBudget;
 class SpentTokens;
 class StepOffers;
 enum class PolicyKind;
@@ -42,6 +44,13 @@
   PeerPool &Peers_;
   RequestLedger &Ledger_;
   PolicyKind Policy_;
+  RetryBudget &Budget_;
+  /// How calls are phrased; null for the project's own interface.
+  const CallDialect *Dialect_ = nullptr;
+  /// IP number of this VM: a caller with it is the backend server beside.
+  std::string OwnIp_;
+  /// Returns the service of the backend server beside this node.
+  std::function<std::string()> OwnService_;
   /// Returns why the node may take no calls now, or Reason::None.
   std::function<Reason()> NotServing_;
   std::function<void(const CallRecord &)> OnEnd_;
--- a/src/libcoordination/entrycall.cpp
+++ b/src/libcoordination/entrycall.cpp
@@ -1,6 +1,7 @@
 #include "entrycall.h"
 
 #include "attempttable.h"
+#include "calldialect.h"
 #include "coltsfoot_types.h"
 #include "entrythreshold.h"
 #include "generator.h"
@@ -8,6 +9,7 @@
 #include "policy.h"
 #include "refusal.h"
 #include "requestledger.h"
+#include "retrybudget.h"
 #include "retrytoken.h"
 #include "timer.h"
 
@@ -88,8 +90,13 @@
   return {"Coltsfoot-Retry-Token", sealRetryToken(Token, Parts.Office_.keys())};
 }
 
+Millis spreadWait(Millis Least, uint64_t Random) {
+  auto Span = static_cast<uint64_t>(std::max<int64_t>(1, Least.whole()));
+  return Least + Millis(static_cast<double>(Random % Span));
+}
+
 void addRetryAfter(Answer &Reply, int WaitMs, uint64_t Random) {
-  int Wait = WaitMs + static_cast<int>(Random % uint64_t(WaitMs));
+  int Wait = static_cast<int>(spreadWait(Millis(WaitMs), Random).whole());
   Reply.Fields_.push_back({"Retry-After", std::to_string((Wait + 999) / 1000)});
   Reply.Fields_.push_back({"Coltsfoot-Retry-After-Ms", std::to_string(Wait)});
 }
@@ -170,7 +177,14 @@
   Offer.route = Request_.Route_.Name_;
   Offer.rank_order = Request_.RankOrder_;
   Offer.protected_call = Request_.Protected_;
-  for (const HttpField &Field : Caller.Fields_) {
+  Offer.objective_ms = static_cast<int32_t>(
+      Request_.Objective_ > Millis()
+          ? std::max<int64_t>(1, (Started_ + Request_.Objective_ - now()).whole())
+          : 0);
+  const CallDialect *Dialect = Parts_->Dialect_;
+  for (const HttpField &Field :
+       Dialect ? Dialect->forwardedFields(Caller, Parts_->OwnService_())
+               : Caller.Fields_) {
     if (isHopField(Field.Name_))
       continue;
     wire::WireField Copy;
@@ -315,11 +329,20 @@
 void EntryCall::retryOrEnd(Verdict Outcome, bool Free) {
   constexpr size_t MaxGatesTried = 8;
   bool Left = now() < Request_.Deadline_ && Tried_.size() < MaxGatesTried;
-  if (Left && (Free || Credits_.spendOne()))
+  if (Left && (Free || spendRetry()))
     return offerNextGate();
   end(std::move(Outcome));
 }
 
+// The request's own credits first: a token that is not used is lost.
+bool EntryCall::spendRetry() {
+  if (Credits_.held() <= 0)
+    return false;
+  if (Parts_->Dialect_ && !Parts_->Budget_.spend(Request_.Service_))
+    return false;
+  return Credits_.spendOne();
+}
+
 void EntryCall::offerCandidate(size_t Candidate) {
   const NodeRef &Gate = Request_.Ticket_->Candidates_[Candidate];
   if (Request_.Step_ && !Request_.Step_->mayLeave(Candidate)) {
@@ -357,11 +380,13 @@
              " closed=" + (Reply.closed ? "true" : "false"));
   if (!Reply.closed || !std::holds_alternative<NotRun>(Outcome))
     return end(std::move(Outcome));
+  // Every candidate before this one had closed the ticket as well.
+  Open_ = false;
   if (Candidate + 1 == Candidates.size())
     return endClosed(std::move(Outcome), Reply.successor);
   // A gate that refused has done no work; a backend server that shed has.
   bool Free = reasonOf(Outcome) != Reason::UpstreamShed;
-  if (now() < Request_.Deadline_ && (Free || Credits_.spendOne()))
+  if (now() < Request_.Deadline_ && (Free || spendRetry()))
     return offerCandidate(Candidate + 1);
   end(std::move(Outcome));
 }
@@ -383,6 +408,7 @@
       return endClosed(NotRun{Reason::ConnectionLost}, {});
     }
   }
+  Open_ = Open_ || Lost.Sent_;
   bool Refused = Lost.Cause_ == CloseCause::Refused;
   Refusals_ = Refused ? Refusals_ + 1 : 0;
   if (Lost.Replaced_ || Refusals_ >= GoneAfterRefusals)
@@ -484,7 +510,9 @@
                             now());
     Sent = Parts_->Peers_.forget(Awaited->Gate_.Node_, Awaited->Number_, true);
   }
-  if (Sent || Open_ || Request_.Ticket_)
+  // A ticket that others may offer too can have run without this call.
+  bool Shared = Request_.Ticket_ && !Request_.OwnTicket_;
+  if (Sent || Open_ || Shared)
     end(MayHaveRun{Why});
   else
     end(NotRun{Why});
@@ -534,7 +562,27 @@
   respond(Outcome, Successor);
 }
 
+void EntryCall::respondInDialect(const Verdict &Outcome) {
+  Millis Wait;
+  if (!std::holds_alternative<Ran>(Outcome))
+    Wait = spreadWait(Millis(std::max(MinRetryAfterMs, RetryAfterMs_)),
+                      threadGenerator()());
+  Answer Reply = Parts_->Dialect_->writeAnswer(Outcome, Wait);
+  int Status = Reply.Status_;
+  Exchange_->respond(std::move(Reply));
+  record(Outcome, Status);
+}
+
+void EntryCall::record(const Verdict &Outcome, int Status) {
+  if (Parts_->OnEnd_)
+    Parts_->OnEnd_({Request_.Service_, Request_.Route_.Rank_,
+                    verdictName(Outcome), Status, now() - Started_,
+                    Request_.Depth_ == 0});
+}
+
 void EntryCall::respond(const Verdict &Outcome, const std::string &Successor) {
+  if (Parts_->Dialect_)
+    return respondInDialect(Outcome);
   const Ran *Answered = std::get_if<Ran>(&Outcome);
   Answer Reply;
   if (Answered) {
@@ -561,10 +609,7 @@
         retryTokenField(Request_, Credits_.held(), *Parts_));
   int Status = Reply.Status_;
   Exchange_->respond(std::move(Reply));
-  if (Parts_->OnEnd_)
-    Parts_->OnEnd_({Request_.Service_, Request_.Route_.Rank_,
-                    verdictName(Outcome), Status, now() - Started_,
-                    Request_.ParentKey_.empty()});
+  record(Outcome, Status);
 }
 
 } // namespace coltsfoot
--- a/src/libcoordination/entrycall.h
+++ b/src/libcoordination/entrycall.h
@@ -58,9 +58,13 @@
   int Depth_ = 0;
   int Credits_ = 0;
   Millis Deadline_;
+  /// Time within which an answer is of full use; zero for none.
+  Millis Objective_;
   /// Of a non-idempotent call.
   std::optional<Ticket> Ticket_;
   std::string TicketText_;
+  /// Whether this call alone knows the ticket, so that nobody else offers it.
+  bool OwnTicket_ = false;
   /// Of a nested call; the key of the call that makes it.
   std::string ParentKey_;
   /// Of a nested non-idempotent call; the name of its step.
@@ -73,9 +77,12 @@
 HttpField retryTokenField(const EntryRequest &Request, int Credits,
                           const EntryParts &Parts);
 
-/// Adds the fields that tell a refused caller when to come back: the wait and
-/// up to as much again, by a random number, so that callers which were refused
-/// together stay apart.
+/// Returns a wait of Least and up to as much again, by a random number, so that
+/// callers which were refused together stay apart.
+Millis spreadWait(Millis Least, uint64_t Random);
+
+/// Adds the fields that tell a refused caller when to come back, after a wait
+/// as spreadWait() gives it.
 void addRetryAfter(Answer &Reply, int WaitMs, uint64_t Random);
 
 /// One call on its way through this entry.
@@ -139,6 +146,9 @@
   void endClosed(Verdict Outcome, std::string Successor);
   void end(Verdict Outcome, std::string Successor = {});
   void respond(const Verdict &Outcome, const std::string &Successor);
+  void respondInDialect(const Verdict &Outcome);
+  void record(const Verdict &Outcome, int Status);
+  bool spendRetry();
   void note(std::string_view What, const std::string &Detail) const;
   Millis now() const;
 
--- a/src/libcoordination/gate.cpp
+++ b/src/libcoordination/gate.cpp
@@ -2,10 +2,12 @@
 
 #include "admissionqueue.h"
 #include "attempttable.h"
+#include "calldialect.h"
 #include "coltsfoot_types.h"
 #include "configstate.h"
 #include "entrythreshold.h"
 #include "policy.h"
+#include "refusal.h"
 #include "requestledger.h"
 #include "ticket.h"
 #include "tickettable.h"
@@ -83,6 +85,27 @@
   return Unknown;
 }
 
+/// The route of an offer whose entry alone knows the routes: one without a
+/// ticket may be repeated.
+Route offeredRoute(const wire::Offer &Offered) {
+  Route Told;
+  Told.Name_ = Offered.route;
+  Told.Kind_ = Offered.route;
+  Told.Method_ = Offered.method;
+  Told.Idempotent_ = Offered.ticket.empty();
+  return Told;
+}
+
+UpstreamClient::Options upstreamOptions(const Gate::Options &Given) {
+  UpstreamClient::Options Limits;
+  Limits.KeptIdle_ = Given.KeptIdle_;
+  if (Given.Dialect_) {
+    Limits.EchoField_ = Given.Dialect_->echoField();
+    Limits.EndlessAnswers_ = true;
+  }
+  return Limits;
+}
+
 } // namespace
 
 class Gate::Impl {
@@ -94,7 +117,7 @@
       : Knowledge_(std::move(Knowledge)), Office_(Office), Attempts_(Attempts),
         Thresholds_(Thresholds), Ledger_(Ledger), Options_(Limits),
         Strand_(asio::make_strand(Context)), Timer_(Strand_),
-        Upstream_(Context, {}),
+        Upstream_(Context, upstreamOptions(Limits)),
         Tickets_(*Knowledge_.Clock_,
                  {Limits.TicketEntries_, Limits.KeptAnswerBytes_}),
         Queue_(*Knowledge_.Clock_, Policy, {1, Limits.QueueLimit_, Millis(5)}) {
@@ -121,6 +144,10 @@
   void drain();
   bool draining() const { return Draining_; }
   bool idle() const;
+  std::string service() const {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    return Announced_.Service_;
+  }
   Figures figures() const;
 
 private:
@@ -140,6 +167,7 @@
     std::string AttemptKey_;
     Millis Started_;
     bool ShedMeansNotRun_ = false;
+    std::string Instance_;
     // Guarded by the gate's mutex.
     UpstreamClient::CallPointer Upstream_;
     bool Cancelled_ = false;
@@ -157,7 +185,11 @@
   Decisions takeDecisions();
   void carryOut(const Decisions &Due);
   void startCall(const CallPointer &Due);
+  void addUpstreamFields(UpstreamRequest &Request, const Call &Due,
+                         Millis Remaining) const;
+  ServiceResult judge(const Call &Due, Verdict &Outcome) const;
   void refuse(const CallPointer &Due, Reason Why);
+  void refuseQueued(Reason Why);
   void onUpstreamEnd(const CallPointer &Due, Verdict Outcome);
   void endCall(const CallPointer &Due, const Verdict &Outcome, int Credits);
   wire::Reply newReply(int64_t Attempt, std::string_view Kind,
@@ -249,6 +281,8 @@
   Upstream_.setTarget(Fresh.Address_, static_cast<size_t>(Fresh.Connections_));
   if (!Changed)
     return Options_.Lease_;
+  if (Fresh.State_ == State::Leaving)
+    refuseQueued(Reason::Leaving);
   logEvent(LogLevel::Info, "announced",
            {{"service", Fresh.Service_},
             {"slots", Fresh.Slots_},
@@ -260,6 +294,24 @@
   return Options_.Lease_;
 }
 
+// What waits could otherwise reach the backend server long after it was told
+// that no new work would come.
+void Gate::Impl::refuseQueued(Reason Why) {
+  std::vector<CallPointer> Withdrawn;
+  {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    for (auto Entry = Calls_.begin(); Entry != Calls_.end();) {
+      CallPointer Known = Entry->second;
+      bool Queued = Queue_.cancel(*Known);
+      Entry = Queued ? Calls_.erase(Entry) : std::next(Entry);
+      if (Queued)
+        Withdrawn.push_back(std::move(Known));
+    }
+  }
+  for (const CallPointer &Known : Withdrawn)
+    refuse(Known, Why);
+}
+
 Reason Gate::Impl::refusalOf(const std::string &Service) const {
   std::lock_guard<std::mutex> Lock(Mutex_);
   if (Draining_ || Announced_.State_ == Announcement::State::Leaving)
@@ -277,6 +329,8 @@
   Request.RankOrder_ = Offered.depth > 0
                            ? std::min(Rank.Order_, Offered.rank_order)
                            : Rank.Order_;
+  if (Options_.Dialect_)
+    Request.RankOrder_ = Offered.rank_order;
   Request.Weight_ = Rank.Weight_;
   Request.RankLimit_ = Rank.Limit_;
   Request.RankFloor_ = Rank.Floor_;
@@ -293,7 +347,8 @@
 void Gate::Impl::offer(uint64_t Connection, const wire::Offer &Offered,
                        Respond Answer) {
   auto Config = Knowledge_.Config_();
-  Route Kind = routeOf(*Config, Offered);
+  Route Kind = Options_.Dialect_ ? offeredRoute(Offered)
+                                 : routeOf(*Config, Offered);
   CallPointer Fresh(new Call(admissionOf(*Config, Kind, Offered),
                              {Connection, Offered.attempt}, Offered, Kind));
   if (!Offered.ticket.empty())
@@ -394,6 +449,21 @@
   }
 }
 
+void Gate::Impl::addUpstreamFields(UpstreamRequest &Request, const Call &Due,
+                                   Millis Remaining) const {
+  if (const CallDialect *Dialect = Options_.Dialect_) {
+    for (HttpField &Field : Dialect->upstreamFields(Remaining, Due.Instance_))
+      Request.Fields_.push_back(std::move(Field));
+    return;
+  }
+  Request.Fields_.push_back({"Coltsfoot-Context", Due.AttemptKey_});
+  Request.Fields_.push_back({"Coltsfoot-Request-Id", Due.Offer_.request_id});
+  Request.Fields_.push_back({"Coltsfoot-Client", Due.Offer_.client});
+  Request.Fields_.push_back(
+      {"Coltsfoot-Deadline-Ms",
+       std::to_string(std::max<int64_t>(0, Remaining.whole()))});
+}
+
 void Gate::Impl::startCall(const CallPointer &Due) {
   const wire::Offer &Offered = Due->Offer_;
   bool Replaced = false;
@@ -402,6 +472,7 @@
     // Another service may have taken over the VM while the call waited.
     Replaced = Announced_.Service_ != Offered.service_name;
     Due->ShedMeansNotRun_ = Announced_.ShedMeansNotRun_;
+    Due->Instance_ = Announced_.Instance_;
   }
   bool Expired =
       !Replaced && Due->Ticket_ && !Tickets_.begin(Due->Ticket_->Serial_);
@@ -440,12 +511,7 @@
   Request.Body_ = std::move(Due->Offer_.body);
   for (const wire::WireField &Field : Offered.fields)
     Request.Fields_.push_back({Field.name, Field.value});
-  Request.Fields_.push_back({"Coltsfoot-Context", Due->AttemptKey_});
-  Request.Fields_.push_back({"Coltsfoot-Request-Id", Offered.request_id});
-  Request.Fields_.push_back({"Coltsfoot-Client", Offered.client});
-  Request.Fields_.push_back(
-      {"Coltsfoot-Deadline-Ms",
-       std::to_string(std::max<int64_t>(0, Remaining.whole()))});
+  addUpstreamFields(Request, *Due, Remaining);
   // An action that has started is not broken off by its caller's deadline.
   Millis TimeLimit = Due->Ticket_ ? Options_.AttemptLimit_
                                   : std::min(Remaining, Options_.AttemptLimit_);
@@ -479,6 +545,29 @@
   Due->Respond_(std::move(Reply));
 }
 
+// What the end of a call tells of the backend server. An answer that says that
+// the request did not run becomes that verdict.
+ServiceResult Gate::Impl::judge(const Call &Due, Verdict &Outcome) const {
+  Ran *Answered = std::get_if<Ran>(&Outcome);
+  if (!Answered)
+    return ServiceResult::Failed;
+  if (Options_.Dialect_) {
+    Outcome = Options_.Dialect_->readAnswer(std::move(Answered->Answer_));
+    Answered = std::get_if<Ran>(&Outcome);
+    if (!Answered)
+      return reasonOf(Outcome) == Reason::UpstreamShed ? ServiceResult::Shed
+                                                       : ServiceResult::Failed;
+    return Answered->Answer_.Status_ >= FirstServerError
+               ? ServiceResult::Failed
+               : ServiceResult::Ok;
+  }
+  if (Answered->Answer_.Status_ != ShedStatus)
+    return ServiceResult::Ok;
+  if (Due.ShedMeansNotRun_)
+    Outcome = NotRun{Reason::UpstreamShed};
+  return ServiceResult::Shed;
+}
+
 void Gate::Impl::onUpstreamEnd(const CallPointer &Due, Verdict Outcome) {
   learnPath(*Due, Outcome);
   int Credits = Attempts_.close(Due->AttemptKey_);
@@ -486,15 +575,7 @@
   Decisions Next;
   {
     std::lock_guard<std::mutex> Lock(Mutex_);
-    ServiceResult Result = ServiceResult::Ok;
-    if (const Ran *Answered = std::get_if<Ran>(&Outcome)) {
-      if (Answered->Answer_.Status_ == ShedStatus)
-        Result = ServiceResult::Shed;
-      if (Result == ServiceResult::Shed && Due->ShedMeansNotRun_)
-        Outcome = NotRun{Reason::UpstreamShed};
-    } else {
-      Result = ServiceResult::Failed;
-    }
+    ServiceResult Result = judge(*Due, Outcome);
     if (Due->Cancelled_)
       Queue_.abandon(Due->Request_);
     else
@@ -695,6 +776,7 @@
 void Gate::drain() { Impl_->drain(); }
 bool Gate::draining() const { return Impl_->draining(); }
 bool Gate::idle() const { return Impl_->idle(); }
+std::string Gate::service() const { return Impl_->service(); }
 Gate::Figures Gate::figures() const { return Impl_->figures(); }
 
 } // namespace coltsfoot
--- a/src/libcoordination/gate.h
+++ b/src/libcoordination/gate.h
@@ -13,6 +13,7 @@
 namespace coltsfoot {
 
 class AttemptTable;
+class CallDialect;
 class EntryThreshold;
 class RequestLedger;
 enum class PolicyKind;
@@ -33,6 +34,8 @@
   /// Whether a 503 of the backend server means that the request did not run.
   bool ShedMeansNotRun_ = false;
   State State_ = State::Serving;
+  /// Name of the backend server's present life; empty when it has none.
+  std::string Instance_;
   bool operator==(const Announcement &) const = default;
 };
 
@@ -59,6 +62,10 @@
     size_t KeptAnswerBytes_ = size_t{16} * 1024 * 1024;
     Millis Lease_{3000};
     Millis AttemptLimit_{10000};
+    /// How long a kept connection to the backend server may be idle.
+    Millis KeptIdle_{20000};
+    /// How the backend server is spoken to; null for the project's own way.
+    const CallDialect *Dialect_ = nullptr;
   };
 
   Gate(boost::asio::io_context &Context, NodeKnowledge Knowledge,
@@ -92,6 +99,8 @@
   bool draining() const;
   /// Returns whether nothing is queued or running.
   bool idle() const;
+  /// Returns the service that was announced last; empty before the first.
+  std::string service() const;
 
   /// Figures for status and metrics.
   struct Figures {
--- /dev/null
+++ b/src/libcoordination/instancekeeper.cpp
@@ -0,0 +1,219 @@
+#include "instancekeeper.h"
+
+#include "configstate.h"
+#include "gate.h"
+#include "refusal.h"
+#include "reportdialect.h"
+#include "upstreamclient.h"
+
+#include "coltsfootpoint/log.h"
+
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/strand.hpp>
+
+namespace coltsfoot {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// A report with a number up to this is among the first of its life.
+constexpr int64_t EarlySequence = 1;
+constexpr Millis HealthTimeout(1000);
+/// Health checks without any answer after which a busy backend server is taken
+/// at its word.
+constexpr int UnansweredChecks = 3;
+constexpr int HealthOk = 200;
+constexpr Millis HealthIdle(1);
+
+std::string_view phaseName(InstancePhase Phase) {
+  switch (Phase) {
+  case InstancePhase::Ready:
+    return "ready";
+  case InstancePhase::Leaving:
+    return "leaving";
+  case InstancePhase::Gone:
+    return "gone";
+  }
+  return "unknown";
+}
+
+UpstreamClient::Options healthOptions() {
+  UpstreamClient::Options Limits;
+  Limits.KeptIdle_ = HealthIdle;
+  Limits.Connections_ = 1;
+  Limits.EndlessAnswers_ = true;
+  return Limits;
+}
+
+} // namespace
+
+class InstanceKeeper::Impl : public std::enable_shared_from_this<Impl> {
+public:
+  Impl(asio::io_context &Context, NodeKnowledge Knowledge,
+       const ReportDialect &Dialect, Gate &Target, Millis Lease)
+      : Knowledge_(std::move(Knowledge)), Dialect_(Dialect), Gate_(Target),
+        Lease_(Lease), Strand_(asio::make_strand(Context)),
+        Health_(Context, healthOptions()) {}
+
+  void take(const HttpExchange::Pointer &Exchange) {
+    asio::dispatch(Strand_, [Self = shared_from_this(), Exchange] {
+      Self->takeReport(Exchange);
+    });
+  }
+
+private:
+  void takeReport(const HttpExchange::Pointer &Exchange);
+  void apply(const InstanceReport &Report, InstanceRecord::Effect Effect);
+  void close(Announcement::State State);
+  void openOrCheck(const InstanceReport &Report);
+  void open(const InstanceReport &Report);
+  void check(const InstanceReport &Report, const std::string &Path);
+  void onHealth(const InstanceReport &Report, const Verdict &Outcome);
+  Announcement announcementOf(const InstanceReport &Report) const;
+
+  const NodeKnowledge Knowledge_;
+  const ReportDialect &Dialect_;
+  Gate &Gate_;
+  const Millis Lease_;
+  const asio::strand<asio::io_context::executor_type> Strand_;
+  UpstreamClient Health_;
+  InstanceRecord Record_;
+  Announcement Known_;
+  Millis HeardAt_;
+  /// Whether the present life may be used.
+  bool Opened_ = false;
+  bool Checking_ = false;
+  int Unanswered_ = 0;
+};
+
+void InstanceKeeper::Impl::takeReport(const HttpExchange::Pointer &Exchange) {
+  InstanceReport Report;
+  try {
+    Report = Dialect_.readReport(Exchange->request());
+  } catch (const std::invalid_argument &Error) {
+    logEvent(LogLevel::Warning, "report_unusable", {{"why", Error.what()}});
+    return Exchange->respond(errorAnswer(400, Error.what()));
+  }
+  Millis Now = Knowledge_.Clock_->now();
+  bool Silent = Now - HeardAt_ > Lease_;
+  auto Effect =
+      Record_.take(Report.Life_, Report.Phase_, Report.Sequence_, Silent);
+  if (Effect != InstanceRecord::Effect::Ignored)
+    HeardAt_ = Now;
+  if (Effect != InstanceRecord::Effect::Renewed)
+    logEvent(LogLevel::Info, "report",
+             {{"instance", Report.Life_.Id_},
+              {"born_ms", Report.Life_.BornWallMs_},
+              {"phase", phaseName(Report.Phase_)},
+              {"sequence", Report.Sequence_.value_or(-1)},
+              {"service", Report.Service_},
+              {"outcome", Effect == InstanceRecord::Effect::Ignored
+                              ? "ignored"
+                              : "changed"}});
+  apply(Report, Effect);
+  // The gate is closed by now for what the report says has begun to leave.
+  Exchange->respond(Dialect_.acknowledgement());
+}
+
+void InstanceKeeper::Impl::apply(const InstanceReport &Report,
+                                 InstanceRecord::Effect Effect) {
+  if (Effect == InstanceRecord::Effect::Ignored)
+    return;
+  if (Effect == InstanceRecord::Effect::Changed) {
+    Opened_ = false;
+    Unanswered_ = 0;
+  }
+  switch (Record_.phase()) {
+  case InstancePhase::Ready:
+    return openOrCheck(Report);
+  case InstancePhase::Leaving:
+    return close(Announcement::State::Leaving);
+  case InstancePhase::Gone:
+    return close(Announcement::State::Leaving);
+  }
+}
+
+void InstanceKeeper::Impl::close(Announcement::State State) {
+  Known_.State_ = State;
+  Gate_.announce(Known_);
+}
+
+Announcement
+InstanceKeeper::Impl::announcementOf(const InstanceReport &Report) const {
+  Announcement Fresh;
+  Fresh.Service_ = Report.Service_;
+  Fresh.Address_ = Report.Address_;
+  Fresh.Slots_ = Report.Slots_;
+  Fresh.Connections_ = Report.Slots_;
+  Fresh.Instance_ = Report.Life_.Id_;
+  return Fresh;
+}
+
+void InstanceKeeper::Impl::openOrCheck(const InstanceReport &Report) {
+  bool FromStart =
+      Report.Sequence_ && *Report.Sequence_ <= EarlySequence;
+  if (Opened_ || FromStart)
+    return open(Report);
+  auto Config = Knowledge_.Config_();
+  const ServiceResource *Service = Config->service(Report.Service_);
+  if (Service && Service->HealthPath_.empty())
+    return open(Report);
+  if (Service && !Checking_)
+    check(Report, Service->HealthPath_);
+}
+
+void InstanceKeeper::Impl::open(const InstanceReport &Report) {
+  Opened_ = true;
+  Known_ = announcementOf(Report);
+  Gate_.announce(Known_);
+}
+
+void InstanceKeeper::Impl::check(const InstanceReport &Report,
+                                 const std::string &Path) {
+  Checking_ = true;
+  Health_.setTarget(Report.Address_, 1);
+  Health_.call({"GET", Path, {}, {}}, HealthTimeout,
+               [Weak = weak_from_this(), Report](const Verdict &Outcome) {
+                 auto Self = Weak.lock();
+                 if (!Self)
+                   return;
+                 asio::dispatch(Self->Strand_, [Self, Report, Outcome] {
+                   Self->onHealth(Report, Outcome);
+                 });
+               });
+}
+
+void InstanceKeeper::Impl::onHealth(const InstanceReport &Report,
+                                    const Verdict &Outcome) {
+  Checking_ = false;
+  bool Present = Record_.life() == Report.Life_ &&
+                 Record_.phase() == InstancePhase::Ready;
+  const Ran *Answered = std::get_if<Ran>(&Outcome);
+  bool Healthy = Answered && Answered->Answer_.Status_ == HealthOk &&
+                 Dialect_.instanceOf(Answered->Answer_) == Report.Life_.Id_;
+  Unanswered_ = Answered ? 0 : Unanswered_ + 1;
+  logEvent(LogLevel::Info, "health_checked",
+           {{"instance", Report.Life_.Id_},
+            {"verdict", verdictName(Outcome)},
+            {"status", Answered ? Answered->Answer_.Status_ : 0},
+            {"outcome", Healthy ? "healthy" : "not healthy"},
+            {"present", Present}});
+  if (Present && (Healthy || Unanswered_ >= UnansweredChecks))
+    open(Report);
+}
+
+InstanceKeeper::InstanceKeeper(asio::io_context &Context,
+                               NodeKnowledge Knowledge,
+                               const ReportDialect &Dialect, Gate &Target,
+                               Millis Lease)
+    : Impl_(std::make_shared<Impl>(Context, std::move(Knowledge), Dialect,
+                                   Target, Lease)) {}
+
+InstanceKeeper::~InstanceKeeper() = default;
+
+void InstanceKeeper::take(const HttpExchange::Pointer &Exchange) {
+  Impl_->take(Exchange);
+}
+
+} // namespace coltsfoot
--- /dev/null
+++ b/src/libcoordination/instancekeeper.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "httpserver.h"
+#include "ticketoffice.h"
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+
+namespace coltsfoot {
+
+class Gate;
+class ReportDialect;
+
+/// Takes the reports of the backend server beside this node and opens or closes
+/// the gate accordingly.
+///
+/// A leaving backend server gets its acknowledgement once the gate is closed,
+/// which needs nobody else: the gate is the only way in. A gate whose process
+/// was restarted does not know whether an earlier one acknowledged that, so it
+/// opens only for a life that it has seen from its first report on, or whose
+/// health check answers well under the same name.
+///
+/// Runs on a strand; take() is thread-safe. Borrows all but the context.
+class InstanceKeeper {
+public:
+  InstanceKeeper(boost::asio::io_context &Context, NodeKnowledge Knowledge,
+                 const ReportDialect &Dialect, Gate &Target, Millis Lease);
+  ~InstanceKeeper();
+  InstanceKeeper(const InstanceKeeper &) = delete;
+  InstanceKeeper &operator=(const InstanceKeeper &) = delete;
+
+  /// Takes a request with a report and answers it.
+  void take(const HttpExchange::Pointer &Exchange);
+
+private:
+  class Impl;
+  std::shared_ptr<Impl> Impl_;
+};
+
+} // namespace coltsfoot
--- a/src/libcoordination/node.cpp
+++ b/src/libcoordination/node.cpp
@@ -1,14 +1,17 @@
 #include "node.h"
 
+#include "adapters.h"
 #include "api.h"
 #include "attempttable.h"
 #include "coltsfoot_types.h"
+#include "configfollower.h"
 #include "configservice.h"
 #include "configsync.h"
 #include "entry.h"
 #include "entrythreshold.h"
 #include "gate.h"
 #include "gossipservice.h"
+#include "instancekeeper.h"
 #include "logclient.h"
 #include "memberview.h"
 #include "nodelife.h"
@@ -16,6 +19,7 @@
 #include "peerserver.h"
 #include "policy.h"
 #include "requestledger.h"
+#include "retrybudget.h"
 #include "seedkeeper.h"
 #include "timer.h"
 #include "watchedlog.h"
@@ -37,9 +41,6 @@
 
 constexpr int ProtocolVersion = 1;
 constexpr Millis TickSpan(50);
-/// How long a draining node goes on as an entry at least, so that callers and
-/// other nodes learn of it before it stops taking calls.
-constexpr Millis MinDrain(500);
 /// How long it then still answers on kept connections.
 constexpr Millis CloseLinger(300);
 
@@ -47,7 +48,14 @@
   return {asio::ip::make_address(Address), Port};
 }
 
-SealingKeys keysOf(const SecuritySettings &Security) {
+/// Tickets that never leave the fleet need no secret.
+constexpr std::string_view InternalKey = "coltsfoot internal ticket ";
+
+SealingKeys keysOf(const Settings &Given) {
+  const SecuritySettings &Security = Given.Security_;
+  if (Given.Node_.Interface_ != Interface::Own &&
+      Security.TicketKeyFile_.empty())
+    return SealingKeys(std::string(InternalKey) + Given.Node_.Fleet_);
   std::optional<std::string> Previous;
   if (!Security.PreviousTicketKeyFile_.empty())
     Previous = loadSecret(Security.PreviousTicketKeyFile_).bytes();
@@ -56,8 +64,9 @@
 }
 
 std::unique_ptr<LogClient> logClientOf(asio::io_context &Context,
-                                       const LogServiceSettings &Given) {
-  if (Given.Address_.empty())
+                                       const Settings &All) {
+  const LogServiceSettings &Given = All.LogService_;
+  if (Given.Address_.empty() || All.Node_.Interface_ != Interface::Own)
     return nullptr;
   IpPort Address = parseIpPort(Given.Address_).value();
   LogClient::Options Options;
@@ -67,6 +76,19 @@
   return std::make_unique<LogClient>(Context, Options);
 }
 
+/// The nodes to start from, with the port that counts for all of them.
+std::vector<std::string> peersOf(const MembershipSettings &Given) {
+  std::vector<std::string> Peers = Given.Peers_;
+  if (Given.PeersPort_ == 0)
+    return Peers;
+  for (std::string &Each : Peers) {
+    IpPort Address = parseIpPort(Each).value();
+    Address.Port_ = static_cast<uint16_t>(Given.PeersPort_);
+    Each = Address.text();
+  }
+  return Peers;
+}
+
 /// The two sockets of a node that share one port number.
 struct PeerSockets {
   std::unique_ptr<PeerServer> Tcp_;
@@ -78,7 +100,7 @@
 
 class Node::Impl {
 public:
-  Impl(asio::io_context &Context, const Settings &Given);
+  Impl(asio::io_context &Context, const Settings &Given, Adapters Joined);
 
   void start(std::function<void()> Stopped);
   void drain();
@@ -102,6 +124,12 @@
                    const std::function<void(wire::Frame)> &Answer);
   void onServing(const std::string &Service, int Slots, bool Leaving);
   Reason notServing() const;
+  bool takesCalls() const;
+  std::unique_ptr<HttpServer> listen(const std::string &Address,
+                                     HttpServer::Handler OnRequest);
+  std::vector<HttpServer *> servers() const;
+  HttpServer &callServer() const { return Calls_ ? *Calls_ : *Http_; }
+  void answerReadiness(const HttpExchange::Pointer &Exchange) const;
   void updateIsolation();
   void arm();
   void tick();
@@ -110,6 +138,7 @@
 
   asio::io_context &Context_;
   const Settings Settings_;
+  const Adapters Adapters_;
   const SystemClock Clock_;
   const Incarnation Incarnation_;
   const PolicyKind Policy_;
@@ -124,11 +153,18 @@
   EntryThreshold Thresholds_;
   AttemptTable Attempts_;
   RequestLedger Ledger_;
+  RetryBudget Budget_;
   TicketOffice Office_;
   Gate Gate_;
   Entry Entry_;
   Api Api_;
   std::unique_ptr<HttpServer> Http_;
+  // Null where Http_ serves the duty.
+  std::unique_ptr<HttpServer> Calls_;
+  std::unique_ptr<HttpServer> Readiness_;
+  std::unique_ptr<HttpServer> Reports_;
+  std::unique_ptr<InstanceKeeper> Instances_;
+  std::unique_ptr<ConfigFollower> Follower_;
 
   asio::strand<asio::io_context::executor_type> Strand_;
   asio::steady_timer Timer_;
@@ -141,10 +177,12 @@
   std::function<void()> Stopped_;
 };
 
-Node::Impl::Impl(asio::io_context &Context, const Settings &Given)
-    : Context_(Context), Settings_(Given), Incarnation_(randomBits()),
+Node::Impl::Impl(asio::io_context &Context, const Settings &Given,
+                 Adapters Joined)
+    : Context_(Context), Settings_(Given), Adapters_(std::move(Joined)),
+      Incarnation_(randomBits()),
       Policy_(parsePolicy(policyName(Given.Node_.Policy_))),
-      LogClient_(logClientOf(Context, Given.LogService_)),
+      LogClient_(logClientOf(Context, Given)),
       Log_(LogClient_.get(), Clock_), Sockets_(bindPeerSockets(Given)),
       Peers_(Context, connectionOptions(),
              asio::ip::make_address(Given.Node_.Address_), hello()),
@@ -155,6 +193,7 @@
                 Options.SnapshotEvery_ =
                     Given.LogService_.SnapshotEveryRecords_;
                 Options.Retention_ = Given.LogService_.Retention_;
+                Options.FromSource_ = Adapters_.Config_ != nullptr;
                 return Options;
               }()),
       ConfigSync_(Context, Config_, *Sockets_.Udp_, Peers_, Sockets_.Name_,
@@ -164,29 +203,80 @@
               Given.Node_.Region_},
              Given.LogService_.Retention_),
       Attempts_(Clock_), Ledger_(Clock_),
-      Office_(knowledge(), keysOf(Given.Security_), Balancer_),
+      Budget_({Given.Retries_.BudgetShare_, Given.Retries_.BudgetSaved_}),
+      Office_(knowledge(), keysOf(Given), Balancer_),
       Gate_(Context, knowledge(), Office_, Attempts_, Thresholds_, Ledger_,
             Policy_,
             {Given.Limits_.Queue_,
              static_cast<size_t>(Given.Limits_.TicketEntries_),
-             Given.Limits_.KeptAnswerBytes_, Millis(3000),
-             Given.Timeouts_.Attempt_}),
+             Given.Limits_.KeptAnswerBytes_, Given.Timeouts_.Lease_,
+             Given.Timeouts_.Attempt_, Given.Limits_.UpstreamIdle_,
+             Adapters_.Calls_.get()}),
       Entry_(entryParts()), Api_(apiParts()),
       Strand_(asio::make_strand(Context)), Timer_(Strand_) {
+  std::string Own =
+      Given.Node_.Address_ + ":" + std::to_string(Given.Node_.HttpPort_);
+  bool CallsApart = !Given.Listen_.Calls_.empty();
+  Http_ = listen(Own, [this, CallsApart](const HttpExchange::Pointer &Exchange) {
+    if (!CallsApart && Entry_.isCall(Exchange->request()))
+      Entry_.handle(Exchange);
+    else
+      Api_.handle(Exchange);
+  });
+  if (CallsApart)
+    Calls_ = listen(Given.Listen_.Calls_,
+                    [this](const HttpExchange::Pointer &Exchange) {
+                      Entry_.handle(Exchange);
+                    });
+  if (!Given.Listen_.Readiness_.empty())
+    Readiness_ = listen(Given.Listen_.Readiness_,
+                        [this](const HttpExchange::Pointer &Exchange) {
+                          answerReadiness(Exchange);
+                        });
+  if (Adapters_.Config_)
+    Follower_ = std::make_unique<ConfigFollower>(
+        Context, *Adapters_.Config_, Config_,
+        ConfigFollower::Options{Given.LogService_.ReadWait_});
+  if (!Adapters_.Reports_ || Given.Listen_.Reports_.empty())
+    return;
+  Instances_ = std::make_unique<InstanceKeeper>(
+      Context, knowledge(), *Adapters_.Reports_, Gate_, Given.Timeouts_.Lease_);
+  Reports_ = listen(Given.Listen_.Reports_,
+                    [this](const HttpExchange::Pointer &Exchange) {
+                      Instances_->take(Exchange);
+                    });
+}
+
+std::unique_ptr<HttpServer>
+Node::Impl::listen(const std::string &Address, HttpServer::Handler OnRequest) {
+  const LimitSettings &Given = Settings_.Limits_;
   HttpServer::Options Limits;
-  Limits.HeaderBytes_ = Given.Limits_.HeaderBytes_;
-  Limits.BodyBytes_ = Given.Limits_.BodyBytes_;
-  Limits.Callers_ = static_cast<size_t>(Given.Limits_.Callers_);
-  Limits.Idle_ = Given.Limits_.CallerIdle_;
-  Limits.RequestTime_ = Given.Limits_.HeaderTimeout_;
-  Http_ = std::make_unique<HttpServer>(
-      Context, endpointOf(Given.Node_.Address_, Given.Node_.HttpPort_), Limits,
-      [this](const HttpExchange::Pointer &Exchange) {
-        if (Entry_.isCall(Exchange->request()))
-          Entry_.handle(Exchange);
-        else
-          Api_.handle(Exchange);
-      });
+  Limits.HeaderBytes_ = Given.HeaderBytes_;
+  Limits.BodyBytes_ = Given.BodyBytes_;
+  Limits.Callers_ = static_cast<size_t>(Given.Callers_);
+  Limits.Idle_ = Given.CallerIdle_;
+  Limits.RequestTime_ = Given.HeaderTimeout_;
+  size_t Colon = Address.rfind(':');
+  auto Port = static_cast<uint16_t>(std::stoi(Address.substr(Colon + 1)));
+  return std::make_unique<HttpServer>(
+      Context_, endpointOf(Address.substr(0, Colon), Port), Limits,
+      std::move(OnRequest));
+}
+
+std::vector<HttpServer *> Node::Impl::servers() const {
+  std::vector<HttpServer *> All;
+  for (const auto *Each : {&Http_, &Calls_, &Readiness_, &Reports_})
+    if (*Each)
+      All.push_back(Each->get());
+  return All;
+}
+
+bool Node::Impl::takesCalls() const {
+  return State_ == NodeLife::State::Serving && notServing() == Reason::None;
+}
+
+void Node::Impl::answerReadiness(const HttpExchange::Pointer &Exchange) const {
+  Exchange->respond(Answer{takesCalls() ? 200 : 503, {}, ""});
 }
 
 // TCP and UDP use one port number, so that one address names a node.
@@ -213,7 +303,7 @@
     Options.SuspicionTime_ = Given.Membership_.Suspicion_;
     Options.SpreadInterval_ = Given.Membership_.SpreadInterval_;
     Options.DigestInterval_ = Given.Membership_.DigestInterval_;
-    Options.Peers_ = Given.Membership_.Peers_;
+    Options.Peers_ = peersOf(Given.Membership_);
     try {
       Bound.Udp_ = std::make_unique<GossipService>(Context_, Clock_, Options,
                                                    Self, Address, randomBits());
@@ -267,6 +357,13 @@
                     Peers_,
                     Ledger_,
                     Policy_,
+                    Budget_,
+                    Adapters_.Calls_.get(),
+                    Settings_.Node_.Address_,
+                    [this] {
+                      const std::string &Told = Settings_.Node_.Service_;
+                      return Told.empty() ? Gate_.service() : Told;
+                    },
                     [this] { return notServing(); },
                     [this](const CallRecord &Record) { Api_.record(Record); }};
 }
@@ -276,7 +373,11 @@
                  Ledger_,  *Sockets_.Udp_, {},      {},     {},    {},
                  {}};
   Parts.Node_ = Sockets_.Name_;
-  Parts.OperatorToken_ = loadSecret(Settings_.Security_.OperatorTokenFile_);
+  // Without a token nobody is an operator: the configuration comes from a
+  // source outside.
+  const std::string &TokenFile = Settings_.Security_.OperatorTokenFile_;
+  if (!TokenFile.empty() || !Adapters_.Config_)
+    Parts.OperatorToken_ = loadSecret(TokenFile);
   Parts.State_ = [this] { return std::string(nodeStateName(State_)); };
   Parts.Drain_ = [this] { drain(); };
   Parts.Isolated_ = [this] { return Isolated_.load(); };
@@ -301,11 +402,15 @@
   startGossip();
   ConfigSync_.start();
   Config_.start();
-  Seeds_.start();
+  if (Follower_)
+    Follower_->start();
+  if (LogClient_)
+    Seeds_.start();
   Gate_.start([this](const std::string &Service, int Slots, bool Leaving) {
     onServing(Service, Slots, Leaving);
   });
-  Http_->start();
+  for (HttpServer *Each : servers())
+    Each->start();
   asio::post(Strand_, [this] { arm(); });
 }
 
@@ -432,21 +537,24 @@
     IdleSince_ = DrainStart_;
     logEvent(LogLevel::Info, "drain_started", {{"node", Sockets_.Name_}});
     Gate_.drain();
+    callServer().endKeptConnections();
   });
 }
 
 // First the gate runs dry while the entry goes on, then the door closes and
 // the answers that are still owed are sent.
 void Node::Impl::advanceDrain(Millis Now) {
-  bool Busy = !Gate_.idle() || Entry_.pending() > 0 || Http_->pending() > 0;
+  bool Busy =
+      !Gate_.idle() || Entry_.pending() > 0 || callServer().pending() > 0;
   if (Busy)
     IdleSince_ = Now;
   bool Late = Now - DrainStart_ > Settings_.Timeouts_.Drain_;
   bool Quiet = Now - IdleSince_ > CloseLinger;
-  if (!Closing_ && Now - DrainStart_ > MinDrain && Gate_.idle()) {
+  bool Noticed = Now - DrainStart_ > Settings_.Timeouts_.DrainNotice_;
+  if (!Closing_ && Noticed && Gate_.idle()) {
     Closing_ = true;
     IdleSince_ = Now;
-    Http_->stop();
+    callServer().stop();
     Api_.endWatches();
     return;
   }
@@ -462,7 +570,10 @@
 }
 
 void Node::Impl::stopAll() {
-  Http_->stop();
+  for (HttpServer *Each : servers())
+    Each->stop();
+  if (Follower_)
+    Follower_->stop();
   Gate_.stop();
   Seeds_.stop();
   ConfigSync_.stop();
@@ -473,8 +584,8 @@
   Stopped_();
 }
 
-Node::Node(asio::io_context &Context, const Settings &Given)
-    : Impl_(std::make_unique<Impl>(Context, Given)) {}
+Node::Node(asio::io_context &Context, const Settings &Given, Adapters Joined)
+    : Impl_(std::make_unique<Impl>(Context, Given, std::move(Joined))) {}
 
 Node::~Node() = default;
 
--- a/src/libcoordination/node.h
+++ b/src/libcoordination/node.h
@@ -11,6 +11,7 @@
 
 namespace coltsfoot {
 
+struct Adapters;
 struct Settings;
 
 /// One node of the fleet: the entry for callers, the gate of the backend
@@ -22,7 +23,8 @@
 public:
   /// Binds all addresses and reads the secret files. Throws SettingsError or
   /// boost::system::system_error.
-  Node(boost::asio::io_context &Context, const Settings &Given);
+  Node(boost::asio::io_context &Context, const Settings &Given,
+       Adapters Joined);
   ~Node();
   Node(const Node &) = delete;
   Node &operator=(const Node &) = delete;
--- a/src/libcoordination/resourceapi.cpp
+++ b/src/libcoordination/resourceapi.cpp
@@ -82,7 +82,7 @@
 
 constexpr std::array<ResourceKind, ResourceKindCount> AllKinds = {
     ResourceKind::Service, ResourceKind::Rank, ResourceKind::RetryPolicy,
-    ResourceKind::Objective};
+    ResourceKind::Objective, ResourceKind::Host};
 
 } // namespace
 
--- a/src/libprotocol/coltsfoot.thrift
+++ b/src/libprotocol/coltsfoot.thrift
@@ -37,6 +37,7 @@
   14: string route        // name of the route that the entry matched
   15: i32 rank_order      // of the root call; the more urgent of it and the route's counts
   16: bool protected_call // inherited from the root call
+  17: i32 objective_ms    // until the time within which the answer is of full use; 0 for none
 }
 
 // What the gate's admission would refuse at this moment: ranks behind
--- a/src/libprotocol/gen-cpp/coltsfoot_types.cpp
+++ b/src/libprotocol/gen-cpp/coltsfoot_types.cpp
@@ -404,6 +404,10 @@
 void Offer::__set_protected_call(const bool val) {
   this->protected_call = val;
 }
+
+void Offer::__set_objective_ms(const int32_t val) {
+  this->objective_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const Offer& obj)
 {
   obj.printTo(out);
@@ -572,6 +576,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->objective_ms);
+          this->__isset.objective_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -661,6 +673,10 @@
   xfer += oprot->writeBool(this->protected_call);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("objective_ms", ::apache::thrift::protocol::T_I32, 17);
+  xfer += oprot->writeI32(this->objective_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -684,6 +700,7 @@
   swap(a.route, b.route);
   swap(a.rank_order, b.rank_order);
   swap(a.protected_call, b.protected_call);
+  swap(a.objective_ms, b.objective_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -704,6 +721,7 @@
   route = other14.route;
   rank_order = other14.rank_order;
   protected_call = other14.protected_call;
+  objective_ms = other14.objective_ms;
   __isset = other14.__isset;
 }
 Offer::Offer(Offer&& other15) noexcept {
@@ -723,6 +741,7 @@
   route = std::move(other15.route);
   rank_order = other15.rank_order;
   protected_call = other15.protected_call;
+  objective_ms = other15.objective_ms;
   __isset = other15.__isset;
 }
 Offer& Offer::operator=(const Offer& other16) {
@@ -742,6 +761,7 @@
   route = other16.route;
   rank_order = other16.rank_order;
   protected_call = other16.protected_call;
+  objective_ms = other16.objective_ms;
   __isset = other16.__isset;
   return *this;
 }
@@ -762,6 +782,7 @@
   route = std::move(other17.route);
   rank_order = other17.rank_order;
   protected_call = other17.protected_call;
+  objective_ms = other17.objective_ms;
   __isset = other17.__isset;
   return *this;
 }
@@ -784,6 +805,7 @@
   out << ", " << "route=" << to_string(route);
   out << ", " << "rank_order=" << to_string(rank_order);
   out << ", " << "protected_call=" << to_string(protected_call);
+  out << ", " << "objective_ms=" << to_string(objective_ms);
   out << ")";
 }
 
--- a/src/libprotocol/gen-cpp/coltsfoot_types.h
+++ b/src/libprotocol/gen-cpp/coltsfoot_types.h
@@ -195,7 +195,7 @@
 std::ostream& operator<<(std::ostream& out, const Hello& obj);
 
 typedef struct _Offer__isset {
-  _Offer__isset() : attempt(false), request_id(false), service_name(false), method(false), target(false), fields(false), body(false), remaining_ms(false), credits(false), client(false), bucket(false), depth(false), ticket(false), route(false), rank_order(false), protected_call(false) {}
+  _Offer__isset() : attempt(false), request_id(false), service_name(false), method(false), target(false), fields(false), body(false), remaining_ms(false), credits(false), client(false), bucket(false), depth(false), ticket(false), route(false), rank_order(false), protected_call(false), objective_ms(false) {}
   bool attempt :1;
   bool request_id :1;
   bool service_name :1;
@@ -212,6 +212,7 @@
   bool route :1;
   bool rank_order :1;
   bool protected_call :1;
+  bool objective_ms :1;
 } _Offer__isset;
 
 class Offer : public virtual ::apache::thrift::TBase {
@@ -236,7 +237,8 @@
           ticket(),
           route(),
           rank_order(0),
-          protected_call(0) {
+          protected_call(0),
+          objective_ms(0) {
   }
 
   virtual ~Offer() noexcept;
@@ -256,6 +258,7 @@
   std::string route;
   int32_t rank_order;
   bool protected_call;
+  int32_t objective_ms;
 
   _Offer__isset __isset;
 
@@ -291,6 +294,8 @@
 
   void __set_protected_call(const bool val);
 
+  void __set_objective_ms(const int32_t val);
+
   bool operator == (const Offer & rhs) const
   {
     if (!(attempt == rhs.attempt))
@@ -325,6 +330,8 @@
       return false;
     if (!(protected_call == rhs.protected_call))
       return false;
+    if (!(objective_ms == rhs.objective_ms))
+      return false;
     return true;
   }
   bool operator != (const Offer &rhs) const {
--- a/src/libstate/configstate.cpp
+++ b/src/libstate/configstate.cpp
@@ -327,6 +327,19 @@
   return Best;
 }
 
+const HostRoute *ConfigState::hostRoute(std::string_view Host,
+                                        std::string_view Target) const {
+  const StoredResource *Entry =
+      find(ResourceKind::Host, Host.substr(0, Host.find(':')));
+  if (!Entry)
+    return nullptr;
+  std::string_view Path = Target.substr(0, Target.find_first_of("?#"));
+  for (const HostRoute &Each : std::get<HostResource>(Entry->Value_).Routes_)
+    if (Path.starts_with(Each.Prefix_))
+      return &Each;
+  return nullptr;
+}
+
 const RankResource *ConfigState::findRank(std::string_view Name) const {
   if (const StoredResource *Entry = find(ResourceKind::Rank, Name))
     return &std::get<RankResource>(Entry->Value_);
@@ -390,6 +403,16 @@
   return *Found;
 }
 
+std::shared_ptr<const ConfigState>
+ConfigState::whole(int64_t Version, std::span<const NamedResource> Resources) {
+  auto State = std::make_shared<ConfigState>();
+  State->NextOffset_ = Version;
+  for (const NamedResource &Each : Resources)
+    State->put(Each.Kind_,
+               makeStored(Each.Kind_, Each.Name_, Version, Each.Json_));
+  return State;
+}
+
 std::string ConfigState::snapshot() const {
   boost::json::array Resources;
   for (size_t Kind = 0; Kind < ResourceKindCount; ++Kind) {
--- a/src/libstate/configstate.h
+++ b/src/libstate/configstate.h
@@ -30,6 +30,14 @@
   uint64_t Hash_ = 0; ///< Of kind, name, version and text.
 };
 
+/// A resource as text, before it is parsed.
+struct NamedResource {
+  ResourceKind Kind_ = ResourceKind::Service;
+  std::string Name_;
+  std::string Json_;
+  bool operator==(const NamedResource &) const = default;
+};
+
 /// The configuration at one offset of the log: a deterministic fold over the
 /// records before it, equal on every node. Immutable, hence thread-safe; a new
 /// state shares what has not changed with the one it came from. Pointers and
@@ -64,6 +72,11 @@
   const Route *route(std::string_view Service, std::string_view Method,
                      std::string_view Target) const;
 
+  /// Returns the route of the host with the longest prefix of the target's
+  /// path, or null. A port behind the host's name is ignored.
+  const HostRoute *hostRoute(std::string_view Host,
+                             std::string_view Target) const;
+
   /// Returns the rank. `urgent`, `normal` and `low` are built in where no
   /// operator has written them; any other unknown name is `normal`.
   const RankResource &rank(std::string_view Name) const;
@@ -93,6 +106,13 @@
   /// text is damaged or its digest is wrong.
   static std::shared_ptr<const ConfigState> restore(std::string_view Snapshot);
 
+  /// Returns the state that consists of these resources alone, as a source
+  /// that keeps whole configurations gives them. Its next offset is the
+  /// configuration's version. Throws ResourceError for a resource that can't be
+  /// accepted.
+  static std::shared_ptr<const ConfigState>
+  whole(int64_t Version, std::span<const NamedResource> Resources);
+
   /// Returns a hash of the whole state, equal on nodes with equal state.
   uint64_t digest() const;
 
--- a/src/libstate/resource.cpp
+++ b/src/libstate/resource.cpp
@@ -16,9 +16,15 @@
 namespace {
 
 constexpr size_t MaxBodyBytes = 64U << 10U;
+/// A host has a route for each kind of request that comes through it.
+constexpr size_t MaxHostBytes = 4U << 20U;
 constexpr size_t MaxNameLength = 128;
 constexpr size_t MaxLabelLength = 1024;
 constexpr size_t MaxRoutes = 512;
+constexpr size_t MaxHostRoutes = 16384;
+constexpr size_t MaxShares = 64;
+constexpr int64_t MaxAttempts = 20;
+constexpr int64_t MaxConnections = 1'000'000;
 constexpr size_t MaxWindows = 8;
 constexpr double DayMs = 86400000;
 constexpr double DefaultDeadlineMs = 2000;
@@ -28,6 +34,8 @@
 constexpr int64_t MaxOrder = 100;
 constexpr double LeastWeight = 0.001;
 constexpr double MaxWeight = 1000;
+constexpr double MaxShareWeight = 1e9;
+constexpr double DefaultHostTimeoutMs = 60000;
 constexpr int64_t DefaultCredits = 3;
 constexpr int64_t MaxCredits = 20;
 constexpr double DefaultTicketLifeMs = 120000;
@@ -40,7 +48,7 @@
 constexpr std::array<double, 3> DefaultWindowsMs = {300000, 3600000, 21600000};
 
 constexpr std::array<std::string_view, ResourceKindCount> KindNames = {
-    "services", "ranks", "retry-policies", "objectives"};
+    "services", "ranks", "retry-policies", "objectives", "hosts"};
 
 bool isResourceName(std::string_view Name) {
   if (Name.empty() || Name.size() > MaxNameLength)
@@ -139,6 +147,11 @@
                                   MaxDeadlineMs, DefaultAttemptTimeoutMs);
   Result.StartupRamp_ =
       millis(Reader, "startup_ramp_ms", 0, MaxDeadlineMs, DefaultStartupRampMs);
+  Result.Connections_ = static_cast<int>(
+      Reader.integer("connections", 0, MaxConnections).value_or(0));
+  Result.HealthPath_ = Reader.string("health_path").value_or("");
+  if (!Result.HealthPath_.empty() && Result.HealthPath_.front() != '/')
+    Reader.fail("health_path", "expected a path that begins with a slash");
   return Result;
 }
 
@@ -208,6 +221,78 @@
   return Result;
 }
 
+std::vector<TrafficShare> parseShares(JsonReader &Reader,
+                                      const std::string &Prefix) {
+  const boost::json::array *Array = Reader.array("shares");
+  if (!Array || Array->empty() || Array->size() > MaxShares)
+    Reader.fail("shares", "expected an array of 1 to 64 services");
+  std::vector<TrafficShare> Shares;
+  double Sum = 0;
+  for (const boost::json::value &Item : *Array) {
+    std::string Field = Prefix + "shares[" + std::to_string(Shares.size()) + "]";
+    if (!Item.is_object())
+      throw ResourceError(Field, "expected an object");
+    JsonReader Share(Item.get_object(), Field + ".");
+    TrafficShare Next;
+    Next.Service_ = reference(Share, "service", "");
+    if (Next.Service_.empty())
+      Share.fail("service", "expected the name of a service");
+    Next.Weight_ = Share.number("weight", 0, MaxShareWeight).value_or(1);
+    Share.finish();
+    Sum += Next.Weight_;
+    Shares.push_back(std::move(Next));
+  }
+  if (Sum <= 0)
+    Reader.fail("shares", "expected a weight above 0");
+  return Shares;
+}
+
+HostRoute parseHostRoute(const boost::json::object &Object,
+                         const std::string &Prefix) {
+  JsonReader Reader(Object, Prefix);
+  HostRoute Result;
+  Result.Prefix_ = Reader.string("prefix").value_or("");
+  if (!Result.Prefix_.starts_with('/') || !Result.Prefix_.ends_with('/'))
+    Reader.fail("prefix", "expected a path that begins and ends with a slash");
+  Result.Name_ = label(Reader, "name", Result.Prefix_);
+  Result.Shares_ = parseShares(Reader, Prefix);
+  Result.Idempotent_ = Reader.boolean("idempotent").value_or(false);
+  Result.Order_ =
+      static_cast<int>(Reader.integer("order", 0, MaxOrder).value_or(0));
+  Result.Timeout_ =
+      millis(Reader, "timeout_ms", 1, MaxDeadlineMs, DefaultHostTimeoutMs);
+  Result.Objective_ = millis(Reader, "objective_ms", 1, MaxDeadlineMs,
+                             Result.Timeout_.count());
+  Result.Attempts_ =
+      static_cast<int>(Reader.integer("attempts", 1, MaxAttempts).value_or(1));
+  Reader.finish();
+  return Result;
+}
+
+HostResource parseHost(std::string Name, JsonReader &Reader) {
+  const boost::json::array *Array = Reader.array("routes");
+  if (!Array || Array->size() > MaxHostRoutes)
+    Reader.fail("routes", "expected an array of at most 16384 routes");
+  HostResource Result;
+  Result.Name_ = std::move(Name);
+  std::set<std::string> Prefixes;
+  for (const boost::json::value &Item : *Array) {
+    std::string Field =
+        "routes[" + std::to_string(Result.Routes_.size()) + "]";
+    if (!Item.is_object())
+      throw ResourceError(Field, "expected an object");
+    HostRoute Next = parseHostRoute(Item.get_object(), Field + ".");
+    if (!Prefixes.insert(Next.Prefix_).second)
+      throw ResourceError(Field + ".prefix", "another route has this prefix");
+    Result.Routes_.push_back(std::move(Next));
+  }
+  std::stable_sort(Result.Routes_.begin(), Result.Routes_.end(),
+                   [](const HostRoute &Left, const HostRoute &Right) {
+                     return Left.Prefix_.size() > Right.Prefix_.size();
+                   });
+  return Result;
+}
+
 Resource parseByKind(ResourceKind Kind, std::string Name, JsonReader &Reader) {
   switch (Kind) {
   case ResourceKind::Service:
@@ -216,6 +301,8 @@
     return parseRank(std::move(Name), Reader);
   case ResourceKind::RetryPolicy:
     return parseRetryPolicy(std::move(Name), Reader);
+  case ResourceKind::Host:
+    return parseHost(std::move(Name), Reader);
   case ResourceKind::Objective:
     break;
   }
@@ -237,7 +324,8 @@
     if (KindNames[I] == Name)
       return static_cast<ResourceKind>(I);
   throw ResourceError("kind",
-                      "expected services, ranks, retry-policies or objectives");
+                      "expected services, ranks, retry-policies, objectives or "
+                      "hosts");
 }
 
 Resource parseResource(ResourceKind Kind, std::string_view Name,
@@ -245,8 +333,10 @@
   if (!isResourceName(Name))
     throw ResourceError("name",
                         "expected 1 to 128 letters, digits, '-', '_' and '.'");
-  if (Json.size() > MaxBodyBytes)
-    throw ResourceError("", "the text is longer than 65536 bytes");
+  size_t Longest = Kind == ResourceKind::Host ? MaxHostBytes : MaxBodyBytes;
+  if (Json.size() > Longest)
+    throw ResourceError("", "the text is longer than " +
+                                std::to_string(Longest) + " bytes");
   boost::system::error_code Error;
   boost::json::value Value = boost::json::parse(Json, Error);
   if (Error)
--- a/src/libstate/resource.h
+++ b/src/libstate/resource.h
@@ -31,6 +31,8 @@
   std::string RetryPolicy_; ///< Empty for the default policy.
   Millis AttemptTimeout_;
   Millis StartupRamp_; ///< Time in which a new backend server's share grows.
+  int Connections_ = 0;    ///< Most to a backend server; 0 for its own word.
+  std::string HealthPath_; ///< Of its health check; empty when it has none.
   bool operator==(const ServiceResource &) const = default;
 };
 
@@ -63,15 +65,43 @@
   bool operator==(const ObjectiveResource &) const = default;
 };
 
+/// A service that takes part of a host route's requests.
+struct TrafficShare {
+  std::string Service_;
+  double Weight_ = 1;
+  bool operator==(const TrafficShare &) const = default;
+};
+
+/// A route of a host: requests whose path begins with the prefix.
+struct HostRoute {
+  std::string Name_;
+  std::string Prefix_; ///< Begins and ends with a slash.
+  std::vector<TrafficShare> Shares_; ///< At least one.
+  bool Idempotent_ = false;
+  int Order_ = 0;     ///< 0 is the most urgent, 100 the least.
+  Millis Timeout_;    ///< Longest time until the caller is answered.
+  Millis Objective_;  ///< Time within which an answer is of full use.
+  int Attempts_ = 1;  ///< Most backend servers that one call is sent to.
+  bool operator==(const HostRoute &) const = default;
+};
+
+/// Where the requests to a host name go, by path.
+struct HostResource {
+  std::string Name_;
+  std::vector<HostRoute> Routes_; ///< Longest prefixes first.
+  bool operator==(const HostResource &) const = default;
+};
+
 /// The kinds of resources that operators write.
-enum class ResourceKind { Service, Rank, RetryPolicy, Objective };
+enum class ResourceKind { Service, Rank, RetryPolicy, Objective, Host };
 
 /// Number of values of ResourceKind.
-constexpr size_t ResourceKindCount = 4;
+constexpr size_t ResourceKindCount = 5;
 
 /// A parsed resource; the alternatives stand in the order of ResourceKind.
-using Resource = std::variant<ServiceResource, RankResource,
-                              RetryPolicyResource, ObjectiveResource>;
+using Resource =
+    std::variant<ServiceResource, RankResource, RetryPolicyResource,
+                 ObjectiveResource, HostResource>;
 
 /// Reports a resource that can't be accepted.
 class ResourceError : public std::invalid_argument {
--- a/src/libtransport/httpserver.cpp
+++ b/src/libtransport/httpserver.cpp
@@ -113,6 +113,8 @@
                  [Self = Shared_] { Self->accept(); });
 }
 
+void HttpServer::endKeptConnections() { Shared_->EndsKept_ = true; }
+
 void HttpServer::stop() {
   if (Shared_->Stopped_.exchange(true))
     return;
--- a/src/libtransport/httpserver.h
+++ b/src/libtransport/httpserver.h
@@ -90,6 +90,9 @@
 
   /// Starts to accept.
   void start();
+  /// From now on each answer ends its connection, while new connections are
+  /// still accepted.
+  void endKeptConnections();
   /// Stops to accept. Requests in progress are answered with `Connection:
   /// close`, and so is one more request on each kept connection; streams end.
   void stop();
--- a/src/libtransport/httpserversession.cpp
+++ b/src/libtransport/httpserversession.cpp
@@ -491,7 +491,8 @@
     return;
   Phase_ = Phase::Sending;
   Message_->Response_ = toResponse(Reply, Message_->ToHead_);
-  Message_->Response_.keep_alive(Message_->KeepAlive_ && !Server_->Stopped_);
+  Message_->Response_.keep_alive(Message_->KeepAlive_ && !Server_->Stopped_ &&
+                                 !Server_->EndsKept_);
   arm(Server_->Options_.Idle_);
   http::async_write(Socket_, Message_->Response_,
                     [Self = Pointer(this)](const error_code &Error, size_t) {
--- a/src/libtransport/httpserversession.h
+++ b/src/libtransport/httpserversession.h
@@ -114,6 +114,7 @@
   const HttpServer::Options Options_;
   const HttpServer::Handler Handler_;
   std::atomic<bool> Stopped_ = false;
+  std::atomic<bool> EndsKept_ = false;
   std::atomic<size_t> Callers_ = 0;
   std::atomic<size_t> Pending_ = 0;
 
--- a/src/libtransport/upstreamclient.cpp
+++ b/src/libtransport/upstreamclient.cpp
@@ -129,6 +129,7 @@
   void read();
   void onAnswer(const error_code &Error);
   bool isOwnAnswer() const;
+  bool isForeign() const;
   void fail(Reason Why);
   void finish(Verdict Outcome);
   template <typename Function> auto onStrand(Function Callback) {
@@ -275,7 +276,11 @@
       ++Interim_ <= MaxInterimAnswers)
     return read();
   // Without a length the end of the body is only the connection's end.
-  bool Endless = Parser_->need_eof() && Request_.method() != http::verb::head;
+  bool Endless = !Client_->Options_.EndlessAnswers_ && Parser_->need_eof() &&
+                 Request_.method() != http::verb::head;
+  // Only a late answer to an earlier request can stand before the own one.
+  if (isForeign() && Kept_ && ++Interim_ <= MaxInterimAnswers)
+    return read();
   if (Status < 200 || Endless || isCoded(Parser_->get()) || !isOwnAnswer())
     return fail(Reason::UpstreamLost);
   if (Parser_->get().keep_alive() && Buffer_.size() == 0)
@@ -290,12 +295,17 @@
 // request: a note that the idle time is over, or an answer too many. The
 // context gives the latter away where the backend server returns it.
 bool UpstreamClient::Shared::Exchange::isOwnAnswer() const {
-  constexpr auto Context = "Coltsfoot-Context";
   const auto &Message = Parser_->get();
   if (Kept_ && Message.result() == http::status::request_timeout)
     return false;
-  auto Returned = Message.find(Context);
-  return Returned == Message.end() || Returned->value() == Request_[Context];
+  return !isForeign();
+}
+
+bool UpstreamClient::Shared::Exchange::isForeign() const {
+  const std::string &Echo = Client_->Options_.EchoField_;
+  const auto &Message = Parser_->get();
+  auto Returned = Message.find(Echo);
+  return Returned != Message.end() && Returned->value() != Request_[Echo];
 }
 
 void UpstreamClient::Shared::Exchange::fail(Reason Why) {
--- a/src/libtransport/upstreamclient.h
+++ b/src/libtransport/upstreamclient.h
@@ -27,11 +27,13 @@
 /// A request is written once. Only a kept connection that takes none of its
 /// bytes leads to another connection, once. An answer counts only when its end
 /// has been seen by length or chunks; an answer that ends with its connection
-/// is refused, since a cut could not be told from its end. Interim answers
-/// (1xx) are skipped. A connection on which a call failed, timed out or was
+/// is refused, since a cut could not be told from its end, unless the options
+/// take such answers for whole where the connection was not reset. Interim
+/// answers (1xx) are skipped. A connection on which a call failed, timed out or was
 /// cancelled, or that sent more than the answer, is closed and never reused.
-/// An answer that carries another Coltsfoot-Context than its request, or is a
-/// 408 on a kept connection, is not taken for the request's own.
+/// An answer that carries another value than its request in the field that
+/// backend servers return, or is a 408 on a kept connection, is not taken for
+/// the request's own.
 ///
 /// There are never more connections to the backend server than it announced.
 /// Calls beyond that wait in order for a free one, within their time limit.
@@ -47,6 +49,10 @@
     size_t AnswerBytes_ = 8 * 1024 * 1024;
     size_t HeaderBytes_ = 64 * 1024;
     size_t Connections_ = 256;
+    /// Field of the request that the backend server returns in its answer.
+    std::string EchoField_ = "Coltsfoot-Context";
+    /// Whether answers may end with their connection.
+    bool EndlessAnswers_ = false;
   };
   using Handler = std::function<void(Verdict)>;
 
--- a/src/libutil/settings.cpp
+++ b/src/libutil/settings.cpp
@@ -194,6 +194,9 @@
             "membership.probe_interval_ms", S.Membership_.ProbeInterval_);
     atLeast("timeouts.attempt_ms", S.Timeouts_.Attempt_, "timeouts.connect_ms",
             S.Timeouts_.Connect_);
+    if (S.Node_.Interface_ != Interface::Own && S.LogService_.Address_.empty())
+      report(0, "log_service.address", "an address, as node.interface needs it",
+             "none");
     bool OnlyPrevious = !S.Security_.PreviousTicketKeyFile_.empty() &&
                         S.Security_.TicketKeyFile_.empty();
     if (OnlyPrevious)
--- a/src/libutil/settingstable.cpp
+++ b/src/libutil/settingstable.cpp
@@ -20,6 +20,7 @@
 
 constexpr std::array<std::string_view, 3> PolicyNames = {"adaptive", "static",
                                                          "none"};
+constexpr std::array<std::string_view, 2> InterfaceNames = {"own", "platform"};
 constexpr std::array<std::string_view, 5> LevelNames = {
     "trace", "debug", "info", "warning", "error"};
 
@@ -45,6 +46,8 @@
 }
 
 constexpr auto Node = &Settings::Node_;
+constexpr auto Listen = &Settings::Listen_;
+constexpr auto Retries = &Settings::Retries_;
 constexpr auto Log = &Settings::LogService_;
 constexpr auto Members = &Settings::Membership_;
 constexpr auto Limits = &Settings::Limits_;
@@ -55,11 +58,17 @@
   Target.Node_.Policy_ = static_cast<Policy>(Index);
 }
 
+void storeInterface(Settings &Target, size_t Index) {
+  Target.Node_.Interface_ = static_cast<Interface>(Index);
+}
+
 void storeLevel(Settings &Target, size_t Index) {
   Target.Logging_.Level_ = static_cast<LogLevel>(Index);
 }
 
 using N = NodeSettings;
+using A = ListenSettings;
+using R = RetrySettings;
 using L = LogServiceSettings;
 using M = MembershipSettings;
 using I = LimitSettings;
@@ -88,12 +97,40 @@
     SettingEntry{"node", "fleet", "",
                  "fleet; nodes of other fleets are not talked to",
                  text<Node, &N::Fleet_>(TextForm::Name, "default")},
+    SettingEntry{"node", "service", "",
+                 "service of the backend server of this VM, where it is known "
+                 "before that announces itself",
+                 text<Node, &N::Service_>(TextForm::Name, "")},
     SettingEntry{"node", "workers", "", "worker threads",
                  number<Node, &N::Workers_>(1, 1, 64)},
     SettingEntry{"node", "policy", "",
                  "how overload is decided about; static and none are baselines "
                  "for comparisons",
                  ChoiceSetting{PolicyNames, 0, &storePolicy}},
+    SettingEntry{"node", "interface", "",
+                 "whose interface is spoken to callers, backend servers and "
+                 "the place of the configuration",
+                 ChoiceSetting{InterfaceNames, 0, &storeInterface}},
+
+    SettingEntry{"listen", "calls", "",
+                 "ip:port for calls alone, where it is not http_port",
+                 text<Listen, &A::Calls_>(TextForm::IpPort, "")},
+    SettingEntry{"listen", "readiness", "",
+                 "ip:port that answers every request with 200 while the node "
+                 "takes calls, and 503 otherwise",
+                 text<Listen, &A::Readiness_>(TextForm::IpPort, "")},
+    SettingEntry{"listen", "reports", "",
+                 "ip:port for the reports of the backend server of this VM, "
+                 "where the interface has its own",
+                 text<Listen, &A::Reports_>(TextForm::IpPort, "")},
+
+    SettingEntry{"retries", "budget_share", "share",
+                 "further arrivals at a service by its requests, where the "
+                 "interface carries no retry credits",
+                 number<Retries, &R::BudgetShare_>(0.1, 0, 1)},
+    SettingEntry{"retries", "budget_saved", "share",
+                 "most further arrivals that one node saves up for a service",
+                 number<Retries, &R::BudgetSaved_>(2, 0, 1e6)},
 
     SettingEntry{"log_service", "address", "",
                  "ip:port of the log service; needed unless peers are given",
@@ -114,6 +151,9 @@
     SettingEntry{"membership", "peers", "",
                  "ip:port of nodes to start from while the log is down",
                  AddressListSetting{&member<Members, &M::Peers_>}},
+    SettingEntry{"membership", "peers_port", "",
+                 "port that counts in place of those given in peers; 0 for none",
+                 number<Members, &M::PeersPort_>(0, 0, MaxPort)},
     SettingEntry{"membership", "probe_interval_ms", "ms",
                  "time between probes of other nodes",
                  number<Members, &M::ProbeInterval_>(SecondMs, 20, MinuteMs)},
@@ -160,6 +200,10 @@
     SettingEntry{"limits", "kept_answer_bytes", "bytes",
                  "answers kept for their tickets, all together",
                  number<Limits, &I::KeptAnswerBytes_>(32 * Mib, 0, 1024 * Mib)},
+    SettingEntry{"limits", "upstream_idle_ms", "ms",
+                 "a kept connection to the backend server is not used again "
+                 "after this time without use",
+                 number<Limits, &I::UpstreamIdle_>(20 * SecondMs, 0, HourMs)},
 
     SettingEntry{"timeouts", "connect_ms", "ms", "time to open a connection",
                  number<Timeouts, &T::Connect_>(SecondMs, 5, MinuteMs)},
@@ -176,6 +220,14 @@
     SettingEntry{"timeouts", "drain_ms", "ms",
                  "longest time for a graceful shutdown",
                  number<Timeouts, &T::Drain_>(30 * SecondMs, 0, HourMs)},
+    SettingEntry{"timeouts", "drain_notice_ms", "ms",
+                 "least time that a draining node goes on taking calls, so that "
+                 "callers learn of it",
+                 number<Timeouts, &T::DrainNotice_>(500, 0, MinuteMs)},
+    SettingEntry{"timeouts", "lease_ms", "ms",
+                 "a backend server that has not announced itself for this time "
+                 "gets no new work",
+                 number<Timeouts, &T::Lease_>(3 * SecondMs, 100, HourMs)},
 
     SettingEntry{"security", "ticket_key_file", "",
                  "file with the key that signs tickets, the same on all nodes",
--- a/src/libutil/settingstable.h
+++ b/src/libutil/settingstable.h
@@ -53,7 +53,7 @@
   /// Returns `table.key`.
   std::string name() const;
   /// Returns whether fractions are taken.
-  bool isTime() const { return Unit_ == "ms"; }
+  bool isTime() const { return Unit_ == "ms" || Unit_ == "share"; }
 };
 
 /// Returns every key there is, table by table.
