Close the gate on a last report that tells no start; bounded logs

Cause: the last report of a leaving backend server tells no start of its life. Ruled out: a restarted node, a late ready report: the log showed neither. Change: a report without a start speaks of the known life of its name; a life first heard of by its end is not opened by late reports. Logs go to standard output within a byte rate, never wait for a reader, and tell what was left out. Test: instancerecord_test, 'a last report that tells no start ...'.

--- a/src/coltsfootd/coltsfootd.cpp
+++ b/src/coltsfootd/coltsfootd.cpp
@@ -67,6 +67,7 @@
     try {
       Settings Fresh = loadSettings(File_);
       setLogLevel(Fresh.Logging_.Level_);
+      setLogRate(Fresh.Logging_.BytesPerSecond_);
       logEvent(LogLevel::Info, "settings_reloaded", {{"file", File_}});
     } catch (const SettingsError &Error) {
       logEvent(LogLevel::Error, "settings_not_reloaded",
@@ -137,6 +138,7 @@
     return ExitOk;
   }
   setLogLevel(Loaded.Logging_.Level_);
+  setLogRate(Loaded.Logging_.BytesPerSecond_);
   return runNode(Loaded, File);
 }
 
--- a/src/include/coltsfootpoint/settings.h
+++ b/src/include/coltsfootpoint/settings.h
@@ -119,6 +119,7 @@
 /// Table `[logging]`.
 struct LoggingSettings {
   LogLevel Level_ = LogLevel::Info;
+  double BytesPerSecond_ = 0;
   bool operator==(const LoggingSettings &) const = default;
 };
 
--- a/src/libcoordination/entrycall.cpp
+++ b/src/libcoordination/entrycall.cpp
@@ -200,6 +200,7 @@
   if (Ended_)
     return;
   int64_t Number = Parts_->Peers_.reserve();
+  LastGate_ = Gate.Node_;
   Outstanding_ = Outstanding{Number, Gate, now()};
   Parts_->Balancer_.onStart(Gate);
   std::optional<Incarnation> Wanted;
@@ -549,15 +550,23 @@
     Parts_->Attempts_.endNested(Request_.ParentKey_, Credits_.held());
   if (!std::holds_alternative<Ran>(Outcome)) {
     note("call-ended",
-         "verdict=" + std::string(verdictName(Outcome)) +
+         "route=" + Request_.Route_.Name_ +
+             " verdict=" + std::string(verdictName(Outcome)) +
              " reason=" + std::string(reasonName(reasonOf(Outcome))) +
-             " credits_left=" + std::to_string(Credits_.held()));
-    logEvent(LogLevel::Debug, "call_ended",
-             {{"request", Request_.RequestId_},
-              {"service", Request_.Service_},
-              {"route", Request_.Route_.Name_},
-              {"verdict", verdictName(Outcome)},
-              {"reason", reasonName(reasonOf(Outcome))}});
+             " gate=" + LastGate_ + " gates_tried=" +
+             std::to_string(Tried_.size()) + " took_ms=" +
+             std::to_string((now() - Started_).whole()) + " credits_left=" + std::to_string(Credits_.held()));
+  } else {
+    logRequest(LogAbout::Success, "call-ended",
+               {{"request", Request_.RequestId_},
+                {"service", Request_.Service_},
+                {"route", Request_.Route_.Name_},
+                {"verdict", verdictName(Outcome)},
+                {"status", std::get<Ran>(Outcome).Answer_.Status_},
+                {"gate", LastGate_},
+                {"gates_tried", Tried_.size()},
+                {"depth", Request_.Depth_},
+                {"took_ms", (now() - Started_).whole()}});
   }
   respond(Outcome, Successor);
 }
--- a/src/libcoordination/entrycall.h
+++ b/src/libcoordination/entrycall.h
@@ -181,6 +181,8 @@
   std::optional<size_t> AskAgain_;
   int RetryAfterMs_ = 0;
   std::vector<NodeRef> Tried_;
+  /// The node that the latest message went to; empty before the first.
+  std::string LastGate_;
 };
 
 } // namespace coltsfoot
--- a/src/libcoordination/gate.cpp
+++ b/src/libcoordination/gate.cpp
@@ -165,6 +165,7 @@
     std::optional<Ticket> Ticket_;
     Respond Respond_; // of an idempotent call
     std::string AttemptKey_;
+    Millis Arrived_;
     Millis Started_;
     bool ShedMeansNotRun_ = false;
     std::string Instance_;
@@ -191,6 +192,7 @@
   void refuse(const CallPointer &Due, Reason Why);
   void refuseQueued(Reason Why);
   void onUpstreamEnd(const CallPointer &Due, Verdict Outcome);
+  std::string timesText(const Call &Ended) const;
   void endCall(const CallPointer &Due, const Verdict &Outcome, int Credits);
   wire::Reply newReply(int64_t Attempt, std::string_view Kind,
                        std::string_view Path = {}) const;
@@ -351,6 +353,7 @@
                                  : routeOf(*Config, Offered);
   CallPointer Fresh(new Call(admissionOf(*Config, Kind, Offered),
                              {Connection, Offered.attempt}, Offered, Kind));
+  Fresh->Arrived_ = Knowledge_.Clock_->now();
   if (!Offered.ticket.empty())
     return offerTicketed(Fresh, std::move(Answer));
   Fresh->Respond_ = std::move(Answer);
@@ -589,6 +592,14 @@
   carryOut(Next);
 }
 
+/// How long the call waited here and how long the backend server took.
+std::string Gate::Impl::timesText(const Call &Ended) const {
+  Millis Now = Knowledge_.Clock_->now();
+  return "waited_ms=" +
+         std::to_string((Ended.Started_ - Ended.Arrived_).whole()) +
+         " ran_ms=" + std::to_string((Now - Ended.Started_).whole()) + " ";
+}
+
 void Gate::Impl::endCall(const CallPointer &Due, const Verdict &Outcome,
                          int Credits) {
   wire::Reply Reply =
@@ -602,7 +613,14 @@
                  "service=" + Due->Offer_.service_name +
                      " verdict=" + std::string(verdictName(Outcome)) +
                      " reason=" + std::string(reasonName(Why)) + " " +
-                     figuresText(Reply, Due->Route_));
+                     timesText(*Due) + figuresText(Reply, Due->Route_));
+  } else {
+    logRequest(LogAbout::Success, "gate-ran",
+               {{"request", Due->Offer_.request_id},
+                {"instance", Due->Instance_},
+                {"status", std::get<Ran>(Outcome).Answer_.Status_},
+                LogField::pairs(timesText(*Due) +
+                                figuresText(Reply, Due->Route_))});
   }
   if (Due->Ticket_) {
     std::string Successor;
--- a/src/libstate/instancerecord.cpp
+++ b/src/libstate/instancerecord.cpp
@@ -4,12 +4,28 @@
 
 namespace coltsfoot {
 
+// A life that was first heard of by its end may have been told apart from a new
+// one under its name only by the number of the report.
+bool InstanceRecord::isKnown(const InstanceLife &Life,
+                             std::optional<int64_t> Sequence) const {
+  if (!Life_ || Life.Id_ != Life_->Id_)
+    return false;
+  if (Life_->BornWallMs_ == 0)
+    return !Sequence || *Sequence > EarlySequence;
+  return Life.BornWallMs_ == 0 || Life.BornWallMs_ == Life_->BornWallMs_;
+}
+
 bool InstanceRecord::replaces(const InstanceLife &Life, InstancePhase Phase,
+                              std::optional<int64_t> Sequence,
                               bool Silent) const {
   if (!Life_ || Life.BornWallMs_ > Life_->BornWallMs_)
     return true;
-  if (Life == *Life_ || Phase != InstancePhase::Ready)
+  if (Phase != InstancePhase::Ready)
     return false;
+  // Where lives do not tell their start, the numbers begin anew.
+  bool Early = Sequence && *Sequence <= EarlySequence;
+  if (Early && Life.BornWallMs_ == 0 && Life_->BornWallMs_ == 0)
+    return true;
   return Phase_ == InstancePhase::Gone || Silent;
 }
 
@@ -17,14 +33,17 @@
                                             InstancePhase Phase,
                                             std::optional<int64_t> Sequence,
                                             bool Silent) {
-  if (replaces(Life, Phase, Silent)) {
+  bool Known = isKnown(Life, Sequence);
+  if (!Known && replaces(Life, Phase, Sequence, Silent)) {
     Life_ = Life;
     Phase_ = Phase;
     Sequence_ = Sequence.value_or(0);
     return Effect::Changed;
   }
-  if (Life != *Life_ || (Sequence && *Sequence < Sequence_))
+  if (!Known || (Sequence && *Sequence < Sequence_))
     return Effect::Ignored;
+  if (Life_->BornWallMs_ == 0)
+    Life_ = Life;
   Sequence_ = std::max(Sequence_, Sequence.value_or(Sequence_));
   if (Phase == Phase_)
     return Effect::Renewed;
--- a/src/libstate/instancerecord.h
+++ b/src/libstate/instancerecord.h
@@ -10,6 +10,8 @@
 /// its start, which tells two lives under one name apart.
 struct InstanceLife {
   std::string Id_;
+  /// 0 where a report does not tell; it then speaks of the known life of that
+  /// name.
   int64_t BornWallMs_ = 0;
   bool operator==(const InstanceLife &) const = default;
 };
@@ -45,8 +47,12 @@
   InstancePhase phase() const { return Phase_; }
 
 private:
+  /// A report with a number up to this is among the first of its life.
+  static constexpr int64_t EarlySequence = 1;
+
+  bool isKnown(const InstanceLife &Life, std::optional<int64_t> Sequence) const;
   bool replaces(const InstanceLife &Life, InstancePhase Phase,
-                bool Silent) const;
+                std::optional<int64_t> Sequence, bool Silent) const;
 
   std::optional<InstanceLife> Life_;
   InstancePhase Phase_ = InstancePhase::Ready;
--- /dev/null
+++ b/src/libstate/instancerecord_test.cpp
@@ -0,0 +1,109 @@
+#include "instancerecord.h"
+
+#include <doctest/doctest.h>
+
+using namespace coltsfoot;
+using Effect = InstanceRecord::Effect;
+
+namespace {
+
+const InstanceLife First{"i-1", 1000};
+const InstanceLife Second{"i-2", 2000};
+constexpr auto Ready = InstancePhase::Ready;
+constexpr auto Leaving = InstancePhase::Leaving;
+constexpr auto Gone = InstancePhase::Gone;
+
+} // namespace
+
+TEST_CASE("the first report is taken, repeated ones confirm it") {
+  InstanceRecord Record;
+  CHECK(Record.take(First, Ready, 1, false) == Effect::Changed);
+  CHECK(Record.take(First, Ready, 2, false) == Effect::Renewed);
+  CHECK(Record.phase() == Ready);
+}
+
+TEST_CASE("a life that leaves is never ready again") {
+  InstanceRecord Record;
+  Record.take(First, Ready, 1, false);
+  CHECK(Record.take(First, Leaving, 3, false) == Effect::Changed);
+  CHECK(Record.take(First, Ready, 2, false) == Effect::Ignored);
+  CHECK(Record.take(First, Ready, 4, false) == Effect::Ignored);
+  CHECK(Record.take(First, Ready, 5, true) == Effect::Ignored);
+  CHECK(Record.phase() == Leaving);
+}
+
+TEST_CASE("the last report of a life carries no number") {
+  InstanceRecord Record;
+  Record.take(First, Ready, 7, false);
+  CHECK(Record.take(First, Gone, std::nullopt, false) == Effect::Changed);
+  CHECK(Record.take(First, Leaving, 8, false) == Effect::Ignored);
+  CHECK(Record.phase() == Gone);
+}
+
+TEST_CASE("a later life replaces the known one whatever its phase") {
+  InstanceRecord Record;
+  Record.take(First, Leaving, 9, false);
+  CHECK(Record.take(Second, Ready, 1, false) == Effect::Changed);
+  CHECK(Record.phase() == Ready);
+  CHECK(*Record.life() == Second);
+}
+
+TEST_CASE("late reports of an earlier life change nothing") {
+  InstanceRecord Record;
+  Record.take(Second, Ready, 1, false);
+  CHECK(Record.take(First, Leaving, 90, false) == Effect::Ignored);
+  CHECK(Record.take(First, Gone, std::nullopt, true) == Effect::Ignored);
+  CHECK(Record.phase() == Ready);
+}
+
+TEST_CASE("the same name with a later start is another life") {
+  InstanceRecord Record;
+  Record.take(First, Leaving, 5, false);
+  CHECK(Record.take({"i-1", 3000}, Ready, 1, false) == Effect::Changed);
+  CHECK(Record.phase() == Ready);
+}
+
+TEST_CASE("after a step back of the clock a new life is taken in the end") {
+  InstanceRecord Record;
+  Record.take(Second, Ready, 4, false);
+  CHECK(Record.take(First, Ready, 1, false) == Effect::Ignored);
+  CHECK(Record.take(First, Ready, 2, true) == Effect::Changed);
+  CHECK(*Record.life() == First);
+  Record.take(First, Gone, std::nullopt, false);
+  CHECK(Record.take({"i-0", 500}, Ready, 1, false) == Effect::Changed);
+}
+
+// Seen on the day scale-2 of kaveri-chairs: the last report tells no start,
+// was taken for one of an earlier life, and the gate stayed open.
+TEST_CASE("a last report that tells no start ends the known life of its name") {
+  InstanceRecord Record;
+  Record.take(First, Ready, 7, false);
+  CHECK(Record.take({"i-1", 0}, Gone, std::nullopt, false) == Effect::Changed);
+  CHECK(Record.take(First, Ready, 8, false) == Effect::Ignored);
+  CHECK(Record.phase() == Gone);
+  CHECK(*Record.life() == First);
+}
+
+TEST_CASE("a life that is first heard of by its end does not become ready") {
+  InstanceRecord Record;
+  Record.take({"i-1", 0}, Gone, std::nullopt, false);
+  CHECK(Record.take(First, Ready, 8, false) == Effect::Ignored);
+  CHECK(Record.phase() == Gone);
+  CHECK(Record.take({"i-1", 5000}, Ready, 1, false) == Effect::Changed);
+  CHECK(Record.phase() == Ready);
+}
+
+TEST_CASE("the end of another name changes nothing") {
+  InstanceRecord Record;
+  Record.take(Second, Ready, 2, false);
+  CHECK(Record.take({"i-1", 0}, Gone, std::nullopt, false) == Effect::Ignored);
+  CHECK(Record.phase() == Ready);
+}
+
+TEST_CASE("lives without a start are told apart by their first report") {
+  InstanceRecord Record;
+  Record.take({"i-1", 0}, Ready, 6, false);
+  CHECK(Record.take({"i-2", 0}, Ready, 5, false) == Effect::Ignored);
+  CHECK(Record.take({"i-2", 0}, Ready, 1, false) == Effect::Changed);
+  CHECK(Record.take({"i-1", 0}, Ready, 7, false) == Effect::Ignored);
+}
--- a/src/libstate/requestledger.cpp
+++ b/src/libstate/requestledger.cpp
@@ -1,5 +1,7 @@
 #include "requestledger.h"
 
+#include "coltsfootpoint/log.h"
+
 namespace coltsfoot {
 
 RequestLedger::RequestLedger(const Clock &Time, size_t Bound)
@@ -7,6 +9,8 @@
 
 void RequestLedger::note(std::string_view RequestId, std::string_view What,
                          std::string Detail) {
+  logRequest(LogAbout::Failure, What,
+             {{"request", RequestId}, LogField::pairs(Detail)});
   LedgerEntry Fresh{std::string(RequestId), Clock_.wallNow(), std::string(What),
                     std::move(Detail)};
   std::lock_guard<std::mutex> Lock(Mutex_);
--- a/src/libstate/requestledger.h
+++ b/src/libstate/requestledger.h
@@ -23,14 +23,14 @@
   bool operator==(const LedgerEntry &) const = default;
 };
 
-/// Remembers the latest decisions of a node about requests that did not simply
-/// succeed, for `coltsfootctl explain`. Bounded; the oldest go first.
+/// Logs the decisions of a node about requests that did not simply succeed, and
+/// remembers the latest ones for `coltsfootctl explain`. Bounded; the oldest go first.
 /// Thread-safe; its mutex is a leaf.
 class RequestLedger {
 public:
   explicit RequestLedger(const Clock &Time, size_t Bound = 8192);
 
-  /// Records a decision.
+  /// Records a decision; Detail is key=value pairs.
   void note(std::string_view RequestId, std::string_view What,
             std::string Detail);
   /// Returns what is known of a request, oldest first.
--- a/src/libutil/log.cpp
+++ b/src/libutil/log.cpp
@@ -1,20 +1,24 @@
 #include "coltsfootpoint/log.h"
 
+#include "coltsfootpoint/time.h"
+#include "loglimiter.h"
+
 #include <array>
 #include <atomic>
-#include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/make_shared.hpp>
 #include <charconv>
 #include <chrono>
-#include <iostream>
 #include <mutex>
+#include <optional>
+#include <poll.h>
 #include <stdexcept>
+#include <unistd.h>
 
 namespace coltsfoot {
 
@@ -52,20 +56,82 @@
   Out += '"';
 }
 
-using Sink = boost::log::sinks::synchronous_sink<
-    boost::log::sinks::text_ostream_backend>;
+constexpr double DefaultBytesPerSecond = 64.0 * 1024;
+/// A pipe that is ready takes as much at once.
+constexpr size_t MaxLineBytes = 4096;
+
+/// Guards the limiter. It is a leaf: nothing else is locked under it.
+std::mutex LimiterMutex;
+
+LogLimiter &limiter() {
+  static LogLimiter Shared(DefaultBytesPerSecond);
+  return Shared;
+}
+
+/// Writes lines to standard output where it takes them at once.
+class OutputBackend : public boost::log::sinks::basic_formatted_sink_backend<
+                          char, boost::log::sinks::synchronized_feeding> {
+public:
+  void consume(const boost::log::record_view &, const std::string &Line) {
+    pollfd Output{STDOUT_FILENO, POLLOUT, 0};
+    bool Ready = poll(&Output, 1, 0) == 1 && (Output.revents & POLLOUT) != 0;
+    std::string Bytes = Line.substr(0, MaxLineBytes - 1) + '\n';
+    if (Ready && write(STDOUT_FILENO, Bytes.data(), Bytes.size()) > 0)
+      return;
+    std::lock_guard<std::mutex> Lock(LimiterMutex);
+    limiter().noteLost("unwritten");
+  }
+};
 
 void addSink() {
-  auto Backend = boost::make_shared<boost::log::sinks::text_ostream_backend>();
-  Backend->add_stream(
-      boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
-  Backend->auto_flush(true);
-  auto Front = boost::make_shared<Sink>(Backend);
+  using Sink = boost::log::sinks::synchronous_sink<OutputBackend>;
+  auto Front = boost::make_shared<Sink>(boost::make_shared<OutputBackend>());
   Front->set_formatter(boost::log::expressions::stream
                        << boost::log::expressions::smessage);
   boost::log::core::get()->add_sink(Front);
 }
 
+void writeLine(const std::string &Line) {
+  static std::once_flag Once;
+  std::call_once(Once, addSink);
+  boost::log::sources::logger Logger;
+  BOOST_LOG(Logger) << Line;
+}
+
+std::string lineHead(LogLevel Level, std::string_view Event) {
+  auto Since = std::chrono::system_clock::now().time_since_epoch();
+  std::string Line = "time_ms=";
+  Line += std::to_string(
+      std::chrono::duration_cast<std::chrono::milliseconds>(Since).count());
+  Line += " level=";
+  Line += LevelNames[static_cast<size_t>(Level)];
+  Line += " event=";
+  Line += Event;
+  return Line;
+}
+
+void log(LogLevel Level, LogAbout About, std::string_view Event,
+         std::initializer_list<LogField> Fields) {
+  static const SystemClock Clock;
+  std::string Line = lineHead(Level, Event);
+  for (const LogField &Field : Fields) {
+    Line += ' ';
+    Line += Field.text();
+  }
+  std::optional<std::string> LeftOut;
+  bool Admitted = false;
+  {
+    std::lock_guard<std::mutex> Lock(LimiterMutex);
+    Millis Now = Clock.now();
+    Admitted = limiter().admit(About, Event, Line.size() + 1, Now);
+    LeftOut = limiter().takeSummary(Now);
+  }
+  if (Admitted)
+    writeLine(Line);
+  if (LeftOut)
+    writeLine(lineHead(LogLevel::Warning, "log_left_out") + ' ' + *LeftOut);
+}
+
 } // namespace
 
 LogField::LogField(std::string_view Key, std::string_view Value) : Text_(Key) {
@@ -76,6 +142,12 @@
     Text_ += Value;
 }
 
+LogField LogField::pairs(std::string Text) {
+  LogField Formed;
+  Formed.Text_ = std::move(Text);
+  return Formed;
+}
+
 LogField::LogField(std::string_view Key, int64_t Value) : Text_(Key) {
   Text_ += '=';
   Text_ += std::to_string(Value);
@@ -102,22 +174,23 @@
               std::initializer_list<LogField> Fields) {
   if (!logEnabled(Level))
     return;
-  static std::once_flag Once;
-  std::call_once(Once, addSink);
-  auto Since = std::chrono::system_clock::now().time_since_epoch();
-  std::string Line = "time_ms=";
-  Line += std::to_string(
-      std::chrono::duration_cast<std::chrono::milliseconds>(Since).count());
-  Line += " level=";
-  Line += LevelNames[static_cast<size_t>(Level)];
-  Line += " event=";
-  Line += Event;
-  for (const LogField &Field : Fields) {
-    Line += ' ';
-    Line += Field.text();
-  }
-  boost::log::sources::logger Logger;
-  BOOST_LOG(Logger) << Line;
+  log(Level, LogAbout::State, Event, Fields);
+}
+
+void logRequest(LogAbout About, std::string_view Event,
+                std::initializer_list<LogField> Fields) {
+  if (logEnabled(LogLevel::Info))
+    log(LogLevel::Info, About, Event, Fields);
+}
+
+void setLogRate(double BytesPerSecond) {
+  std::lock_guard<std::mutex> Lock(LimiterMutex);
+  limiter().setRate(BytesPerSecond);
+}
+
+uint64_t logLinesLeftOut() {
+  std::lock_guard<std::mutex> Lock(LimiterMutex);
+  return limiter().leftOut();
 }
 
 void setLogLevel(LogLevel Level) { LowestLevel = Level; }
--- a/src/libutil/settingstable.cpp
+++ b/src/libutil/settingstable.cpp
@@ -53,6 +53,7 @@
 constexpr auto Limits = &Settings::Limits_;
 constexpr auto Timeouts = &Settings::Timeouts_;
 constexpr auto Security = &Settings::Security_;
+constexpr auto Logging = &Settings::Logging_;
 
 void storePolicy(Settings &Target, size_t Index) {
   Target.Node_.Policy_ = static_cast<Policy>(Index);
@@ -74,6 +75,7 @@
 using I = LimitSettings;
 using T = TimeoutSettings;
 using S = SecuritySettings;
+using G = LoggingSettings;
 
 constexpr std::array Table = {
     SettingEntry{"node", "address", "",
@@ -244,6 +246,10 @@
 
     SettingEntry{"logging", "level", "", "lowest level that is logged",
                  ChoiceSetting{LevelNames, 2, &storeLevel}},
+    SettingEntry{"logging", "bytes_per_second", "bytes",
+                 "most bytes of log lines over time; beyond it lines are left "
+                 "out and counted",
+                 number<Logging, &G::BytesPerSecond_>(64 * Kib, Kib, 64 * Mib)},
 };
 
 std::string formText(TextForm Form) {
