Tell nested calls by their parent's id

Ruled out: telling them by address or by any other field (printed both). Change: a call whose id extends that of one running at the own backend server belongs to it: it inherits bucket, client and deadline, goes before all roots, and its route is noted for the learned path.

--- a/src/libcoordination/calldialect.h
+++ b/src/libcoordination/calldialect.h
@@ -15,6 +15,9 @@
 /// What a caller's request says of itself, apart from what is asked for.
 struct CallHead {
   std::string Id_;   ///< The caller's own id; empty when it gave none.
+  /// Id of the call that a backend server was running when it made this one, as
+  /// far as the own id tells; empty for none.
+  std::string ParentId_;
   std::string Host_; ///< Selects the route, together with the path.
   /// How long the caller waits; nothing when it does not say.
   std::optional<Millis> Remaining_;
--- a/src/libcoordination/entry.cpp
+++ b/src/libcoordination/entry.cpp
@@ -118,6 +118,7 @@
   void readAll();
   void readInDialect();
   void readHostRoute(const CallHead &Head);
+  void readParent(const CallHead &Head);
   void mintOwnTicket();
   bool mayRepeat() const;
   void giveBackCredits();
@@ -178,6 +179,7 @@
   readHostRoute(Head);
   Request_.Client_ = Caller_.Remote_;
   Request_.Bucket_ = bucketOf(Request_.RequestId_);
+  readParent(Head);
   Parts_.Budget_.earn(Request_.Service_);
   checkDoor();
   if (!Request_.Route_.Idempotent_)
@@ -189,15 +191,12 @@
   if (!Known)
     throw Refusal{NotRun{Reason::NoRoute},
                   "no route of host '" + Head.Host_ + "' matches"};
-  bool Nested = Caller_.Remote_ == Parts_.OwnIp_;
   Request_.Service_ = chooseShare(*Known, threadGenerator());
   Request_.Route_.Name_ = Known->Name_;
   Request_.Route_.Kind_ = Known->Name_;
   Request_.Route_.Idempotent_ = Known->Idempotent_;
   Idempotent_ = Known->Idempotent_;
-  Request_.Depth_ = Nested ? 1 : 0;
-  // The root of a nested call has used work already, which a refusal wastes.
-  Request_.RankOrder_ = Nested ? 0 : 1 + Known->Order_;
+  Request_.RankOrder_ = 1 + Known->Order_;
   Request_.Credits_ = Known->Attempts_ - 1;
   Request_.Objective_ = Known->Objective_;
   Millis Span = Known->Timeout_;
@@ -206,6 +205,24 @@
   Request_.Deadline_ = Now_ + Span;
 }
 
+// A call belongs to the one that the backend server of this VM is running, if
+// that is among those of this node. Its root has used work already, which a
+// refusal would waste; so it goes before all roots.
+void Entry::Intake::readParent(const CallHead &Head) {
+  if (Head.ParentId_.empty())
+    return;
+  auto Parent = Parts_.Attempts_.find(Head.ParentId_);
+  if (!Parent)
+    return;
+  Request_.Depth_ = Parent->Depth_ + 1;
+  Request_.RankOrder_ = 0;
+  Request_.Client_ = Parent->Client_;
+  Request_.Bucket_ = Parent->Bucket_;
+  Request_.Deadline_ = std::min(Request_.Deadline_, Parent->Deadline_);
+  Parts_.Attempts_.noteCalled(
+      Head.ParentId_, routeKey(Request_.Service_, Request_.Route_.Name_));
+}
+
 void Entry::Intake::mintOwnTicket() {
   auto Fresh = Parts_.Office_.mint(Request_.Service_, Request_.Route_.Name_,
                                    Request_.Client_);
--- a/src/libcoordination/entry.h
+++ b/src/libcoordination/entry.h
@@ -47,8 +47,6 @@
   RetryBudget &Budget_;
   /// How calls are phrased; null for the project's own interface.
   const CallDialect *Dialect_ = nullptr;
-  /// IP number of this VM: a caller with it is the backend server beside.
-  std::string OwnIp_;
   /// Returns the service of the backend server beside this node.
   std::function<std::string()> OwnService_;
   /// Returns why the node may take no calls now, or Reason::None.
--- a/src/libcoordination/gate.cpp
+++ b/src/libcoordination/gate.cpp
@@ -494,7 +494,10 @@
   Millis Now = Knowledge_.Clock_->now();
   Millis Remaining = Due->Request_.Deadline_ - Now;
   Due->Started_ = Now;
-  Due->AttemptKey_ = newRequestId() + newRequestId();
+  // Callers of another interface know a parent by its id alone.
+  bool ById = Options_.Dialect_ && !Attempts_.find(Offered.request_id);
+  Due->AttemptKey_ =
+      ById ? Offered.request_id : newRequestId() + newRequestId();
   ParentCall Parent;
   Parent.AttemptKey_ = Due->AttemptKey_;
   Parent.RequestId_ = Offered.request_id;
--- a/src/libcoordination/node.cpp
+++ b/src/libcoordination/node.cpp
@@ -359,7 +359,6 @@
                     Policy_,
                     Budget_,
                     Adapters_.Calls_.get(),
-                    Settings_.Node_.Address_,
                     [this] {
                       const std::string &Told = Settings_.Node_.Service_;
                       return Told.empty() ? Gate_.service() : Told;
