Take announced slots at their word where they are exact

Ruled out: too few slots, queue overflow, a lost announcement (log). Test: concurrencylimit_test, 'exact slots stay ...'.

--- a/src/include/coltsfootpoint/settings.h
+++ b/src/include/coltsfootpoint/settings.h
@@ -82,6 +82,12 @@
   bool operator==(const MembershipSettings &) const = default;
 };
 
+/// What the slots that a backend server announces stand for.
+enum class SlotsMeaning {
+  Bound, ///< An upper bound; the node measures how many are good.
+  Exact  ///< What the backend server works on at once.
+};
+
 /// Table `[limits]`.
 struct LimitSettings {
   size_t HeaderBytes_ = 0;
@@ -90,6 +96,7 @@
   Millis HeaderTimeout_;
   int Callers_ = 0;
   int Queue_ = 0;
+  SlotsMeaning Slots_ = SlotsMeaning::Bound;
   int TicketEntries_ = 0;
   size_t KeptAnswerBytes_ = 0;
   Millis UpstreamIdle_;
--- a/src/libcoordination/gate.cpp
+++ b/src/libcoordination/gate.cpp
@@ -120,7 +120,7 @@
         Upstream_(Context, upstreamOptions(Limits)),
         Tickets_(*Knowledge_.Clock_,
                  {Limits.TicketEntries_, Limits.KeptAnswerBytes_}),
-        Queue_(*Knowledge_.Clock_, Policy, {1, Limits.QueueLimit_, Millis(5)}) {
+        Queue_(*Knowledge_.Clock_, Policy, {1, Limits.QueueLimit_, Millis(5), Limits.ExactSlots_}) {
   }
 
   // A call and its exchange with the backend server refer to each other until
--- a/src/libcoordination/gate.h
+++ b/src/libcoordination/gate.h
@@ -62,6 +62,9 @@
     size_t KeptAnswerBytes_ = size_t{16} * 1024 * 1024;
     Millis Lease_{3000};
     Millis AttemptLimit_{10000};
+    /// Whether the slots that the backend server announces are exactly what it
+    /// works on at once.
+    bool ExactSlots_ = false;
     /// How long a kept connection to the backend server may be idle.
     Millis KeptIdle_{20000};
     /// How the backend server is spoken to; null for the project's own way.
--- a/src/libstate/adaptiveadmission.cpp
+++ b/src/libstate/adaptiveadmission.cpp
@@ -22,7 +22,9 @@
 
 AdaptiveAdmission::AdaptiveAdmission(const Clock &Time,
                                      const AdmissionQueue::Options &Given)
-    : Time_(Time), QueueLimit_(Given.QueueLimit_), Limit_(Time, Given.Slots_),
+    : Time_(Time), QueueLimit_(Given.QueueLimit_), Limit_(Time, Given.Slots_,
+             Given.ExactSlots_ ? ConcurrencyLimit::Slots::Exact
+                               : ConcurrencyLimit::Slots::Bound),
       Services_(Given.InitialService_),
       PeriodEnd_(Time.now() + ThresholdControl::Period),
       CalmSince_(Time.now()) {}
--- a/src/libstate/admissionqueue.cpp
+++ b/src/libstate/admissionqueue.cpp
@@ -33,7 +33,8 @@
     : Impl_(std::make_unique<Impl>(Time, Policy,
                                    Options{std::max(1, Given.Slots_),
                                            std::max(0, Given.QueueLimit_),
-                                           Given.InitialService_})) {}
+                                           Given.InitialService_,
+                                           Given.ExactSlots_})) {}
 
 AdmissionQueue::~AdmissionQueue() = default;
 
--- a/src/libstate/admissionqueue.h
+++ b/src/libstate/admissionqueue.h
@@ -52,6 +52,9 @@
     int QueueLimit_ = 64;
     /// Expected service time of a kind before the first measurement.
     Millis InitialService_ = Millis(5);
+    /// Whether the announced slots are exactly what the backend server works
+    /// on at once.
+    bool ExactSlots_ = false;
   };
 
   struct Start {
--- a/src/libstate/concurrencylimit.cpp
+++ b/src/libstate/concurrencylimit.cpp
@@ -39,9 +39,10 @@
 constexpr Millis LongestHold(2000);
 } // namespace
 
-ConcurrencyLimit::ConcurrencyLimit(const Clock &Time, int Slots)
-    : Time_(Time), Slots_(std::max(1, Slots)), Limit_(Slots_),
-      CheckGap_(FirstCheckGap) {
+ConcurrencyLimit::ConcurrencyLimit(const Clock &Time, int Announced,
+                                   Slots Meaning)
+    : Meaning_(Meaning), Time_(Time), Slots_(std::max(1, Announced)),
+      Limit_(Slots_), CheckGap_(FirstCheckGap) {
   restart(Time.now());
 }
 
@@ -65,6 +66,8 @@
 
 void ConcurrencyLimit::onEnd(Millis Latency, ServiceResult Result) {
   InFlight_ = std::max(0, InFlight_ - 1);
+  if (Meaning_ == Slots::Exact)
+    return;
   Millis Now = Time_.now();
   if (Result == ServiceResult::Shed)
     shed(Now);
--- a/src/libstate/concurrencylimit.h
+++ b/src/libstate/concurrencylimit.h
@@ -29,8 +29,15 @@
 /// Not thread-safe; guarded by its owner's mutex.
 class ConcurrencyLimit {
 public:
+  /// Whether the announced slots are only an upper bound, or what the backend
+  /// server is known to work on at once. In the latter case the limit stays at
+  /// them: refusals of the backend server then tell of a fault, and slow work
+  /// of a slow server, neither of which fewer requests would mend.
+  enum class Slots { Bound, Exact };
+
   /// Starts at the announced slots, at least 1. The clock must outlive this.
-  ConcurrencyLimit(const Clock &Time, int Slots);
+  ConcurrencyLimit(const Clock &Time, int Announced,
+                   Slots Meaning = Slots::Bound);
 
   /// Records that a request was handed to the backend server.
   void onStart();
@@ -45,6 +52,7 @@
   void setSlots(int Slots);
 
 private:
+  const Slots Meaning_;
   struct Sample {
     int Count_ = 0;
     double LatencySum_ = 0;
--- a/src/libstate/concurrencylimit_test.cpp
+++ b/src/libstate/concurrencylimit_test.cpp
@@ -186,3 +186,20 @@
     }
   }
 }
+
+// Seen on the day scale-1 of kaveri-chairs: backend servers that refused a part
+// of their requests at random brought the limit down to 1, where it stayed.
+TEST_CASE("exact slots stay whatever the backend server refuses") {
+  ManualClock Time;
+  ConcurrencyLimit Limit(Time, 35, ConcurrencyLimit::Slots::Exact);
+  for (int I = 0; I < 2000; ++I) {
+    Limit.onStart();
+    Time.advance(Millis(5));
+    Limit.onEnd(Millis(5), I % 2 == 0 ? ServiceResult::Shed
+                                      : ServiceResult::Ok);
+  }
+  CHECK(Limit.limit() == 35);
+  CHECK(Limit.inFlight() == 0);
+  Limit.setSlots(50);
+  CHECK(Limit.limit() == 50);
+}
--- a/src/libutil/settingstable.cpp
+++ b/src/libutil/settingstable.cpp
@@ -21,6 +21,7 @@
 constexpr std::array<std::string_view, 3> PolicyNames = {"adaptive", "static",
                                                          "none"};
 constexpr std::array<std::string_view, 2> InterfaceNames = {"own", "platform"};
+constexpr std::array<std::string_view, 2> SlotsNames = {"bound", "exact"};
 constexpr std::array<std::string_view, 5> LevelNames = {
     "trace", "debug", "info", "warning", "error"};
 
@@ -63,6 +64,10 @@
   Target.Node_.Interface_ = static_cast<Interface>(Index);
 }
 
+void storeSlots(Settings &Target, size_t Index) {
+  Target.Limits_.Slots_ = static_cast<SlotsMeaning>(Index);
+}
+
 void storeLevel(Settings &Target, size_t Index) {
   Target.Logging_.Level_ = static_cast<LogLevel>(Index);
 }
@@ -196,6 +201,11 @@
     SettingEntry{"limits", "queue", "requests",
                  "requests that wait at the gate at a time",
                  number<Limits, &I::Queue_>(256, 0, 1e6)},
+    SettingEntry{"limits", "slots", "",
+                 "what the slots that backend servers announce stand for: an "
+                 "upper bound of what is good for them, or exactly what they "
+                 "work on at once",
+                 ChoiceSetting{SlotsNames, 0, &storeSlots}},
     SettingEntry{"limits", "ticket_entries", "tickets",
                  "tickets that the gate remembers at a time",
                  number<Limits, &I::TicketEntries_>(100'000, 100, 1e8)},
