Survive an id that is used again; test the platform with stand-ins

Cause: the gate keys running calls by the caller's id; a second call with an id that is running or ended within ten seconds threw, which ended the process. Ruled out: the report of leaving that the failing case had sent: the process had ended before it. Change: an id that is known already names no parent; the call gets a key of its own.

--- a/src/libcoordination/gate.cpp
+++ b/src/libcoordination/gate.cpp
@@ -494,8 +494,9 @@
   Millis Now = Knowledge_.Clock_->now();
   Millis Remaining = Due->Request_.Deadline_ - Now;
   Due->Started_ = Now;
-  // Callers of another interface know a parent by its id alone.
-  bool ById = Options_.Dialect_ && !Attempts_.find(Offered.request_id);
+  // Callers of another interface know a parent by its id alone. One that was
+  // used before names no single parent any more.
+  bool ById = Options_.Dialect_ && !Attempts_.knows(Offered.request_id);
   Due->AttemptKey_ =
       ById ? Offered.request_id : newRequestId() + newRequestId();
   ParentCall Parent;
--- a/src/libstate/attempttable.cpp
+++ b/src/libstate/attempttable.cpp
@@ -95,6 +95,11 @@
     throw std::invalid_argument("the attempt key is known already");
 }
 
+bool AttemptTable::knows(std::string_view Key) const {
+  std::lock_guard Lock(State_->Mutex_);
+  return State_->find(Key) != nullptr;
+}
+
 std::optional<ParentCall> AttemptTable::find(std::string_view Key) const {
   std::lock_guard Lock(State_->Mutex_);
   const Parent *Found = State_->findOpen(Key);
--- a/src/libstate/attempttable.h
+++ b/src/libstate/attempttable.h
@@ -68,6 +68,10 @@
   /// std::invalid_argument when its key is known already.
   void open(ParentCall Parent, int Credits);
 
+  /// Returns whether the key is taken, by a parent that runs or one that has
+  /// ended and is still remembered.
+  bool knows(std::string_view Key) const;
+
   /// Returns a parent that has not ended.
   std::optional<ParentCall> find(std::string_view Key) const;
 
--- a/src/libstate/attempttable_test.cpp
+++ b/src/libstate/attempttable_test.cpp
@@ -175,3 +175,17 @@
     CHECK(std::set(Tickets.begin(), Tickets.end()).size() == 1);
   }
 }
+
+TEST_CASE("a key stays known for a while after its parent has ended") {
+  ManualClock Time;
+  AttemptTable Table(Time);
+  CHECK_FALSE(Table.knows("key"));
+  ParentCall Call;
+  Call.AttemptKey_ = "key";
+  Call.Deadline_ = Time.now() + Millis(1000);
+  Table.open(Call, 0);
+  CHECK(Table.knows("key"));
+  Table.close("key");
+  CHECK(Table.knows("key"));
+  CHECK_FALSE(Table.find("key").has_value());
+}
--- /dev/null
+++ b/testsuite/common/platformupstream.cpp
@@ -0,0 +1,105 @@
+#include "platformupstream.h"
+
+#include "httpclient.h"
+#include "timer.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json.hpp>
+
+namespace coltsfoot {
+
+PlatformUpstream::PlatformUpstream(Options Given)
+    : Options_(std::move(Given)), Instance_(Options_.Instance_) {
+  boost::asio::ip::tcp::endpoint Any(
+      boost::asio::ip::make_address(Options_.Ip_), 0);
+  Server_ = std::make_unique<HttpServer>(
+      Context_, Any, HttpServer::Options(),
+      [this](const HttpExchange::Pointer &Exchange) { handle(Exchange); });
+  Server_->start();
+  Thread_ = std::thread([this] {
+    auto Work = boost::asio::make_work_guard(Context_);
+    Context_.run();
+  });
+}
+
+PlatformUpstream::~PlatformUpstream() {
+  Context_.stop();
+  Thread_.join();
+}
+
+std::string PlatformUpstream::address() const {
+  return Options_.Ip_ + ":" + std::to_string(Server_->port());
+}
+
+int PlatformUpstream::report(const std::string &Ip, uint16_t Port,
+                             const std::string &State) {
+  boost::json::object Body{{"service", Options_.Service_},
+                           {"address", address()},
+                           {"zone", "z"},
+                           {"version", "v1"},
+                           {"slots", Options_.Slots_},
+                           {"state", State},
+                           {"cold-remaining", "0ms"},
+                           {"born", Options_.BornWallMs_}};
+  {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    Body["sequence"] = ++Sequence_;
+  }
+  return request(Ip, Port, "POST",
+                 "/instances/" + Options_.Instance_ + "/heartbeat", {},
+                 boost::json::serialize(Body))
+      .Status_;
+}
+
+int PlatformUpstream::deregister(const std::string &Ip, uint16_t Port) const {
+  return request(Ip, Port, "POST",
+                 "/instances/" + Options_.Instance_ + "/deregister")
+      .Status_;
+}
+
+void PlatformUpstream::setShedding(bool Shedding) {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  Shedding_ = Shedding;
+}
+
+void PlatformUpstream::setInstance(const std::string &Instance) {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  Instance_ = Instance;
+}
+
+std::vector<PlatformUpstream::Run> PlatformUpstream::runs() const {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  return Runs_;
+}
+
+void PlatformUpstream::handle(const HttpExchange::Pointer &Exchange) {
+  const HttpRequest &Asked = Exchange->request();
+  std::string Id(Asked.field("Attempt-Id"));
+  Answer Reply{200, {{"Attempt-Id", Id}}, "answer to " + Id};
+  {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    Reply.Fields_.push_back({"Instance-Id", Instance_});
+    Reply.Fields_.push_back(
+        {"Server-Load", "0,0," + std::to_string(Options_.Slots_)});
+    if (Asked.Target_ == "/health")
+      return Exchange->respond(std::move(Reply));
+    std::string_view Expected = Asked.field("Expected-Instance");
+    if (!Expected.empty() && Expected != Instance_)
+      return Exchange->respond(Answer{421, Reply.Fields_, ""});
+    if (Shedding_ && Arrived_++ % 2 == 0) {
+      Reply.Fields_.push_back({"Request-Not-Executed", "1"});
+      return Exchange->respond(Answer{503, Reply.Fields_, ""});
+    }
+    Runs_.push_back({Id, Asked.Target_,
+                     std::string(Asked.field("Caller-Service")), Asked.Body_});
+  }
+  Reply.Fields_.push_back({"Server-Signature", "sig." + Id});
+  auto Timer = std::make_shared<boost::asio::steady_timer>(
+      Context_, toChrono(Options_.Work_));
+  Timer->async_wait(
+      [Timer, Exchange, Reply = std::move(Reply)](
+          const boost::system::error_code &) { Exchange->respond(Reply); });
+}
+
+} // namespace coltsfoot
--- /dev/null
+++ b/testsuite/common/platformupstream.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "httpserver.h"
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace coltsfoot {
+
+/// A stand-in of an upstream of the platform, in the test's own process. It
+/// answers with its signature, repeats the id, checks the instance that is
+/// expected, and records what it has run. Reports go out when the test says
+/// so. Thread-safe.
+class PlatformUpstream {
+public:
+  struct Options {
+    std::string Ip_;
+    std::string Service_;
+    std::string Instance_;
+    int64_t BornWallMs_ = 1'700'000'000'000;
+    int Slots_ = 8;
+    Millis Work_ = Millis(0);
+  };
+  /// A request that was run.
+  struct Run {
+    std::string Id_;
+    std::string Target_;
+    std::string CallerService_;
+    std::string Body_;
+    bool operator==(const Run &) const = default;
+  };
+
+  explicit PlatformUpstream(Options Given);
+  ~PlatformUpstream();
+  PlatformUpstream(const PlatformUpstream &) = delete;
+  PlatformUpstream &operator=(const PlatformUpstream &) = delete;
+
+  /// Returns `ip:port`.
+  std::string address() const;
+  /// Sends a report to a node's address for reports; returns the status.
+  int report(const std::string &Ip, uint16_t Port, const std::string &State);
+  /// Sends the last report of this life; returns the status.
+  int deregister(const std::string &Ip, uint16_t Port) const;
+  /// From now on every second request is refused as not run, or not any more.
+  void setShedding(bool Shedding);
+  /// Changes the instance that the upstream says it is.
+  void setInstance(const std::string &Instance);
+  std::vector<Run> runs() const;
+
+private:
+  void handle(const HttpExchange::Pointer &Exchange);
+
+  const Options Options_;
+  boost::asio::io_context Context_;
+  std::unique_ptr<HttpServer> Server_;
+  mutable std::mutex Mutex_; // guards the members below
+  std::string Instance_;
+  int64_t Sequence_ = 0;
+  bool Shedding_ = false;
+  int Arrived_ = 0;
+  std::vector<Run> Runs_;
+  std::thread Thread_;
+};
+
+} // namespace coltsfoot
