Cut roots by bucket for the path, and stay below the point of slowing down

Cause: nested calls go before all roots, so a threshold for them refused every root whatever its bucket. Besides, backend servers that are nearly full take longer for each request. Ruled out: slots (running at the limit), refusals by the servers (none), order in the queue (nested first). Change: thresholds of the path are compared with the rank and bucket that the nested calls have; a root's own threshold no longer stands for its path's. Test: entrythreshold_test, 'a threshold for nested calls cuts roots by bucket'.

--- a/src/include/coltsfootpoint/settings.h
+++ b/src/include/coltsfootpoint/settings.h
@@ -99,6 +99,7 @@
   int Callers_ = 0;
   int Queue_ = 0;
   SlotsMeaning Slots_ = SlotsMeaning::Bound;
+  double SlotShare_ = 1;
   int TicketEntries_ = 0;
   size_t KeptAnswerBytes_ = 0;
   Millis UpstreamIdle_;
--- a/src/libcoordination/entry.cpp
+++ b/src/libcoordination/entry.cpp
@@ -30,6 +30,8 @@
 /// Under PolicyKind::None each hop has these of its own.
 constexpr int RetriesPerHop = 3;
 constexpr int DoorRetryAfterMs = 500;
+/// Nested calls of another interface go before all roots.
+constexpr int NestedRankOrder = 0;
 
 /// The first label of a host that is a name and no IP number.
 std::string_view hostLabel(std::string_view Host) {
@@ -214,7 +216,7 @@
   if (!Parent)
     return;
   Request_.Depth_ = Parent->Depth_ + 1;
-  Request_.RankOrder_ = 0;
+  Request_.RankOrder_ = NestedRankOrder;
   Request_.Client_ = Parent->Client_;
   Request_.Bucket_ = Parent->Bucket_;
   Request_.Deadline_ = std::min(Request_.Deadline_, Parent->Deadline_);
@@ -426,6 +428,8 @@
   Asked.Route_ = Key;
   Asked.Kind_ = Request_.Route_.Kind_;
   Asked.RankOrder_ = Request_.RankOrder_;
+  if (Parts_.Dialect_)
+    Asked.PathRankOrder_ = NestedRankOrder;
   Asked.Bucket_ = Request_.Bucket_;
   Asked.Protected_ = Request_.Protected_;
   Asked.RankFloor_ = Config_->rank(Request_.Route_.Rank_).Floor_;
--- a/src/libcoordination/entrycall.cpp
+++ b/src/libcoordination/entrycall.cpp
@@ -251,7 +251,10 @@
     Known.heard(Request_.Service_, Gate,
                 {Reply.general.rank, Reply.general.bucket}, now());
   // What the whole path under this route refuses, for those above it.
-  AdmissionThreshold Whole = Own;
+  // Nested calls of another interface have a rank of their own, to which the
+  // threshold for this root says nothing.
+  bool Apart = Parts_->Dialect_ && Request_.Depth_ == 0;
+  AdmissionThreshold Whole = Apart ? AdmissionThreshold() : Own;
   if (Reply.__isset.path)
     Whole =
         std::min(Whole, AdmissionThreshold{Reply.path.rank, Reply.path.bucket});
--- a/src/libcoordination/gate.cpp
+++ b/src/libcoordination/gate.cpp
@@ -278,7 +278,7 @@
     Announced_ = Fresh;
     Serving_ = Serving;
     LeaseEnd_ = Knowledge_.Clock_->now() + Options_.Lease_;
-    Queue_.setSlots(Fresh.Slots_);
+    Queue_.setSlots(static_cast<int>(Fresh.Slots_ * Options_.SlotShare_));
   }
   Upstream_.setTarget(Fresh.Address_, static_cast<size_t>(Fresh.Connections_));
   if (!Changed)
--- a/src/libcoordination/gate.h
+++ b/src/libcoordination/gate.h
@@ -65,6 +65,8 @@
     /// Whether the slots that the backend server announces are exactly what it
     /// works on at once.
     bool ExactSlots_ = false;
+    /// Share of the announced slots that is used.
+    double SlotShare_ = 1;
     /// How long a kept connection to the backend server may be idle.
     Millis KeptIdle_{20000};
     /// How the backend server is spoken to; null for the project's own way.
--- a/src/libcoordination/node.cpp
+++ b/src/libcoordination/node.cpp
@@ -217,7 +217,8 @@
              Given.Limits_.KeptAnswerBytes_, Given.Timeouts_.Lease_,
              Given.Timeouts_.Attempt_,
              Given.Limits_.Slots_ == SlotsMeaning::Exact,
-             Given.Limits_.UpstreamIdle_, Adapters_.Calls_.get()}),
+             Given.Limits_.SlotShare_, Given.Limits_.UpstreamIdle_,
+             Adapters_.Calls_.get()}),
       Entry_(entryParts()), Api_(apiParts()),
       Strand_(asio::make_strand(Context)), Timer_(Strand_) {
   tcp::endpoint Own = endpointOf(Given.Node_.Address_, Given.Node_.HttpPort_);
--- a/src/libstate/entrythreshold.cpp
+++ b/src/libstate/entrythreshold.cpp
@@ -60,10 +60,9 @@
     Gates.erase(Gate);
 }
 
-bool EntryThreshold::serviceRefuses(std::string_view Name,
-                                    const DoorRequest &Asked,
-                                    std::string_view Kind, int GateCount,
-                                    Millis Now) const {
+bool EntryThreshold::serviceRefuses(std::string_view Name, int RankOrder,
+                                    int Bucket, std::string_view Kind,
+                                    int GateCount, Millis Now) const {
   auto Known = Services_.find(Name);
   if (Known == Services_.end())
     return false;
@@ -80,7 +79,7 @@
     if (Age >= GoneAfter)
       continue;
     ++Heard;
-    if (stillRefuses(Latest.Threshold_, Age, Asked.RankOrder_, Asked.Bucket_))
+    if (stillRefuses(Latest.Threshold_, Age, RankOrder, Bucket))
       ++Refusing;
   }
   int Count = std::max(Heard, GateCount);
@@ -94,14 +93,17 @@
   bool Refused = false;
   {
     std::lock_guard Lock(Mutex_);
-    Refused = serviceRefuses(Asked.Service_, Asked, Asked.Kind_,
-                             Asked.GateCount_, Now) ||
-              serviceRefuses(Asked.Route_, Asked, {}, Asked.GateCount_, Now);
+    int Below = Asked.PathRankOrder_.value_or(Asked.RankOrder_);
+    Refused = serviceRefuses(Asked.Service_, Asked.RankOrder_, Asked.Bucket_,
+                             Asked.Kind_, Asked.GateCount_, Now) ||
+              serviceRefuses(Asked.Route_, Below, Asked.Bucket_, {},
+                             Asked.GateCount_, Now);
     auto Path = Routes_.find(Asked.Route_);
     if (!Refused && Path != Routes_.end())
       for (const auto &[Service, Share] : Path->second.Shares_)
-        Refused = Refused || (Share > MostCalls &&
-                              serviceRefuses(Service, Asked, {}, 0, Now));
+        Refused = Refused ||
+                  (Share > MostCalls &&
+                   serviceRefuses(Service, Below, Asked.Bucket_, {}, 0, Now));
   }
   return Refused && Random() % ProbeOneIn != 0;
 }
--- a/src/libstate/entrythreshold.h
+++ b/src/libstate/entrythreshold.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <random>
 #include <span>
 #include <string>
@@ -27,6 +28,9 @@
   /// Kind of the route; thresholds heard for it go before general ones.
   std::string_view Kind_;
   int RankOrder_ = 0;
+  /// Rank order that the calls further down the path have; nothing where they
+  /// have the request's own.
+  std::optional<int> PathRankOrder_;
   int Bucket_ = 0;
   bool Protected_ = false;
   /// Share that the rank is due even under overload.
@@ -88,7 +92,7 @@
     std::map<std::string, double, std::less<>> Shares_;
   };
 
-  bool serviceRefuses(std::string_view Name, const DoorRequest &Asked,
+  bool serviceRefuses(std::string_view Name, int RankOrder, int Bucket,
                       std::string_view Kind, int GateCount, Millis Now) const;
   AdmissionThreshold loosest(std::string_view Name, Millis Now) const;
 
--- a/src/libstate/entrythreshold_test.cpp
+++ b/src/libstate/entrythreshold_test.cpp
@@ -111,3 +111,30 @@
   CHECK(refusedShare(Door, Asked, Now) == 0);
   CHECK(Door.tightest("booking/book", Now) == AdmissionThreshold());
 }
+
+// Seen on the day scale-2 of kaveri-chairs with seed 453588926995: nested calls
+// go before all roots, so that a threshold for them refused every root whatever
+// its bucket; the deepest service ran dry, opened, and was flooded again.
+TEST_CASE("a threshold for nested calls cuts roots by bucket, not by rank") {
+  EntryThreshold Known;
+  std::mt19937_64 Random(1);
+  const Millis Now(5000);
+  Known.heard("shop list", {"gate-1", 1}, {0, 40}, Now);
+  auto Refused = [&](int Bucket, std::optional<int> PathRank) {
+    DoorRequest Asked;
+    Asked.Service_ = "shop";
+    Asked.Route_ = "shop list";
+    Asked.RankOrder_ = 2;
+    Asked.PathRankOrder_ = PathRank;
+    Asked.Bucket_ = Bucket;
+    Asked.GateCount_ = 1;
+    int Count = 0;
+    for (int I = 0; I < 100; ++I)
+      Count += Known.wouldRefuse(Asked, Now, Random) ? 1 : 0;
+    return Count > 50;
+  };
+  CHECK(Refused(10, std::nullopt));
+  CHECK_FALSE(Refused(10, 0));
+  CHECK_FALSE(Refused(39, 0));
+  CHECK(Refused(40, 0));
+}
--- a/src/libutil/settingstable.cpp
+++ b/src/libutil/settingstable.cpp
@@ -211,6 +211,10 @@
                  "upper bound of what is good for them, or exactly what they "
                  "work on at once",
                  ChoiceSetting{SlotsNames, 0, &storeSlots}},
+    SettingEntry{"limits", "slot_share", "share",
+                 "share of the announced slots that is used, for backend "
+                 "servers that slow down when they are nearly full",
+                 number<Limits, &I::SlotShare_>(1, 0.1, 1)},
     SettingEntry{"limits", "ticket_entries", "tickets",
                  "tickets that the gate remembers at a time",
                  number<Limits, &I::TicketEntries_>(100'000, 100, 1e8)},
