--- a/src/libtransport/httpserver_test.cpp
+++ b/src/libtransport/httpserver_test.cpp
@@ -54,6 +54,22 @@
     return ask(Last).find("/last|") != std::string::npos;
   }
 
+  /// Ends the workers before what their handlers use does; to be declared after
+  /// it.
+  class Ending {
+  public:
+    explicit Ending(Fixture &Under) : Under_(Under) {}
+    ~Ending() {
+      Under_.Server_.stop();
+      Under_.Workers_.stop();
+    }
+    Ending(const Ending &) = delete;
+    Ending &operator=(const Ending &) = delete;
+
+  private:
+    Fixture &Under_;
+  };
+
   std::function<void(HttpExchange::Pointer)> OnRequest_ = echo;
   std::atomic<int> Handled_ = 0;
   Workers Workers_;
@@ -139,6 +155,7 @@
 TEST_CASE("a trailer adds no header fields") {
   Fixture Under;
   size_t Fields = 99;
+  Fixture::Ending End(Under);
   Under.OnRequest_ = [&](const HttpExchange::Pointer &Exchange) {
     Fields = Exchange->request().Fields_.size();
     Fixture::echo(Exchange);
@@ -216,6 +233,7 @@
   RawSocket Caller = Under.caller();
   std::vector<HttpExchange::Pointer> Waiting;
   Signal Came;
+  Fixture::Ending End(Under);
   Under.OnRequest_ = [&](HttpExchange::Pointer Exchange) {
     if (Exchange->request().Target_ != "/0")
       return Fixture::echo(Exchange);
@@ -313,6 +331,7 @@
   HttpExchange::Pointer Held;
   Signal Came;
   Signal Left;
+  Fixture::Ending End(Under);
   Under.OnRequest_ = [&](const HttpExchange::Pointer &Exchange) {
     Held = Exchange;
     Exchange->onAbandoned([&] { Left.raise(); });
@@ -365,6 +384,7 @@
 TEST_CASE("an answered request is not abandoned") {
   Fixture Under;
   Signal Left;
+  Fixture::Ending End(Under);
   Under.OnRequest_ = [&](const HttpExchange::Pointer &Exchange) {
     Exchange->onAbandoned([&] { Left.raise(); });
     Fixture::echo(Exchange);
@@ -397,6 +417,7 @@
 TEST_CASE("an idle connection keeps no request in memory") {
   Fixture Under;
   std::weak_ptr<int> Watch;
+  Fixture::Ending End(Under);
   Under.OnRequest_ = [&](const HttpExchange::Pointer &Exchange) {
     auto Token = std::make_shared<int>(1);
     Watch = Token;
@@ -413,6 +434,7 @@
   Fixture Under;
   HttpExchange::Pointer Held;
   Signal Came;
+  Fixture::Ending End(Under);
   Under.OnRequest_ = [&](HttpExchange::Pointer Exchange) {
     if (Exchange->request().Target_ == "/good")
       return Fixture::echo(Exchange);
@@ -473,6 +495,7 @@
   Fixture Under;
   HttpExchange::Pointer Held;
   Signal Came;
+  Fixture::Ending End(Under);
   Under.OnRequest_ = [&](HttpExchange::Pointer Exchange) {
     Exchange->startStream("application/x-ndjson");
     Held = std::move(Exchange);
@@ -499,6 +522,7 @@
   HttpExchange::Pointer Held;
   Signal Came;
   Signal Left;
+  Fixture::Ending End(Under);
   Under.OnRequest_ = [&](HttpExchange::Pointer Exchange) {
     Exchange->onAbandoned([&] { Left.raise(); });
     Exchange->startStream("text/plain");
@@ -549,6 +573,7 @@
   std::atomic<bool> Ended = false;
   std::mutex Mutex;
   std::vector<HttpExchange::Pointer> Queue;
+  Fixture::Ending End(Under);
   Under.OnRequest_ = [&](HttpExchange::Pointer Exchange) {
     Exchange->onAbandoned([&Left] { ++Left; });
     std::lock_guard<std::mutex> Lock(Mutex);
