Count calls by service, route, verdict and reason; show gate and fleet

Cause: /metrics had call times alone, so an alert could not say which kind of call failed, why, or what a gate was doing. Ruled out: gauges pushed from the deciding parts: each would know of metrics. Change: NodeMetrics counts each call that ends at the entry, refusals at the door included, and reads figures of gate, membership, configuration and log when it is asked. It moves out of Api.

--- a/src/libcoordination/api.cpp
+++ b/src/libcoordination/api.cpp
@@ -5,6 +5,7 @@
 #include "gate.h"
 #include "gossipservice.h"
 #include "memberview.h"
+#include "nodemetrics.h"
 #include "refusal.h"
 #include "requestledger.h"
 
@@ -13,7 +14,6 @@
 #include "coltsfootpoint/ids.h"
 #include "coltsfootpoint/ipport.h"
 #include "coltsfootpoint/log.h"
-#include "coltsfootpoint/metrics.h"
 
 #include <algorithm>
 #include <boost/json/parse.hpp>
@@ -120,6 +120,7 @@
 public:
   explicit Impl(ApiParts Parts)
       : Parts_(std::move(Parts)),
+        Metrics_(Parts_.Config_, Parts_.Gate_, Parts_.Gossip_),
         Resources_(Parts_.Config_, [this] { return Parts_.Gossip_.view(); }) {}
 
   void handle(const HttpExchange::Pointer &Exchange);
@@ -141,19 +142,10 @@
   std::string statusJson();
   std::string explainJson(std::string_view Id);
   void showBurn(const HttpExchange::Pointer &Exchange);
-  LatencyHistogram &callTimes(std::string_view Verdict);
-  LatencyHistogram &newCallTimes(std::string_view Verdict) {
-    return Metrics_.histogram("coltsfoot_call_seconds",
-                              "Time of calls that entered at this node.",
-                              {{"verdict", std::string(Verdict)}});
-  }
 
   ApiParts Parts_;
   BurnRecorder Burn_;
-  Metrics Metrics_;
-  LatencyHistogram &Ran_ = newCallTimes("ran");
-  LatencyHistogram &NotRun_ = newCallTimes("not-run");
-  LatencyHistogram &MayHaveRun_ = newCallTimes("may-have-run");
+  NodeMetrics Metrics_;
   ResourceApi Resources_;
 };
 
@@ -190,9 +182,8 @@
   if (Path == "/healthz" && Method == "GET")
     showHealth(Exchange);
   else if (Path == "/metrics" && Method == "GET")
-    Exchange->respond(Answer{200,
-                             {{"Content-Type", "text/plain; version=0.0.4"}},
-                             Metrics_.prometheusText()});
+    Exchange->respond(Answer{
+        200, {{"Content-Type", "text/plain; version=0.0.4"}}, Metrics_.text()});
   else if (Path == "/v1/tickets" && Method == "POST")
     Parts_.Entry_.mintTicket(Exchange);
   else if (Path == "/v1/announcement" && Method == "PUT")
@@ -358,14 +349,7 @@
         (Known->Rank_.empty() || Known->Rank_ == Ended.Rank_))
       Good = Good && Ended.Latency_ <= Known->Latency_;
   Burn_.record(Ended.Service_, Ended.Rank_, Good, Parts_.Clock_.now());
-  if (Ended.Root_)
-    callTimes(Ended.Verdict_).record(Ended.Latency_);
-}
-
-LatencyHistogram &Api::Impl::callTimes(std::string_view Verdict) {
-  if (Verdict == "ran")
-    return Ran_;
-  return Verdict == "not-run" ? NotRun_ : MayHaveRun_;
+  Metrics_.record(Ended);
 }
 
 // Each node counts what entered through it; the counts of all are added.
--- a/src/libcoordination/entry.cpp
+++ b/src/libcoordination/entry.cpp
@@ -116,6 +116,18 @@
 
   const std::string &requestId() const { return Request_.RequestId_; }
 
+  /// Returns the record of a call that ends here.
+  CallRecord recordOf(const Verdict &Outcome) const {
+    return {Request_.Service_,
+            Request_.Route_.Name_,
+            Request_.Route_.Rank_,
+            verdictName(Outcome),
+            reasonName(reasonOf(Outcome)),
+            statusOf(Outcome),
+            Parts_.Knowledge_.Clock_->now() - Now_,
+            Request_.Depth_ == 0};
+  }
+
 private:
   void readAll();
   void readInDialect();
@@ -495,6 +507,8 @@
         "reason=" + std::string(reasonName(reasonOf(Refused.Verdict_))) +
             (Refused.Detail_.empty() ? ""
                                      : " detail=\"" + Refused.Detail_ + "\""));
+    if (Parts_->OnEnd_)
+      Parts_->OnEnd_(In.recordOf(Refused.Verdict_));
     if (const CallDialect *Dialect = Parts_->Dialect_)
       return Exchange->respond(Dialect->writeAnswer(
           Refused.Verdict_,
--- a/src/libcoordination/entry.h
+++ b/src/libcoordination/entry.h
@@ -26,8 +26,10 @@
 /// How a call ended at this entry, for the service-level record.
 struct CallRecord {
   std::string Service_;
+  std::string Route_; ///< Empty where none was found.
   std::string Rank_;
   std::string_view Verdict_;
+  std::string_view Reason_;
   int Status_ = 0;
   Millis Latency_;
   bool Root_ = true;
--- a/src/libcoordination/entrycall.cpp
+++ b/src/libcoordination/entrycall.cpp
@@ -588,8 +588,9 @@
 
 void EntryCall::record(const Verdict &Outcome, int Status) {
   if (Parts_->OnEnd_)
-    Parts_->OnEnd_({Request_.Service_, Request_.Route_.Rank_,
-                    verdictName(Outcome), Status, now() - Started_,
+    Parts_->OnEnd_({Request_.Service_, Request_.Route_.Name_,
+                    Request_.Route_.Rank_, verdictName(Outcome),
+                    reasonName(reasonOf(Outcome)), Status, now() - Started_,
                     Request_.Depth_ == 0});
 }
 
--- /dev/null
+++ b/src/libcoordination/nodemetrics.cpp
@@ -0,0 +1,107 @@
+#include "nodemetrics.h"
+
+#include "configservice.h"
+#include "configstate.h"
+#include "entry.h"
+#include "gate.h"
+#include "gossipservice.h"
+#include "memberview.h"
+
+#include "coltsfootpoint/log.h"
+
+#include <algorithm>
+
+namespace coltsfoot {
+
+namespace {
+
+/// Label sets beyond this are counted under the route `other`.
+constexpr size_t MostCallKeys = 4096;
+
+double countIn(const MemberView &Members, MemberState State) {
+  const auto &All = Members.all();
+  return static_cast<double>(
+      std::count_if(All.begin(), All.end(), [State](const MemberPtr &Each) {
+        return Each->Member_.State_ == State;
+      }));
+}
+
+} // namespace
+
+NodeMetrics::NodeMetrics(const ConfigService &Config, const Gate &Local,
+                         const GossipService &Gossip)
+    : Ran_(newCallTimes("ran")), NotRun_(newCallTimes("not-run")),
+      MayHaveRun_(newCallTimes("may-have-run")) {
+  addGateGauges(Local);
+  addFleetGauges(Config, Gossip);
+  Metrics_.gauge("coltsfoot_log_lines_left_out",
+                 "Log lines left out or lost since the start.", {},
+                 [] { return static_cast<double>(logLinesLeftOut()); });
+}
+
+void NodeMetrics::addGateGauges(const Gate &Local) {
+  auto Add = [&](const std::string &Name, const std::string &Help,
+                 int Gate::Figures::*Figure) {
+    Metrics_.gauge("coltsfoot_gate_" + Name, Help, {}, [&Local, Figure] {
+      return static_cast<double>(Local.figures().*Figure);
+    });
+  };
+  Add("running", "Calls that the backend server works on.",
+      &Gate::Figures::Running_);
+  Add("waiting", "Calls that wait at the gate.", &Gate::Figures::Waiting_);
+  Add("limit", "Calls that may run at once.", &Gate::Figures::Limit_);
+  Metrics_.gauge("coltsfoot_gate_open",
+                 "1 while the backend server takes new calls.", {}, [&Local] {
+                   Gate::Figures Now = Local.figures();
+                   return Now.Serving_ && !Now.Draining_ ? 1.0 : 0.0;
+                 });
+}
+
+void NodeMetrics::addFleetGauges(const ConfigService &Config,
+                                 const GossipService &Gossip) {
+  for (MemberState State : {MemberState::Alive, MemberState::Leaving,
+                            MemberState::Suspect, MemberState::Dead})
+    Metrics_.gauge("coltsfoot_members", "Known nodes by state.",
+                   {{"state", memberStateName(State)}},
+                   [&Gossip, State] { return countIn(*Gossip.view(), State); });
+  Metrics_.gauge("coltsfoot_config_version",
+                 "Version of the configuration in force.", {}, [&Config] {
+                   return static_cast<double>(Config.current()->nextOffset());
+                 });
+}
+
+LatencyHistogram &NodeMetrics::newCallTimes(std::string_view Verdict) {
+  return Metrics_.histogram("coltsfoot_call_seconds",
+                            "Time of calls that entered at this node.",
+                            {{"verdict", std::string(Verdict)}});
+}
+
+LatencyHistogram &NodeMetrics::callTimes(std::string_view Verdict) {
+  if (Verdict == "ran")
+    return Ran_;
+  return Verdict == "not-run" ? NotRun_ : MayHaveRun_;
+}
+
+void NodeMetrics::record(const CallRecord &Ended) {
+  if (Ended.Root_)
+    callTimes(Ended.Verdict_).record(Ended.Latency_);
+  CallKey Key{Ended.Service_, Ended.Route_, std::string(Ended.Verdict_),
+              std::string(Ended.Reason_)};
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  auto Found = Calls_.find(Key);
+  if (Found == Calls_.end()) {
+    if (Calls_.size() >= MostCallKeys)
+      std::get<1>(Key) = "other";
+    const auto &[Service, Route, Verdict, Reason] = Key;
+    Counter &Fresh = Metrics_.counter("coltsfoot_calls_total",
+                                      "Calls that entered at this node.",
+                                      {{"service", Service},
+                                       {"route", Route},
+                                       {"verdict", Verdict},
+                                       {"reason", Reason}});
+    Found = Calls_.emplace(std::move(Key), &Fresh).first;
+  }
+  Found->second->add();
+}
+
+} // namespace coltsfoot
