Try: a gate's refusal moves on without a token

Cause supposed: a call that one gate refuses spends a retry token although nothing arrived at a backend server, so tokens lack where servers refuse. Change: up to two refusals by gates are free on interfaces without credits; the end of a call tells why the latest gate refused it.

--- a/src/libcoordination/entrycall.cpp
+++ b/src/libcoordination/entrycall.cpp
@@ -33,6 +33,8 @@
 /// Messages without an answer in a row after which later candidates are
 /// searched for what an unreachable one can't tell.
 constexpr int SearchAfterFailures = 2;
+/// Gates that may refuse one call before it is given up.
+constexpr int MaxGateRefusals = 2;
 constexpr Millis RetryTokenLife(120'000);
 constexpr int MinRetryAfterMs = 50;
 constexpr int FirstServerError = 500;
@@ -287,7 +289,7 @@
       Parts_->Balancer_.pick(Gates, Parts_->Office_.scope(Request_.Service_),
                              Exclude, threadGenerator());
   if (!Chosen)
-    return end(NotRun{Reason::NoUpstream});
+    return end(NotRun{LastRefusal_.value_or(Reason::NoUpstream)});
   Tried_.push_back(*Chosen);
   Lent_ = lend();
   wire::Frame Message;
@@ -314,9 +316,19 @@
                             " reason=" + std::string(reasonName(Why)));
   if (std::holds_alternative<MayHaveRun>(Outcome))
     Open_ = true;
-  // A gate that is on its way out refused before any work: moving on is free.
-  retryOrEnd(std::move(Outcome),
-             Why == Reason::Leaving || Why == Reason::NoUpstream);
+  if (std::holds_alternative<NotRun>(Outcome))
+    LastRefusal_ = Why;
+  retryOrEnd(std::move(Outcome), movesFreely(Why));
+}
+
+// A gate that is on its way out refused before any work: moving on is free.
+// Without credits over the call tree the budget counts arrivals at backend
+// servers, which a gate's refusal is none of; a few gates may be asked then.
+bool EntryCall::movesFreely(Reason Why) {
+  if (Why == Reason::Leaving || Why == Reason::NoUpstream)
+    return true;
+  bool ByGate = Why == Reason::Overload || Why == Reason::QueueTimeout;
+  return Parts_->Dialect_ && ByGate && ++GateRefusals_ <= MaxGateRefusals;
 }
 
 void EntryCall::onGateLost(const NodeRef &Gate, const PeerLost &Lost) {
