--- a/src/libcoordination/entrycall.cpp
+++ b/src/libcoordination/entrycall.cpp
@@ -33,8 +33,6 @@
 /// Messages without an answer in a row after which later candidates are
 /// searched for what an unreachable one can't tell.
 constexpr int SearchAfterFailures = 2;
-/// Gates that may refuse one call before it is given up.
-constexpr int MaxGateRefusals = 2;
 constexpr Millis RetryTokenLife(120'000);
 constexpr int MinRetryAfterMs = 50;
 constexpr int FirstServerError = 500;
@@ -318,17 +316,9 @@
     Open_ = true;
   if (std::holds_alternative<NotRun>(Outcome))
     LastRefusal_ = Why;
-  retryOrEnd(std::move(Outcome), movesFreely(Why));
-}
-
-// A gate that is on its way out refused before any work: moving on is free.
-// Without credits over the call tree the budget counts arrivals at backend
-// servers, which a gate's refusal is none of; a few gates may be asked then.
-bool EntryCall::movesFreely(Reason Why) {
-  if (Why == Reason::Leaving || Why == Reason::NoUpstream)
-    return true;
-  bool ByGate = Why == Reason::Overload || Why == Reason::QueueTimeout;
-  return Parts_->Dialect_ && ByGate && ++GateRefusals_ <= MaxGateRefusals;
+  // A gate that is on its way out refused before any work: moving on is free.
+  retryOrEnd(std::move(Outcome),
+             Why == Reason::Leaving || Why == Reason::NoUpstream);
 }
 
 void EntryCall::onGateLost(const NodeRef &Gate, const PeerLost &Lost) {
--- a/src/libcoordination/entrycall.h
+++ b/src/libcoordination/entrycall.h
@@ -149,7 +149,6 @@
   void respondInDialect(const Verdict &Outcome);
   void record(const Verdict &Outcome, int Status);
   bool spendRetry();
-  bool movesFreely(Reason Why);
   void note(std::string_view What, const std::string &Detail) const;
   Millis now() const;
 
@@ -182,7 +181,6 @@
   std::optional<size_t> AskAgain_;
   int RetryAfterMs_ = 0;
   std::vector<NodeRef> Tried_;
-  int GateRefusals_ = 0;
   /// Why the latest gate did not run the call.
   std::optional<Reason> LastRefusal_;
   /// The node that the latest message went to; empty before the first.
