--- a/src/libutil/log_test.cpp
+++ b/src/libutil/log_test.cpp
@@ -1,6 +1,11 @@
 #include "coltsfootpoint/log.h"
 
 #include <doctest/doctest.h>
+#include <filesystem>
+#include <fstream>
+#include <regex>
+#include <set>
+#include <sstream>
 #include <stdexcept>
 
 using namespace coltsfoot;
@@ -18,3 +23,51 @@
   CHECK(parseLogLevel("warning") == LogLevel::Warning);
   CHECK_THROWS_AS(parseLogLevel("loud"), std::invalid_argument);
 }
+
+namespace {
+
+std::string textOf(const std::filesystem::path &File) {
+  std::ostringstream Text;
+  Text << std::ifstream(File).rdbuf();
+  return Text.str();
+}
+
+/// Returns the names of the events that a source file logs.
+std::set<std::string> eventsIn(const std::string &Source) {
+  static const std::regex Call(
+      "(?:logEvent|logRequest|Ledger_\\.note|[^\\w.>]note)\\(([^;{]{0,160})");
+  static const std::regex Name("\"([a-z]+(?:[_-][a-z]+)*)\"");
+  std::set<std::string> Found;
+  for (std::sregex_iterator It(Source.begin(), Source.end(), Call), End;
+       It != End; ++It) {
+    std::string Arguments = (*It)[1];
+    for (std::sregex_iterator Each(Arguments.begin(), Arguments.end(), Name);
+         Each != End; ++Each)
+      Found.insert((*Each)[1]);
+  }
+  for (const char *Value : {"true", "false"})
+    Found.erase(Value);
+  return Found;
+}
+
+} // namespace
+
+TEST_CASE("every event that is logged stands in the operators' table") {
+  namespace fs = std::filesystem;
+  const fs::path Root = COLTSFOOT_SOURCE_DIR;
+  std::string Page = textOf(Root / "docs" / "OPERATIONS.md");
+  size_t Count = 0;
+  for (const char *Folder : {"src", "platform"})
+    for (const auto &Entry : fs::recursive_directory_iterator(Root / Folder)) {
+      std::string File = Entry.path().filename().string();
+      if (!File.ends_with(".cpp") || File.ends_with("_test.cpp"))
+        continue;
+      for (const std::string &Event : eventsIn(textOf(Entry.path()))) {
+        CAPTURE(File);
+        CAPTURE(Event);
+        CHECK(Page.find("`" + Event + "`") != std::string::npos);
+        ++Count;
+      }
+    }
+  CHECK(Count > 30);
+}
