--- a/src/coltsfootctl/showcommands.cpp
+++ b/src/coltsfootctl/showcommands.cpp
@@ -140,8 +140,12 @@
     Row["request"] = Step.RequestId_;
     Row["what"] = Step.Event_;
     std::string Detail;
-    for (const auto &[Key, Value] : Step.Pairs_)
-      Detail += (Detail.empty() ? "" : " ") + Key + "=" + Value;
+    for (const auto &[Key, Value] : Step.Pairs_) {
+      Detail += Detail.empty() ? "" : " ";
+      Detail += Key;
+      Detail += '=';
+      Detail += Value;
+    }
     Row["detail"] = Detail;
     Row["meaning"] = meaningOf(Step);
     Rows.push_back(std::move(Row));
