Let a closed gate answer offers for a while before its process ends

Cause: since the gate stays open until callers have learned of a planned stop, it closed and, being idle, ended in the same moment; an offer that was on its way met a lost connection. Seen once in e2e.leaving beside other load: 'a node that stops under load', one booking cut of 250. Ruled out: load alone: the order of the two steps allows it at any time. Change: at least 500 ms pass between the two, as before the gate stayed open.

--- a/src/libcoordination/node.cpp
+++ b/src/libcoordination/node.cpp
@@ -41,7 +41,10 @@
 
 constexpr int ProtocolVersion = 1;
 constexpr Millis TickSpan(50);
-/// How long it then still answers on kept connections.
+/// How long a closed gate still answers offers at least, so that other nodes
+/// learn of it from it or by gossip before its process is gone.
+constexpr Millis GateNewsSpan(500);
+/// How long a draining node then still answers on kept connections.
 constexpr Millis CloseLinger(300);
 
 tcp::endpoint endpointOf(const std::string &Address, uint16_t Port) {
@@ -177,6 +180,7 @@
   std::atomic<NodeLife::State> State_ = NodeLife::State::Joining;
   std::atomic<bool> Isolated_ = false;
   Millis DrainStart_;
+  Millis GateClosed_;
   Millis IdleSince_;
   bool Closing_ = false;
   std::function<void()> Stopped_;
@@ -558,9 +562,12 @@
   bool Late = Now - DrainStart_ > Settings_.Timeouts_.Drain_;
   bool Quiet = Now - IdleSince_ > CloseLinger;
   bool Noticed = Now - DrainStart_ > Settings_.Timeouts_.DrainNotice_;
-  if (Noticed)
+  if (Noticed && !Gate_.draining()) {
     Gate_.drain();
-  if (!Closing_ && Noticed && Gate_.idle()) {
+    GateClosed_ = Now;
+  }
+  bool Known = Gate_.draining() && Now - GateClosed_ > GateNewsSpan;
+  if (!Closing_ && Known && Gate_.idle()) {
     Closing_ = true;
     IdleSince_ = Now;
     callServer().stop();
