--- a/testsuite/common/platformstore.cpp
+++ b/testsuite/common/platformstore.cpp
@@ -32,28 +32,25 @@
 
 } // namespace
 
-PlatformStore::PlatformStore(const std::string &Ip) : Ip_(Ip) {
-  boost::asio::ip::tcp::endpoint Any(boost::asio::ip::make_address(Ip), 0);
-  Server_ = std::make_unique<HttpServer>(
-      Context_, Any, HttpServer::Options(),
-      [this](const HttpExchange::Pointer &Exchange) { handle(Exchange); });
-  Server_->start();
-  Thread_ = std::thread([this] {
-    auto Work = boost::asio::make_work_guard(Context_);
-    while (!Context_.stopped()) {
-      Context_.run_for(std::chrono::milliseconds(TickSpan.whole()));
-      tick();
-    }
-  });
+PlatformStore::PlatformStore(const std::string &Ip)
+    : Server_(
+          Ip,
+          [this](const HttpExchange::Pointer &Exchange) { handle(Exchange); }),
+      Timer_(Server_.context()) {
+  arm();
+  Server_.run();
 }
 
-PlatformStore::~PlatformStore() {
-  Context_.stop();
-  Thread_.join();
-}
+PlatformStore::~PlatformStore() { Server_.stop(); }
 
-std::string PlatformStore::address() const {
-  return Ip_ + ":" + std::to_string(Server_->port());
+void PlatformStore::arm() {
+  Timer_.expires_after(toChrono(TickSpan));
+  Timer_.async_wait([this](const boost::system::error_code &Error) {
+    if (Error)
+      return;
+    tick();
+    arm();
+  });
 }
 
 void PlatformStore::put(const std::string &Key, const std::string &Value) {
--- a/testsuite/common/platformstore.h
+++ b/testsuite/common/platformstore.h
@@ -1,13 +1,11 @@
 #pragma once
 
-#include "httpserver.h"
+#include "loopbackserver.h"
 
-#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <list>
-#include <memory>
 #include <mutex>
 #include <string>
-#include <thread>
 #include <vector>
 
 namespace coltsfoot {
@@ -24,7 +22,7 @@
   PlatformStore &operator=(const PlatformStore &) = delete;
 
   /// Returns `ip:port`.
-  std::string address() const;
+  std::string address() const { return Server_.address(); }
   /// Appends a record and wakes those who wait for one.
   void put(const std::string &Key, const std::string &Value);
   /// From now on all calls are answered with 503, or not any more.
@@ -47,19 +45,18 @@
   void handle(const HttpExchange::Pointer &Exchange);
   Answer newest() const;
   Answer recordsFrom(int64_t From) const;
+  void arm();
   void tick();
 
-  const std::string Ip_;
   const SystemClock Clock_;
-  boost::asio::io_context Context_;
-  std::unique_ptr<HttpServer> Server_;
+  LoopbackServer Server_;
+  boost::asio::steady_timer Timer_;
   mutable std::mutex Mutex_; // guards the members below
   std::vector<Record> Records_;
   int64_t End_ = 0;
   int64_t First_ = 0;
   bool Down_ = false;
   std::list<Waiter> Waiting_;
-  std::thread Thread_;
 };
 
 } // namespace coltsfoot
--- a/testsuite/common/platformupstream.cpp
+++ b/testsuite/common/platformupstream.cpp
@@ -3,34 +3,21 @@
 #include "httpclient.h"
 #include "timer.h"
 
-#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
 
 namespace coltsfoot {
 
 PlatformUpstream::PlatformUpstream(Options Given)
-    : Options_(std::move(Given)), Instance_(Options_.Instance_) {
-  boost::asio::ip::tcp::endpoint Any(
-      boost::asio::ip::make_address(Options_.Ip_), 0);
-  Server_ = std::make_unique<HttpServer>(
-      Context_, Any, HttpServer::Options(),
-      [this](const HttpExchange::Pointer &Exchange) { handle(Exchange); });
-  Server_->start();
-  Thread_ = std::thread([this] {
-    auto Work = boost::asio::make_work_guard(Context_);
-    Context_.run();
-  });
+    : Options_(std::move(Given)),
+      Server_(
+          Options_.Ip_,
+          [this](const HttpExchange::Pointer &Exchange) { handle(Exchange); }),
+      Instance_(Options_.Instance_) {
+  Server_.run();
 }
 
-PlatformUpstream::~PlatformUpstream() {
-  Context_.stop();
-  Thread_.join();
-}
-
-std::string PlatformUpstream::address() const {
-  return Options_.Ip_ + ":" + std::to_string(Server_->port());
-}
+PlatformUpstream::~PlatformUpstream() { Server_.stop(); }
 
 int PlatformUpstream::report(const std::string &Ip, uint16_t Port,
                              const std::string &State) {
@@ -96,7 +83,7 @@
   }
   Reply.Fields_.push_back({"Server-Signature", "sig." + Id});
   auto Timer = std::make_shared<boost::asio::steady_timer>(
-      Context_, toChrono(Options_.Work_));
+      Server_.context(), toChrono(Options_.Work_));
   Timer->async_wait(
       [Timer, Exchange, Reply = std::move(Reply)](
           const boost::system::error_code &) { Exchange->respond(Reply); });
--- a/testsuite/common/platformupstream.h
+++ b/testsuite/common/platformupstream.h
@@ -1,12 +1,9 @@
 #pragma once
 
-#include "httpserver.h"
+#include "loopbackserver.h"
 
-#include <boost/asio/io_context.hpp>
-#include <memory>
 #include <mutex>
 #include <string>
-#include <thread>
 #include <vector>
 
 namespace coltsfoot {
@@ -40,7 +37,7 @@
   PlatformUpstream &operator=(const PlatformUpstream &) = delete;
 
   /// Returns `ip:port`.
-  std::string address() const;
+  std::string address() const { return Server_.address(); }
   /// Sends a report to a node's address for reports; returns the status.
   int report(const std::string &Ip, uint16_t Port, const std::string &State);
   /// Sends the last report of this life; returns the status.
@@ -55,15 +52,13 @@
   void handle(const HttpExchange::Pointer &Exchange);
 
   const Options Options_;
-  boost::asio::io_context Context_;
-  std::unique_ptr<HttpServer> Server_;
+  LoopbackServer Server_;
   mutable std::mutex Mutex_; // guards the members below
   std::string Instance_;
   int64_t Sequence_ = 0;
   bool Shedding_ = false;
   int Arrived_ = 0;
   std::vector<Run> Runs_;
-  std::thread Thread_;
 };
 
 } // namespace coltsfoot
--- a/testsuite/platform/platform_test.cpp
+++ b/testsuite/platform/platform_test.cpp
@@ -183,10 +183,21 @@
     start();
     for (auto &Each : Machines_) {
       waitUntil([&] { return Each->ready(); }, Patience, "the node is ready");
-      Each->callUntil(200, "/safe/warm");
+      waitForBothGates(*Each);
     }
   }
 
+  /// Waits until calls that enter at a machine reach both upstreams of alpha.
+  void waitForBothGates(Machine &Entry) {
+    std::string Id = "warm-" + Entry.ip() + "-";
+    waitUntil(
+        [&] {
+          Entry.call("GET", "/safe/warm", Id);
+          return !machine(1).runs(Id).empty() && !machine(2).runs(Id).empty();
+        },
+        Patience, "both gates are known");
+  }
+
   PlatformStore &store() { return Store_; }
   Machine &machine(int Number) { return *Machines_[size_t(Number) - 1]; }
 
@@ -361,7 +372,7 @@
             {{"Host", "shop.example"}, {"Attempt-Id", "stop-1"}});
   Site.machine(1).signalStop(SIGTERM);
   CHECK(Kept.receive().Status_ == 200);
-  waitUntil([&] { return !Site.machine(1).ready(); }, Millis(500),
+  waitUntil([&] { return !Site.machine(1).ready(); }, Millis(1000),
             "readiness ends");
   CHECK(Site.machine(1).call("GET", "/safe/x", "stop-2").Status_ == 200);
   CHECK(Site.machine(1).waitStopped() == 0);
