Name the first reports of a life in one place

Cause: a read of the whole change: the bound on a first report's number stood in InstanceRecord and again in InstanceKeeper, and ConfigSync had a local variable left over from a try. Ruled out: other behaviour: the value and its use are the same. Change: InstanceRecord::EarlySequence is public and used by both; the variable is gone.

--- a/src/libcoordination/configsync.cpp
+++ b/src/libcoordination/configsync.cpp
@@ -69,8 +69,7 @@
 // Several readers of a zone are harmless and none lasts only until the next
 // tick of another node, so the choice needs no lease.
 void ConfigSync::tick() {
-  int64_t Next = Config_.current()->nextOffset();
-  Gossip_.setConfigOffset(Next);
+  Gossip_.setConfigOffset(Config_.current()->nextOffset());
   if (!Config_.ready())
     return askPeersWhileFresh();
   auto Members = Gossip_.view();
--- a/src/libcoordination/instancekeeper.cpp
+++ b/src/libcoordination/instancekeeper.cpp
@@ -20,8 +20,6 @@
 
 namespace {
 
-/// A report with a number up to this is among the first of its life.
-constexpr int64_t EarlySequence = 1;
 constexpr Millis HealthTimeout(1000);
 /// Health checks without any answer after which a busy backend server is taken
 /// at its word.
@@ -167,7 +165,8 @@
 }
 
 void InstanceKeeper::Impl::openOrCheck(const InstanceReport &Report) {
-  bool FromStart = Report.Sequence_ && *Report.Sequence_ <= EarlySequence;
+  bool FromStart =
+      Report.Sequence_ && *Report.Sequence_ <= InstanceRecord::EarlySequence;
   if (Opened_ || FromStart)
     return open(Report);
   auto Config = Knowledge_.Config_();
--- a/src/libstate/instancerecord.h
+++ b/src/libstate/instancerecord.h
@@ -29,6 +29,9 @@
 /// Not thread-safe.
 class InstanceRecord {
 public:
+  /// A report with a number up to this is among the first of its life.
+  static constexpr int64_t EarlySequence = 1;
+
   /// What a report changes.
   enum class Effect {
     Ignored, ///< Of an earlier life, or older than what is known of this one.
@@ -47,9 +50,6 @@
   InstancePhase phase() const { return Phase_; }
 
 private:
-  /// A report with a number up to this is among the first of its life.
-  static constexpr int64_t EarlySequence = 1;
-
   bool isKnown(const InstanceLife &Life, std::optional<int64_t> Sequence) const;
   bool replaces(const InstanceLife &Life, InstancePhase Phase,
                 std::optional<int64_t> Sequence, bool Silent) const;
