Open the gate of a reporting backend server whose health check misleads

Cause: after a restart of a node alone its gate opens on a ready report and a health check. A report that came before the first configuration was forgotten, so the gate waited for the next heartbeat; an unhealthy answer under the right name never counted, so with false health answers the gate stayed closed for as long as they lasted. Ruled out: opening on the first report whatever the check says, since a late ready report of a backend server whose leaving was acknowledged before the restart would reopen it. Change: the report waits for the configuration; three ready reports in a row that no other instance's answer contradicts open the gate, as a leaving backend server would have reported that by then. The two health checks share one way to probe and one way to retry.

--- a/src/coltsfootctl/resourcefile.cpp
+++ b/src/coltsfootctl/resourcefile.cpp
@@ -34,8 +34,10 @@
     KindName{"objective", "objectives"}, KindName{"host", "hosts"}};
 
 std::string shortened(std::string Text) {
-  if (Text.size() > MaxFoundLength)
-    Text = Text.substr(0, MaxFoundLength) + "...";
+  if (Text.size() > MaxFoundLength) {
+    Text.resize(MaxFoundLength);
+    Text += "...";
+  }
   return Text;
 }
 
--- a/src/libcoordination/instancekeeper.cpp
+++ b/src/libcoordination/instancekeeper.cpp
@@ -21,12 +21,13 @@
 namespace {
 
 constexpr Millis HealthTimeout(1000);
-/// Health checks without any answer after which a busy backend server is taken
-/// at its word.
-constexpr int UnansweredChecks = 3;
+/// Reports whose health check did not confirm them, after which a backend
+/// server is taken at its word: one that were leaving would report that by
+/// then, and its check may be lost in a queue or wrong.
+constexpr int UnconfirmedReports = 3;
 constexpr int HealthOk = 200;
 constexpr Millis HealthIdle(1);
-constexpr Millis LookEvery(250);
+constexpr Millis RetryEvery(250);
 /// How long a backend server that runs already may take to answer.
 constexpr Millis LookSpan(3000);
 
@@ -57,7 +58,7 @@
   Impl(asio::io_context &Context, NodeKnowledge Knowledge,
        const ReportDialect &Dialect, Gate &Target, Millis Lease)
       : Knowledge_(std::move(Knowledge)), Dialect_(Dialect), Gate_(Target),
-        Lease_(Lease), Strand_(asio::make_strand(Context)), LookTimer_(Strand_),
+        Lease_(Lease), Strand_(asio::make_strand(Context)), Retry_(Strand_),
         Health_(Context, healthOptions()) {}
 
   void look(std::string Service, const asio::ip::tcp::endpoint &Address) {
@@ -81,19 +82,25 @@
   void openOrCheck(const InstanceReport &Report);
   void open(const InstanceReport &Report);
   void check(const InstanceReport &Report, const std::string &Path);
+  void onChecked(const InstanceReport &Report, const Verdict &Outcome);
   void lookOnce(const std::string &Service,
                 const asio::ip::tcp::endpoint &Address);
-  void onFound(const std::string &Service,
-               const asio::ip::tcp::endpoint &Address, const Verdict &Outcome);
-  void onHealth(const InstanceReport &Report, const Verdict &Outcome);
+  void onLooked(const std::string &Service,
+                const asio::ip::tcp::endpoint &Address, const Verdict &Outcome);
+  template <typename Method, typename... Args>
+  void probe(const asio::ip::tcp::endpoint &Address, const std::string &Path,
+             Method Then, const Args &...Context);
+  template <typename Method, typename... Args>
+  void retryLater(Method Then, const Args &...Context);
   Announcement announcementOf(const InstanceReport &Report) const;
+  bool isPresent(const InstanceReport &Report) const;
 
   const NodeKnowledge Knowledge_;
   const ReportDialect &Dialect_;
   Gate &Gate_;
   const Millis Lease_;
   const asio::strand<asio::io_context::executor_type> Strand_;
-  asio::steady_timer LookTimer_;
+  asio::steady_timer Retry_;
   Millis LookUntil_;
   UpstreamClient Health_;
   InstanceRecord Record_;
@@ -102,7 +109,7 @@
   /// Whether the present life may be used.
   bool Opened_ = false;
   bool Checking_ = false;
-  int Unanswered_ = 0;
+  int Unconfirmed_ = 0;
 };
 
 void InstanceKeeper::Impl::takeReport(const HttpExchange::Pointer &Exchange) {
@@ -140,7 +147,7 @@
     return;
   if (Effect == InstanceRecord::Effect::Changed) {
     Opened_ = false;
-    Unanswered_ = 0;
+    Unconfirmed_ = 0;
   }
   if (Record_.phase() == InstancePhase::Ready)
     openOrCheck(Report);
@@ -164,16 +171,26 @@
   return Fresh;
 }
 
+bool InstanceKeeper::Impl::isPresent(const InstanceReport &Report) const {
+  return Record_.life() == Report.Life_ &&
+         Record_.phase() == InstancePhase::Ready;
+}
+
 void InstanceKeeper::Impl::openOrCheck(const InstanceReport &Report) {
+  if (!isPresent(Report))
+    return;
   bool FromStart =
       Report.Sequence_ && *Report.Sequence_ <= InstanceRecord::EarlySequence;
   if (Opened_ || FromStart)
     return open(Report);
   auto Config = Knowledge_.Config_();
   const ServiceResource *Service = Config->service(Report.Service_);
-  if (Service && Service->HealthPath_.empty())
-    return open(Report);
-  if (Service && !Checking_)
+  if (!Service)
+    // The configuration, which names the path, may come later than this.
+    retryLater(&Impl::openOrCheck, Report);
+  else if (Service->HealthPath_.empty())
+    open(Report);
+  else if (!Checking_)
     check(Report, Service->HealthPath_);
 }
 
@@ -183,71 +200,75 @@
   Gate_.announce(Known_);
 }
 
+template <typename Method, typename... Args>
+void InstanceKeeper::Impl::probe(const asio::ip::tcp::endpoint &Address,
+                                 const std::string &Path, Method Then,
+                                 const Args &...Context) {
+  Health_.setTarget(Address, 1);
+  Health_.call(
+      {"GET", Path, {}, {}}, HealthTimeout,
+      [Weak = weak_from_this(), Then, Context...](const Verdict &Outcome) {
+        if (auto Self = Weak.lock())
+          asio::dispatch(Self->Strand_,
+                         [=] { ((*Self).*Then)(Context..., Outcome); });
+      });
+}
+
+template <typename Method, typename... Args>
+void InstanceKeeper::Impl::retryLater(Method Then, const Args &...Context) {
+  Retry_.expires_after(toChrono(RetryEvery));
+  Retry_.async_wait([Weak = weak_from_this(), Then,
+                     Context...](const boost::system::error_code &Error) {
+    auto Self = Weak.lock();
+    if (Self && !Error)
+      ((*Self).*Then)(Context...);
+  });
+}
+
 void InstanceKeeper::Impl::check(const InstanceReport &Report,
                                  const std::string &Path) {
   Checking_ = true;
-  Health_.setTarget(Report.Address_, 1);
-  Health_.call({"GET", Path, {}, {}}, HealthTimeout,
-               [Weak = weak_from_this(), Report](const Verdict &Outcome) {
-                 auto Self = Weak.lock();
-                 if (!Self)
-                   return;
-                 asio::dispatch(Self->Strand_, [Self, Report, Outcome] {
-                   Self->onHealth(Report, Outcome);
-                 });
-               });
+  probe(Report.Address_, Path, &Impl::onChecked, Report);
 }
 
-void InstanceKeeper::Impl::onHealth(const InstanceReport &Report,
-                                    const Verdict &Outcome) {
+void InstanceKeeper::Impl::onChecked(const InstanceReport &Report,
+                                     const Verdict &Outcome) {
   Checking_ = false;
-  bool Present =
-      Record_.life() == Report.Life_ && Record_.phase() == InstancePhase::Ready;
   const Ran *Answered = std::get_if<Ran>(&Outcome);
-  bool Healthy = Answered && Answered->Answer_.Status_ == HealthOk &&
-                 Dialect_.instanceOf(Answered->Answer_) == Report.Life_.Id_;
-  Unanswered_ = Answered ? 0 : Unanswered_ + 1;
+  std::string Name = Answered ? Dialect_.instanceOf(Answered->Answer_) : "";
+  bool Other = !Name.empty() && Name != Report.Life_.Id_;
+  bool Healthy =
+      Name == Report.Life_.Id_ && Answered->Answer_.Status_ == HealthOk;
+  // The answer of another instance speaks against the report, and no number of
+  // reports makes up for that.
+  Unconfirmed_ = Other ? 0 : Unconfirmed_ + 1;
   logEvent(LogLevel::Info, "health_checked",
            {{"instance", Report.Life_.Id_},
             {"verdict", verdictName(Outcome)},
             {"status", Answered ? Answered->Answer_.Status_ : 0},
             {"outcome", Healthy ? "healthy" : "not healthy"},
-            {"present", Present}});
-  if (Present && (Healthy || Unanswered_ >= UnansweredChecks))
+            {"unconfirmed", Healthy ? 0 : Unconfirmed_},
+            {"present", isPresent(Report)}});
+  if (isPresent(Report) && (Healthy || Unconfirmed_ >= UnconfirmedReports))
     open(Report);
 }
 
-// The configuration, which names the path, may come later than this.
 void InstanceKeeper::Impl::lookOnce(const std::string &Service,
                                     const asio::ip::tcp::endpoint &Address) {
   if (Record_.life() || Knowledge_.Clock_->now() > LookUntil_)
     return;
   auto Config = Knowledge_.Config_();
   const ServiceResource *Known = Config->service(Service);
-  if (Known && !Known->HealthPath_.empty()) {
-    Health_.setTarget(Address, 1);
-    Health_.call(
-        {"GET", Known->HealthPath_, {}, {}}, HealthTimeout,
-        [Weak = weak_from_this(), Service, Address](const Verdict &Outcome) {
-          if (auto Self = Weak.lock())
-            asio::dispatch(Self->Strand_,
-                           [=] { Self->onFound(Service, Address, Outcome); });
-        });
-    return;
-  }
-  LookTimer_.expires_after(toChrono(LookEvery));
-  LookTimer_.async_wait([Weak = weak_from_this(), Service,
-                         Address](const boost::system::error_code &Error) {
-    auto Self = Weak.lock();
-    if (Self && !Error)
-      Self->lookOnce(Service, Address);
-  });
+  if (!Known || Known->HealthPath_.empty())
+    retryLater(&Impl::lookOnce, Service, Address);
+  else
+    probe(Address, Known->HealthPath_, &Impl::onLooked, Service, Address);
 }
 
 // One that does not answer well is left to its own reports.
-void InstanceKeeper::Impl::onFound(const std::string &Service,
-                                   const asio::ip::tcp::endpoint &Address,
-                                   const Verdict &Outcome) {
+void InstanceKeeper::Impl::onLooked(const std::string &Service,
+                                    const asio::ip::tcp::endpoint &Address,
+                                    const Verdict &Outcome) {
   const Ran *Answered = std::get_if<Ran>(&Outcome);
   if (Record_.life() || !Answered || Answered->Answer_.Status_ != HealthOk)
     return;
--- a/src/libcoordination/instancekeeper.h
+++ b/src/libcoordination/instancekeeper.h
@@ -21,7 +21,9 @@
 /// which needs nobody else: the gate is the only way in. A gate whose process
 /// was restarted does not know whether an earlier one acknowledged that, so it
 /// opens only for a life that it has seen from its first report on, or whose
-/// health check answers well under the same name.
+/// health check answers well under the same name. Health checks can be wrong or
+/// lost, so several ready reports in a row, none of which another instance's
+/// answer contradicts, open it as well: one that leaves would have said so.
 ///
 /// Runs on a strand; take() is thread-safe. Borrows all but the context.
 class InstanceKeeper {
--- a/testsuite/common/fleet.cpp
+++ b/testsuite/common/fleet.cpp
@@ -20,6 +20,8 @@
       std::stoi(Address.substr(Address.rfind(':') + 1)));
 }
 
+constexpr char NodeProgram[] = COLTSFOOT_BIN_DIR "/coltsfootd";
+
 std::string quoted(const std::string &Text) { return '"' + Text + '"'; }
 
 } // namespace
@@ -28,8 +30,7 @@
                    std::string Authorization)
     : Ip_(std::move(Ip)), Authorization_(std::move(Authorization)),
       Process_(std::make_unique<Process>(
-          std::string(COLTSFOOT_BIN_DIR) + "/coltsfootd",
-          std::vector<std::string>{"--config", SettingsFile})) {
+          NodeProgram, std::vector<std::string>{"--config", SettingsFile})) {
   std::string Line = Process_->waitForLine("event=listening", StartLimit);
   HttpPort_ = portOf(field(Line, "http"));
   Name_ = field(Line, "node");
--- a/testsuite/common/platformupstream.cpp
+++ b/testsuite/common/platformupstream.cpp
@@ -50,6 +50,11 @@
   Shedding_ = Shedding;
 }
 
+void PlatformUpstream::setHealthAnswer(int Status) {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  HealthAnswer_ = Status;
+}
+
 void PlatformUpstream::setInstance(const std::string &Instance) {
   std::lock_guard<std::mutex> Lock(Mutex_);
   Instance_ = Instance;
@@ -69,8 +74,10 @@
     Reply.Fields_.push_back({"Instance-Id", Instance_});
     Reply.Fields_.push_back(
         {"Server-Load", "0,0," + std::to_string(Options_.Slots_)});
-    if (Asked.Target_ == "/health")
+    if (Asked.Target_ == "/health") {
+      Reply.Status_ = HealthAnswer_;
       return Exchange->respond(std::move(Reply));
+    }
     std::string_view Expected = Asked.field("Expected-Instance");
     if (!Expected.empty() && Expected != Instance_)
       return Exchange->respond(Answer{421, Reply.Fields_, ""});
--- a/testsuite/common/platformupstream.h
+++ b/testsuite/common/platformupstream.h
@@ -44,6 +44,8 @@
   int deregister(const std::string &Ip, uint16_t Port) const;
   /// From now on every second request is refused as not run, or not any more.
   void setShedding(bool Shedding);
+  /// What its health check says from now on, whatever the truth.
+  void setHealthAnswer(int Status);
   /// Changes the instance that the upstream says it is.
   void setInstance(const std::string &Instance);
   std::vector<Run> runs() const;
@@ -57,6 +59,7 @@
   std::string Instance_;
   int64_t Sequence_ = 0;
   bool Shedding_ = false;
+  int HealthAnswer_ = 200;
   int Arrived_ = 0;
   std::vector<Run> Runs_;
 };
--- a/testsuite/platform/platform_test.cpp
+++ b/testsuite/platform/platform_test.cpp
@@ -364,6 +364,41 @@
   Site.machine(3).callUntil(200, "/safe/found");
 }
 
+// The upstream was left without work until its next report.
+TEST_CASE("a report that comes before the configuration is not forgotten") {
+  Site Site;
+  Site.start();
+  Site.machine(1).stop(SIGKILL);
+  Site.machine(1).start();
+  Site.machine(1).report();
+  Site.store().put("config", configuration(1, "alpha"));
+  Site.waitForBothGates(Site.machine(3));
+}
+
+TEST_CASE("false health answers do not keep a reporting upstream out") {
+  Site Site;
+  Site.startWith(configuration(3, "alpha"));
+  Site.machine(1).upstream().setHealthAnswer(503);
+  Site.machine(1).stop(SIGKILL);
+  Site.machine(1).start();
+  Site.machine(1).report();
+  for (int I = 0; I < 20; ++I)
+    CHECK(Site.machine(3).call("GET", "/safe/x", "ill-").Status_ == 200);
+  CHECK(Site.machine(1).runs("ill-").empty());
+  // One that leaves would say so by its next reports.
+  for (int I = 0; I < 2; ++I) {
+    usleep(300'000);
+    Site.machine(1).report();
+  }
+  size_t Before = Site.machine(1).runs("").size();
+  waitUntil(
+      [&] {
+        Site.machine(3).call("GET", "/safe/x", "well-");
+        return Site.machine(1).runs("").size() > Before;
+      },
+      Patience, "the gate has opened");
+}
+
 TEST_CASE("a planned stop cuts nothing and readiness tells at once") {
   Site Site;
   Site.startWith(configuration(3, "alpha"));
