Let few nodes of a zone ask the store often, the others seldom

Ruled out: readers alone, as then every change waits for gossip; one long wait for all, since after an outage that leaves every connection dead nobody would notice for that long. Change: every node holds a long poll, so news reaches each at once. Only the three readers of a zone, chosen as for the product's own log, renew it each second (log_service.read_wait_ms); the others every 8 s (log_service.follow_wait_ms), and gossip tells them of what a dead connection hides.

--- a/src/include/coltsfootpoint/settings.h
+++ b/src/include/coltsfootpoint/settings.h
@@ -66,6 +66,7 @@
   std::string Address_;
   Millis RequestTimeout_;
   Millis ReadWait_;
+  Millis FollowWait_;
   int SnapshotEveryRecords_ = 0;
   Millis Retention_;
   bool operator==(const LogServiceSettings &) const = default;
--- a/src/libcoordination/configfollower.cpp
+++ b/src/libcoordination/configfollower.cpp
@@ -53,6 +53,8 @@
   asio::steady_timer Timer_;
   Millis Pause_;
   bool Running_ = false;
+  /// Of the question that is being asked.
+  Millis Wait_;
   /// Whether the newest configuration has been read since the history was
   /// lost; only then is there a position to go on from.
   bool Placed_ = false;
@@ -69,8 +71,9 @@
       return;
     asio::post(Self->Strand_, [Self, Answer] { Self->onAnswer(Answer); });
   };
+  Wait_ = Config_.isReader() ? Options_.ReaderWait_ : Options_.FollowWait_;
   if (Placed_)
-    Source_.after(Position_, Options_.Wait_, std::move(Done));
+    Source_.after(Position_, Wait_, std::move(Done));
   else
     Source_.newest(std::move(Done));
 }
@@ -97,7 +100,7 @@
     logEvent(LogLevel::Warning, "config_passed_over",
              {{"position", Position_}, {"why", Bad->Why_}});
   // A source that answers at once without news would be asked in a loop.
-  bool InTime = !Empty || !WasPlaced || Options_.Wait_ > Millis();
+  bool InTime = !Empty || !WasPlaced || Wait_ > Millis();
   if (InTime)
     ask();
   else
--- a/src/libcoordination/configfollower.h
+++ b/src/libcoordination/configfollower.h
@@ -19,12 +19,18 @@
 /// the source is away the node keeps what it has and learns newer versions from
 /// its peers, as ConfigSync brings them.
 ///
+/// A question that waits is answered at once when there is news, on every node.
+/// Its length only bounds how long a connection can be dead before that is
+/// seen. So the few readers of each zone ask anew often, for all, and the other
+/// nodes seldom: a fleet of any size costs the source little.
+///
 /// Runs on a strand. Borrows all but the context.
 class ConfigFollower {
 public:
   struct Options {
-    Millis Wait_ = Millis(1000);    ///< Longest wait of one question.
-    Millis RetryMin_ = Millis(100); ///< First pause after a failure.
+    Millis ReaderWait_ = Millis(1000); ///< Longest wait of a reader's question.
+    Millis FollowWait_ = Millis(8000); ///< The same for all other nodes.
+    Millis RetryMin_ = Millis(100);    ///< First pause after a failure.
     Millis RetryMax_ = Millis(1000);
   };
 
--- a/src/libcoordination/configservice.cpp
+++ b/src/libcoordination/configservice.cpp
@@ -9,6 +9,7 @@
 #include "snapshotreader.h"
 
 #include <algorithm>
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -126,6 +127,7 @@
   void start(const ConfigService &Hooks);
   void stop();
   void setReader(bool Reader);
+  bool isReader() const { return Reader_; }
   void submit(Change Value, Handler Done);
   void onPeerRecords(std::vector<LogRecord> Records);
   void onPeerHead(int64_t NextOffset);
@@ -202,7 +204,7 @@
   std::function<void(const ConfigState &)> OnChange_;
 
   bool Running_ = false;
-  bool Reader_ = true;
+  std::atomic<bool> Reader_ = true;
   bool Reading_ = false;       ///< A read of the log is under way.
   bool Paused_ = false;        ///< The log was down; PauseTimer_ runs.
   bool SnapshotsRead_ = false; ///< Before the first read of the log.
@@ -750,6 +752,8 @@
   });
 }
 
+bool ConfigService::isReader() const { return Impl_->isReader(); }
+
 bool ConfigService::ready() const { return Impl_->ready(); }
 
 void ConfigService::peersSettled() {
--- a/src/libcoordination/configservice.h
+++ b/src/libcoordination/configservice.h
@@ -126,6 +126,9 @@
   /// reached once, or the peers have been asked and their records applied.
   bool ready() const;
 
+  /// Returns whether this node is among those that read for their zone.
+  bool isReader() const;
+
   /// Notes that every reachable peer, or enough of them, has been asked.
   void peersSettled();
 
--- a/src/libcoordination/node.cpp
+++ b/src/libcoordination/node.cpp
@@ -247,7 +247,8 @@
   if (Adapters_.Config_)
     Follower_ = std::make_unique<ConfigFollower>(
         Context, *Adapters_.Config_, Config_,
-        ConfigFollower::Options{Given.LogService_.ReadWait_});
+        ConfigFollower::Options{Given.LogService_.ReadWait_,
+                                Given.LogService_.FollowWait_});
   if (!Adapters_.Reports_ || Given.Listen_.Reports_.empty())
     return;
   Instances_ = std::make_unique<InstanceKeeper>(
--- a/src/libutil/settingstable.cpp
+++ b/src/libutil/settingstable.cpp
@@ -152,6 +152,11 @@
     SettingEntry{"log_service", "read_wait_ms", "ms",
                  "time that a read at the log's end waits for records",
                  number<Log, &L::ReadWait_>(SecondMs, 0, MinuteMs)},
+    SettingEntry{
+        "log_service", "follow_wait_ms", "ms",
+        "the same for the nodes that do not read for their zone, where "
+        "the configuration comes whole; they learn from peers as well",
+        number<Log, &L::FollowWait_>(8 * SecondMs, 0, MinuteMs)},
     SettingEntry{"log_service", "snapshot_every_records", "records",
                  "a snapshot is written after this many records",
                  number<Log, &L::SnapshotEveryRecords_>(1000, 1, 1e6)},
