--- a/src/include/coltsfootpoint/time.h
+++ b/src/include/coltsfootpoint/time.h
@@ -33,6 +33,9 @@
   double Count_ = 0;
 };
 
+/// For times that others give or take in seconds.
+inline constexpr double MsPerSecond = 1000;
+
 /// Where the code learns the time. All methods are thread-safe.
 ///
 /// There are two time lines. now() serves time-outs and latencies and is
--- a/src/libutil/loglimiter.cpp
+++ b/src/libutil/loglimiter.cpp
@@ -6,7 +6,6 @@
 
 namespace {
 
-constexpr double MsPerSecond = 1000;
 /// A burst may take as many bytes as this many seconds bring.
 constexpr double BurstSeconds = 4;
 constexpr Millis SummaryEvery(1000);
--- a/src/libutil/metrics.cpp
+++ b/src/libutil/metrics.cpp
@@ -30,7 +30,6 @@
 constexpr unsigned BucketCountOfTimes = 160;
 /// Prometheus gets this many buckets joined into one.
 constexpr int JoinedBuckets = 4;
-constexpr double MsPerSecond = 1000;
 constexpr double UsPerMs = 1000;
 
 /// Returns the shard of this thread.
