Add a seeded fault soak of real nodes on the platform's interface

Change: testsuite/soak plays seeded, overlapping faults from outside of the processes (kill, planned stop, pause, SIGHUP, false health answers, links to upstream and store delayed, cut, silenced, store down, history lost, new configurations, upstreams that leave) while clients keep their connections, and checks at most once, not run means not run, own and whole answers, drain, repeats, recovery, configuration in force, ends of processes. The machine of e2e.platform moved to testsuite/common, so there is one of it. Left: stand-ins run in the soak's process, links between nodes and clocks are not disturbed, a few hundred processes not tried.

--- /dev/null
+++ b/testsuite/common/platformmachine.cpp
@@ -0,0 +1,146 @@
+#include "platformmachine.h"
+
+#include <fstream>
+#include <unistd.h>
+
+namespace coltsfoot {
+
+namespace {
+
+constexpr Millis Patience(15000);
+constexpr uint16_t PeerPort = 7620;
+constexpr uint16_t OwnPort = 9464;
+constexpr char NodeProgram[] = COLTSFOOT_BIN_DIR "/coltsfootd";
+
+} // namespace
+
+std::string platformAddress(int Number) {
+  int Pid = getpid();
+  return "127." + std::to_string(64 + ((Pid >> 13) & 63)) + "." +
+         std::to_string((Pid >> 5) & 255) + "." +
+         std::to_string(((Pid & 31) << 3) + Number);
+}
+
+std::string platformConfiguration(int Version, const std::string &Service,
+                                  const std::string &More) {
+  return R"({"version":)" + std::to_string(Version) +
+         R"(,"services":[{"name":"alpha","health-path":"/health"},)"
+         R"({"name":"beta","health-path":"/health"}],"virtual-hosts":[)"
+         R"({"host":"shop.example","paths":[{"name":"r-safe",)"
+         R"("path-prefix":"/safe/","kind":"safe","timeout":"3000ms",)"
+         R"("max-attempts":2,"service":")" +
+         Service +
+         R"("},{"name":"r-once","path-prefix":"/once/","kind":"unsafe",)"
+         R"("timeout":"3000ms","max-attempts":2,"service":"alpha"})" +
+         More + "]}]}";
+}
+
+PlatformMachine::PlatformMachine(const Options &Given,
+                                 PlatformUpstream::Options Upstream)
+    : Ip_(platformAddress(Given.Number_)),
+      File_(Given.Folder_ + "/" + Ip_ + ".toml") {
+  Upstream.Ip_ = Ip_;
+  Upstream.Instance_ = "i-" + std::to_string(Given.Number_);
+  Upstream.Advertised_ = Given.Backend_;
+  Upstream_ = std::make_unique<PlatformUpstream>(Upstream);
+  std::ofstream(File_) << settings(Given, Upstream.Service_);
+}
+
+std::string PlatformMachine::settings(const Options &Given,
+                                      const std::string &Service) const {
+  auto At = [&](uint16_t Port) {
+    return "\"" + Ip_ + ":" + std::to_string(Port) + "\"\n";
+  };
+  std::string Backend =
+      Given.Backend_.empty() ? Upstream_->address() : Given.Backend_;
+  return "[node]\naddress = \"" + Ip_ +
+         "\"\nhttp_port = " + std::to_string(OwnPort) +
+         "\npeer_port = " + std::to_string(PeerPort) + "\nservice = \"" +
+         Service + "\"\nbackend = \"" + Backend +
+         "\"\ninterface = \"platform\"\n[listen]\ncalls = " + At(CallPort) +
+         "readiness = " + At(ReadyPort) + "reports = " + At(ReportPort) +
+         "[log_service]\naddress = \"" + Given.Store_ +
+         "\"\nread_wait_ms = 500\n[membership]\npeers = [\"" +
+         platformAddress(1) +
+         ":1\"]\npeers_port = " + std::to_string(PeerPort) +
+         "\n[limits]\nslots = \"exact\"\n[timeouts]\nlease_ms = 60000\n"
+         "drain_notice_ms = 500\n";
+}
+
+void PlatformMachine::start() {
+  if (Node_)
+    EarlierOutput_ += Node_->output();
+  Stopped_ = false;
+  Node_ = std::make_unique<Process>(
+      NodeProgram, std::vector<std::string>{"--config", File_});
+  Node_->waitForLine("event=listening", Patience);
+}
+
+int PlatformMachine::stop(int Signal) {
+  signalStop(Signal);
+  return waitStopped();
+}
+
+void PlatformMachine::signalStop(int Signal) {
+  Stopped_ = true;
+  Node_->kill(Signal);
+}
+
+int PlatformMachine::waitStopped() { return Node_->wait(Patience); }
+
+bool PlatformMachine::endedByItself() {
+  return Node_ && !Stopped_ && !Node_->running();
+}
+
+std::string PlatformMachine::output() const {
+  return Node_ ? EarlierOutput_ + Node_->output() : EarlierOutput_;
+}
+
+int PlatformMachine::report(const std::string &State) {
+  return Upstream_->report(Ip_, ReportPort, State);
+}
+
+bool PlatformMachine::ready() const {
+  try {
+    return request(Ip_, ReadyPort, "GET", "/readiness").Status_ == 200;
+  } catch (const HttpError &) {
+    return false;
+  }
+}
+
+std::vector<HttpField> PlatformMachine::callFields(const std::string &Id,
+                                                   Millis Deadline) {
+  return {{"Host", "shop.example"},
+          {"Attempt-Id", Id},
+          {"Deadline-Remaining-Ms", std::to_string(Deadline.whole())}};
+}
+
+HttpReply PlatformMachine::call(const std::string &Method,
+                                const std::string &Target,
+                                const std::string &Id,
+                                std::vector<HttpField> More) const {
+  for (HttpField &Each : callFields(Id, Millis(4000)))
+    More.push_back(std::move(Each));
+  return request(Ip_, CallPort, Method, Target, More,
+                 Method == "POST" ? "body of " + Id : "", Millis(8000));
+}
+
+void PlatformMachine::callUntil(int Status, const std::string &Target) {
+  waitUntil(
+      [&] {
+        return call("GET", Target, "probe-" + std::to_string(++Probes_))
+                   .Status_ == Status;
+      },
+      Patience, Target + " answers " + std::to_string(Status));
+}
+
+std::vector<PlatformUpstream::Run>
+PlatformMachine::runs(const std::string &IdPrefix) const {
+  std::vector<PlatformUpstream::Run> Found;
+  for (auto &Each : Upstream_->runs())
+    if (Each.Id_.starts_with(IdPrefix))
+      Found.push_back(Each);
+  return Found;
+}
+
+} // namespace coltsfoot
--- a/testsuite/common/platformupstream.cpp
+++ b/testsuite/common/platformupstream.cpp
@@ -13,7 +13,8 @@
       Server_(
           Options_.Ip_,
           [this](const HttpExchange::Pointer &Exchange) { handle(Exchange); }),
-      Instance_(Options_.Instance_) {
+      Instance_(Options_.Instance_), ReportedInstance_(Options_.Instance_),
+      BornWallMs_(Options_.BornWallMs_) {
   Server_.run();
 }
 
@@ -22,26 +23,33 @@
 int PlatformUpstream::report(const std::string &Ip, uint16_t Port,
                              const std::string &State) {
   boost::json::object Body{{"service", Options_.Service_},
-                           {"address", address()},
+                           {"address", Options_.Advertised_.empty()
+                                           ? address()
+                                           : Options_.Advertised_},
                            {"zone", "z"},
                            {"version", "v1"},
                            {"slots", Options_.Slots_},
                            {"state", State},
-                           {"cold-remaining", "0ms"},
-                           {"born", Options_.BornWallMs_}};
+                           {"cold-remaining", "0ms"}};
+  std::string Instance;
   {
     std::lock_guard<std::mutex> Lock(Mutex_);
     Body["sequence"] = ++Sequence_;
+    Body["born"] = BornWallMs_;
+    Instance = ReportedInstance_;
   }
-  return request(Ip, Port, "POST",
-                 "/instances/" + Options_.Instance_ + "/heartbeat", {},
+  return request(Ip, Port, "POST", "/instances/" + Instance + "/heartbeat", {},
                  boost::json::serialize(Body))
       .Status_;
 }
 
 int PlatformUpstream::deregister(const std::string &Ip, uint16_t Port) const {
-  return request(Ip, Port, "POST",
-                 "/instances/" + Options_.Instance_ + "/deregister")
+  std::string Instance;
+  {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    Instance = ReportedInstance_;
+  }
+  return request(Ip, Port, "POST", "/instances/" + Instance + "/deregister")
       .Status_;
 }
 
@@ -55,6 +63,14 @@
   HealthAnswer_ = Status;
 }
 
+void PlatformUpstream::startLife(const std::string &Instance,
+                                 int64_t BornWallMs) {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  Instance_ = ReportedInstance_ = Instance;
+  BornWallMs_ = BornWallMs;
+  Sequence_ = 0;
+}
+
 void PlatformUpstream::setInstance(const std::string &Instance) {
   std::lock_guard<std::mutex> Lock(Mutex_);
   Instance_ = Instance;
@@ -65,6 +81,11 @@
   return Runs_;
 }
 
+size_t PlatformUpstream::arrived() const {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  return Arrived_;
+}
+
 void PlatformUpstream::handle(const HttpExchange::Pointer &Exchange) {
   const HttpRequest &Asked = Exchange->request();
   std::string Id(Asked.field("Attempt-Id"));
@@ -81,7 +102,8 @@
     std::string_view Expected = Asked.field("Expected-Instance");
     if (!Expected.empty() && Expected != Instance_)
       return Exchange->respond(Answer{421, Reply.Fields_, ""});
-    if (Shedding_ && Arrived_++ % 2 == 0) {
+    ++Arrived_;
+    if (Shedding_ && Arrived_ % 2 == 1) {
       Reply.Fields_.push_back({"Request-Not-Executed", "1"});
       return Exchange->respond(Answer{503, Reply.Fields_, ""});
     }
--- a/testsuite/common/platformupstream.h
+++ b/testsuite/common/platformupstream.h
@@ -21,6 +21,8 @@
     int64_t BornWallMs_ = 1'700'000'000'000;
     int Slots_ = 8;
     Millis Work_ = Millis(0);
+    /// The address that its reports name; empty for its own.
+    std::string Advertised_;
   };
   /// A request that was run.
   struct Run {
@@ -46,9 +48,13 @@
   void setShedding(bool Shedding);
   /// What its health check says from now on, whatever the truth.
   void setHealthAnswer(int Status);
-  /// Changes the instance that the upstream says it is.
+  /// Begins a new life: another instance, whose reports count anew.
+  void startLife(const std::string &Instance, int64_t BornWallMs);
+  /// Changes the instance that the upstream says it is, not its reports.
   void setInstance(const std::string &Instance);
   std::vector<Run> runs() const;
+  /// Returns the number of requests that have arrived, run or not.
+  size_t arrived() const;
 
 private:
   void handle(const HttpExchange::Pointer &Exchange);
@@ -57,10 +63,12 @@
   LoopbackServer Server_;
   mutable std::mutex Mutex_; // guards the members below
   std::string Instance_;
+  std::string ReportedInstance_;
+  int64_t BornWallMs_;
   int64_t Sequence_ = 0;
   bool Shedding_ = false;
   int HealthAnswer_ = 200;
-  int Arrived_ = 0;
+  size_t Arrived_ = 0;
   std::vector<Run> Runs_;
 };
 
--- /dev/null
+++ b/testsuite/soak/soak.cpp
@@ -0,0 +1,86 @@
+/// A randomized soak: seeded sequences of overlapping faults against real
+/// nodes, with the promises checked from what callers and upstreams saw.
+/// Usage: soak [--seeds 1-50] [--minutes N] [--logs FOLDER]
+
+#include "soakrun.h"
+
+#include <chrono>
+#include <cxxopts.hpp>
+#include <filesystem>
+#include <iostream>
+#include <random>
+#include <unistd.h>
+
+using namespace coltsfoot;
+
+namespace {
+
+struct SeedRange {
+  uint64_t First_ = 1;
+  uint64_t Last_ = 1;
+};
+
+/// Reads `N` or `N-M`. Throws std::invalid_argument.
+SeedRange rangeOf(const std::string &Text) {
+  size_t Dash = Text.find('-');
+  SeedRange Range;
+  Range.First_ = std::stoull(Text.substr(0, Dash));
+  Range.Last_ = Dash == std::string::npos ? Range.First_
+                                          : std::stoull(Text.substr(Dash + 1));
+  if (Range.Last_ < Range.First_)
+    throw std::invalid_argument("the last seed comes before the first: " +
+                                Text);
+  return Range;
+}
+
+bool play(uint64_t Seed, const std::string &Folder) {
+  SoakRun::Options Given;
+  Given.Seed_ = Seed;
+  Given.Folder_ = Folder;
+  return SoakRun(Given).play();
+}
+
+/// Returns the number of seeds that broke a promise.
+int playAll(const cxxopts::ParseResult &Given) {
+  std::string Folder = Given["logs"].as<std::string>();
+  int Broken = 0;
+  if (Given.count("minutes")) {
+    auto Until = std::chrono::steady_clock::now() +
+                 std::chrono::minutes(Given["minutes"].as<int>());
+    std::random_device Fresh;
+    while (std::chrono::steady_clock::now() < Until)
+      Broken += play(Fresh(), Folder) ? 0 : 1;
+    return Broken;
+  }
+  SeedRange Range = rangeOf(Given["seeds"].as<std::string>());
+  for (uint64_t Seed = Range.First_; Seed <= Range.Last_; ++Seed)
+    Broken += play(Seed, Folder) ? 0 : 1;
+  return Broken;
+}
+
+} // namespace
+
+int main(int Count, char **Words) {
+  std::string Logs = (std::filesystem::temp_directory_path() /
+                      ("coltsfoot-soak-" + std::to_string(getpid())))
+                         .string();
+  cxxopts::Options Options("soak", "Plays seeded faults against real nodes.");
+  Options.add_options()("seeds", "seeds to play, N or N-M",
+                        cxxopts::value<std::string>()->default_value("1-3"))(
+      "minutes", "play fresh seeds for so long instead", cxxopts::value<int>())(
+      "logs", "folder for the logs of failed seeds",
+      cxxopts::value<std::string>()->default_value(Logs))("help", "print this");
+  try {
+    auto Given = Options.parse(Count, Words);
+    if (Given.count("help")) {
+      std::cout << Options.help();
+      return 0;
+    }
+    int Broken = playAll(Given);
+    std::cout << "seeds that broke a promise: " << Broken << std::endl;
+    return Broken == 0 ? 0 : 1;
+  } catch (const std::exception &Error) {
+    std::cerr << "soak: " << Error.what() << std::endl;
+    return 2;
+  }
+}
--- /dev/null
+++ b/testsuite/soak/soakrun.cpp
@@ -0,0 +1,522 @@
+#include "soakrun.h"
+
+#include "faultproxy.h"
+#include "platformmachine.h"
+#include "platformstore.h"
+
+#include <atomic>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <random>
+#include <thread>
+
+namespace coltsfoot {
+
+namespace {
+
+constexpr Millis CallDeadline(1500);
+constexpr Millis CallPatience(4000);
+constexpr Millis HeartbeatEvery(300);
+/// Within this time of the acknowledgement of leaving, calls may still arrive.
+constexpr Millis DrainTime(2000);
+constexpr Millis LeavingTime(4000);
+/// A node that is told to stop ends in this time.
+constexpr Millis StopTime(7000);
+/// All nodes serve again this long after the last fault.
+constexpr Millis RecoveryTime(15000);
+constexpr int ClientsOfMachine = 3;
+constexpr Millis UpstreamWork(15);
+constexpr Millis TickSpan(20);
+
+void sleepFor(Millis Time) {
+  std::this_thread::sleep_for(
+      std::chrono::microseconds(static_cast<int64_t>(Time.count() * 1000)));
+}
+
+/// A machine whose links to its upstream and to the store can be disturbed,
+/// with what is going on at it.
+struct Place {
+  Place(int Number, const PlatformStore &Store, const std::string &Folder,
+        const std::string &Service)
+      : StoreLink_(platformAddress(Number)),
+        UpstreamLink_(platformAddress(Number)),
+        Machine_(
+            {Number, StoreLink_.address(), Folder, UpstreamLink_.address()},
+            {.Service_ = Service, .Work_ = UpstreamWork}) {
+    target(StoreLink_, Store.address());
+    target(UpstreamLink_, Machine_.upstream().address());
+  }
+
+  static void target(FaultProxy &Link, const std::string &Address) {
+    size_t Colon = Address.find(':');
+    Link.setTarget(Address.substr(0, Colon),
+                   static_cast<uint16_t>(std::stoi(Address.substr(Colon + 1))));
+  }
+
+  FaultProxy StoreLink_;
+  FaultProxy UpstreamLink_;
+  PlatformMachine Machine_;
+  /// The state that its reports tell.
+  std::string State_ = "ready";
+  Millis NextReport_;
+  int Lives_ = 1;
+  bool NodeBusy_ = false;     ///< A fault of its node goes on.
+  bool UpstreamBusy_ = false; ///< A fault of its upstream goes on.
+};
+
+/// Something that is to happen later.
+struct Due {
+  Millis At_;
+  std::function<void()> Act_;
+};
+
+} // namespace
+
+class SoakRun::Impl {
+public:
+  explicit Impl(const Options &Given)
+      : Options_(Given), Random_(Given.Seed_), Store_(platformAddress(7)) {
+    std::filesystem::create_directories(Options_.Folder_);
+    int Number = 0;
+    for (const char *Service : {"alpha", "alpha", "beta"})
+      Places_.push_back(
+          std::make_unique<Place>(++Number, Store_, Options_.Folder_, Service));
+  }
+
+  bool play();
+
+private:
+  using Fault = void (Impl::*)(Place &);
+
+  void startAll();
+  void runClient(Place &At, int Number, std::stop_token Stop);
+  void callOnce(HttpSession &Session, const std::string &Id, bool MayRepeat);
+  void playFaults();
+  void drawFault();
+  void settle();
+  void checkRecovery();
+  void checkConfig();
+  void tickUntil(Millis Until);
+  void reportAll();
+  int reportOf(Place &At, const std::string &State);
+  void later(Millis Delay, std::function<void()> Act);
+  void putConfig();
+  bool finish();
+  void keepLogs() const;
+
+  void killNode(Place &At);
+  void stopNode(Place &At);
+  void awaitStop(Place &At, Millis Since);
+  void pauseNode(Place &At);
+  void hangUp(Place &At);
+  void storeDown(Place &At);
+  void storeLink(Place &At);
+  void forgetHistory(Place &At);
+  void changeConfig(Place &At);
+  void upstreamLink(Place &At);
+  void shed(Place &At);
+  void lieOnHealth(Place &At);
+  void leave(Place &At);
+  void checkDrain(Place &At);
+
+  uint64_t draw(uint64_t Below) { return Random_() % Below; }
+  Millis drawTime(double From, double To) {
+    constexpr uint64_t Steps = 1000;
+    return Millis(From + (To - From) * static_cast<double>(draw(Steps)) /
+                             static_cast<double>(Steps));
+  }
+
+  const Options Options_;
+  const SystemClock Clock_;
+  std::mt19937_64 Random_;
+  PlatformStore Store_;
+  std::vector<std::unique_ptr<Place>> Places_;
+  SoakLedger Ledger_;
+  std::vector<std::jthread> Clients_;
+  std::vector<Due> Due_;
+  std::string Played_;
+  int Version_ = 1;
+  bool StoreBusy_ = false;
+};
+
+bool SoakRun::Impl::play() {
+  startAll();
+  int Number = 0;
+  for (auto &Each : Places_)
+    for (int I = 0; I < ClientsOfMachine; ++I)
+      Clients_.emplace_back(
+          [this, &At = *Each, Client = ++Number](const std::stop_token &Stop) {
+            runClient(At, Client, Stop);
+          });
+  playFaults();
+  settle();
+  checkRecovery();
+  checkConfig();
+  for (auto &Each : Clients_)
+    Each.request_stop();
+  Clients_.clear();
+  return finish();
+}
+
+void SoakRun::Impl::startAll() {
+  Store_.put("config", platformConfiguration(Version_, "alpha"));
+  for (auto &Each : Places_)
+    Each->Machine_.start();
+  for (auto &Each : Places_)
+    reportOf(*Each, "ready");
+  for (auto &Each : Places_) {
+    waitUntil([&] { return Each->Machine_.ready(); }, RecoveryTime, "ready");
+    Each->Machine_.callUntil(200, "/safe/warm");
+  }
+}
+
+// A client keeps its connection until it ends.
+void SoakRun::Impl::runClient(Place &At, int Number, std::stop_token Stop) {
+  HttpSession Session(At.Machine_.ip(), PlatformMachine::CallPort);
+  std::mt19937_64 Own(Options_.Seed_ * 1000 + static_cast<uint64_t>(Number));
+  std::string Prefix =
+      "s" + std::to_string(Options_.Seed_) + "-" + std::to_string(Number) + "-";
+  for (int I = 0; !Stop.stop_requested(); ++I) {
+    callOnce(Session, Prefix + std::to_string(I), Own() % 2 == 0);
+    sleepFor(Millis(static_cast<double>(5 + Own() % 25)));
+  }
+}
+
+void SoakRun::Impl::callOnce(HttpSession &Session, const std::string &Id,
+                             bool MayRepeat) {
+  try {
+    HttpReply Reply = Session.request(
+        MayRepeat ? "GET" : "POST", MayRepeat ? "/safe/x" : "/once/x",
+        PlatformMachine::callFields(Id, CallDeadline),
+        MayRepeat ? "" : "body of " + Id, CallPatience);
+    Ledger_.answered(Id, MayRepeat, Reply);
+    if (Reply.header("Connection") == "close")
+      Session.close();
+  } catch (const HttpError &) {
+    Ledger_.unanswered(Id, MayRepeat);
+  }
+}
+
+void SoakRun::Impl::playFaults() {
+  for (int I = 0; I < Options_.Faults_; ++I) {
+    drawFault();
+    tickUntil(Clock_.now() + drawTime(50, 900));
+  }
+}
+
+void SoakRun::Impl::drawFault() {
+  struct Kind {
+    const char *Name_;
+    Fault Play_;
+    bool AtNode_;
+    bool AtUpstream_;
+    bool AtStore_;
+  };
+  static const std::vector<Kind> Kinds = {
+      {"kill", &Impl::killNode, true, false, false},
+      {"stop", &Impl::stopNode, true, false, false},
+      {"pause", &Impl::pauseNode, true, false, false},
+      {"hup", &Impl::hangUp, true, false, false},
+      {"store-down", &Impl::storeDown, false, false, true},
+      {"store-link", &Impl::storeLink, false, false, false},
+      {"history", &Impl::forgetHistory, false, false, false},
+      {"config", &Impl::changeConfig, false, false, true},
+      {"upstream-link", &Impl::upstreamLink, false, true, false},
+      {"shed", &Impl::shed, false, true, false},
+      {"health", &Impl::lieOnHealth, true, true, false},
+      {"leave", &Impl::leave, false, true, false}};
+  const Kind &Drawn = Kinds[draw(Kinds.size())];
+  Place &At = *Places_[draw(Places_.size())];
+  // Two faults of the same process or link would undo each other.
+  if ((Drawn.AtNode_ && At.NodeBusy_) ||
+      (Drawn.AtUpstream_ && At.UpstreamBusy_) || (Drawn.AtStore_ && StoreBusy_))
+    return;
+  Played_ += std::string(Played_.empty() ? "" : ",") + Drawn.Name_;
+  (this->*Drawn.Play_)(At);
+}
+
+void SoakRun::Impl::later(Millis Delay, std::function<void()> Act) {
+  Due_.push_back({Clock_.now() + Delay, std::move(Act)});
+}
+
+void SoakRun::Impl::tickUntil(Millis Until) {
+  while (Clock_.now() < Until) {
+    // An action may plan further ones.
+    for (size_t I = 0; I < Due_.size();) {
+      if (Due_[I].At_ > Clock_.now()) {
+        ++I;
+        continue;
+      }
+      auto Act = std::move(Due_[I].Act_);
+      Due_.erase(Due_.begin() + static_cast<std::ptrdiff_t>(I));
+      Act();
+    }
+    reportAll();
+    for (auto &Each : Places_)
+      if (Each->Machine_.endedByItself()) {
+        Ledger_.broken("node " + Each->Machine_.ip() + " ended by itself");
+        Each->Machine_.start();
+      }
+    sleepFor(TickSpan);
+  }
+}
+
+void SoakRun::Impl::reportAll() {
+  for (auto &Each : Places_) {
+    if (Clock_.now() < Each->NextReport_ || Each->NodeBusy_)
+      continue;
+    Each->NextReport_ = Clock_.now() + HeartbeatEvery;
+    reportOf(*Each, Each->State_);
+  }
+}
+
+/// Returns 0 when no answer came.
+int SoakRun::Impl::reportOf(Place &At, const std::string &State) {
+  try {
+    return At.Machine_.report(State);
+  } catch (const HttpError &) {
+    return 0;
+  }
+}
+
+void SoakRun::Impl::killNode(Place &At) {
+  At.NodeBusy_ = true;
+  At.Machine_.stop(SIGKILL);
+  later(drawTime(0, 1500), [&At] {
+    At.Machine_.start();
+    At.NodeBusy_ = false;
+  });
+}
+
+void SoakRun::Impl::stopNode(Place &At) {
+  At.NodeBusy_ = true;
+  At.Machine_.signalStop(SIGTERM);
+  awaitStop(At, Clock_.now());
+}
+
+void SoakRun::Impl::awaitStop(Place &At, Millis Since) {
+  later(Millis(50), [this, &At, Since] {
+    if (At.Machine_.node().running()) {
+      if (Clock_.now() - Since < StopTime)
+        return awaitStop(At, Since);
+      Ledger_.broken("node " + At.Machine_.ip() + " outlived its stop");
+      At.Machine_.signalStop(SIGKILL);
+    }
+    int Code = At.Machine_.waitStopped();
+    if (Code != 0)
+      Ledger_.broken("node " + At.Machine_.ip() + " ended with code " +
+                     std::to_string(Code));
+    At.Machine_.start();
+    At.NodeBusy_ = false;
+  });
+}
+
+void SoakRun::Impl::pauseNode(Place &At) {
+  At.NodeBusy_ = true;
+  At.Machine_.node().pause();
+  later(drawTime(50, 2500), [&At] {
+    At.Machine_.node().resume();
+    At.NodeBusy_ = false;
+  });
+}
+
+void SoakRun::Impl::hangUp(Place &At) { At.Machine_.node().kill(SIGHUP); }
+
+void SoakRun::Impl::storeDown(Place &) {
+  StoreBusy_ = true;
+  Store_.setDown(true);
+  later(drawTime(300, 4000), [this] {
+    Store_.setDown(false);
+    StoreBusy_ = false;
+  });
+}
+
+void SoakRun::Impl::storeLink(Place &At) {
+  switch (draw(4)) {
+  case 0:
+    At.StoreLink_.cut(Which::Existing);
+    break;
+  case 1:
+    At.StoreLink_.swallow(Direction::FromTarget, Which::Existing);
+    break;
+  case 2:
+    At.StoreLink_.refuseNew(true);
+    At.StoreLink_.cut(Which::Existing);
+    break;
+  default:
+    At.StoreLink_.delay(drawTime(20, 400));
+    break;
+  }
+  later(drawTime(500, 4000), [&At] { At.StoreLink_.heal(); });
+}
+
+void SoakRun::Impl::forgetHistory(Place &) { Store_.forgetHistory(); }
+
+void SoakRun::Impl::changeConfig(Place &) { putConfig(); }
+
+void SoakRun::Impl::putConfig() {
+  ++Version_;
+  Store_.put("config", platformConfiguration(
+                           Version_, Version_ % 2 == 0 ? "beta" : "alpha"));
+}
+
+void SoakRun::Impl::upstreamLink(Place &At) {
+  At.UpstreamBusy_ = true;
+  switch (draw(5)) {
+  case 0:
+    At.UpstreamLink_.cut(Which::Existing);
+    break;
+  case 1:
+    At.UpstreamLink_.swallow(Direction::FromTarget, Which::Existing);
+    break;
+  case 2:
+    At.UpstreamLink_.swallow(Direction::ToTarget, Which::All);
+    break;
+  case 3:
+    At.UpstreamLink_.cutAfterBytes(Direction::FromTarget, draw(400));
+    break;
+  default:
+    At.UpstreamLink_.delay(drawTime(20, 600));
+    break;
+  }
+  later(drawTime(300, 2500), [&At] {
+    At.UpstreamLink_.heal();
+    At.UpstreamBusy_ = false;
+  });
+}
+
+void SoakRun::Impl::shed(Place &At) {
+  At.UpstreamBusy_ = true;
+  At.Machine_.upstream().setShedding(true);
+  later(drawTime(500, 2500), [&At] {
+    At.Machine_.upstream().setShedding(false);
+    At.UpstreamBusy_ = false;
+  });
+}
+
+// The node forgets its upstream and meets one whose health check is wrong.
+void SoakRun::Impl::lieOnHealth(Place &At) {
+  At.UpstreamBusy_ = true;
+  At.Machine_.upstream().setHealthAnswer(503);
+  killNode(At);
+  later(drawTime(2500, 4000), [&At] {
+    At.Machine_.upstream().setHealthAnswer(200);
+    At.UpstreamBusy_ = false;
+  });
+}
+
+// The node may be stopped, killed or paused meanwhile.
+void SoakRun::Impl::leave(Place &At) {
+  At.UpstreamBusy_ = true;
+  At.State_ = "draining";
+  At.Machine_.upstream().setHealthAnswer(503);
+  if (!At.NodeBusy_ && reportOf(At, At.State_) == 200)
+    checkDrain(At);
+  later(LeavingTime + TickSpan, [this, &At] {
+    ++At.Lives_;
+    At.Machine_.upstream().startLife("i-" + At.Machine_.ip() + "-" +
+                                         std::to_string(At.Lives_),
+                                     Clock_.wallNow().whole());
+    At.Machine_.upstream().setHealthAnswer(200);
+    At.State_ = "ready";
+    At.UpstreamBusy_ = false;
+  });
+}
+
+void SoakRun::Impl::checkDrain(Place &At) {
+  later(DrainTime, [this, &At] {
+    size_t Before = At.Machine_.upstream().arrived();
+    later(LeavingTime - DrainTime - TickSpan, [this, &At, Before] {
+      size_t After = At.Machine_.upstream().arrived();
+      if (After != Before)
+        Ledger_.broken(std::to_string(After - Before) +
+                       " calls reached the leaving upstream at " +
+                       At.Machine_.ip());
+    });
+  });
+}
+
+void SoakRun::Impl::settle() {
+  while (!Due_.empty())
+    tickUntil(Clock_.now() + TickSpan);
+}
+
+void SoakRun::Impl::checkRecovery() {
+  constexpr int InARow = 10;
+  Millis Until = Clock_.now() + RecoveryTime;
+  for (auto &Each : Places_)
+    for (int Good = 0, Tries = 0; Good < InARow; ++Tries) {
+      if (Clock_.now() > Until)
+        return Ledger_.broken("no recovery at " + Each->Machine_.ip());
+      int Status = 0;
+      try {
+        Status = Each->Machine_
+                     .call("GET", "/safe/recovered",
+                           "recovery-" + std::to_string(Tries))
+                     .Status_;
+      } catch (const HttpError &) {
+      }
+      Good = Status == 200 ? Good + 1 : 0;
+      tickUntil(Clock_.now() + TickSpan);
+    }
+}
+
+// Within the time to apply, each node sends calls where the newest says.
+void SoakRun::Impl::checkConfig() {
+  constexpr Millis ApplyTime(2000);
+  putConfig();
+  tickUntil(Clock_.now() + ApplyTime);
+  std::string Wanted = Version_ % 2 == 0 ? "beta" : "alpha";
+  for (auto &Each : Places_) {
+    std::string Id = "applied-" + Each->Machine_.ip();
+    try {
+      Each->Machine_.call("GET", "/safe/applied", Id);
+    } catch (const HttpError &Error) {
+      Ledger_.broken(std::string("after recovery: ") + Error.what());
+    }
+    size_t Alpha = Places_[0]->Machine_.runs(Id).size() +
+                   Places_[1]->Machine_.runs(Id).size();
+    size_t Beta = Places_[2]->Machine_.runs(Id).size();
+    if ((Wanted == "alpha" ? Beta : Alpha) > 0)
+      Ledger_.broken("configuration " + std::to_string(Version_) +
+                     " is not in force at " + Each->Machine_.ip());
+  }
+}
+
+bool SoakRun::Impl::finish() {
+  std::vector<PlatformUpstream::Run> Runs;
+  for (auto &Each : Places_)
+    for (auto &Run : Each->Machine_.upstream().runs())
+      Runs.push_back(std::move(Run));
+  Ledger_.check(Runs);
+  auto Findings = Ledger_.findings();
+  std::cout << "seed=" << Options_.Seed_
+            << " verdict=" << (Findings.empty() ? "kept" : "broken") << ' '
+            << Ledger_.counts() << " faults=" << Played_ << std::endl;
+  for (const std::string &Each : Findings)
+    std::cout << "  " << Each << std::endl;
+  if (!Findings.empty())
+    keepLogs();
+  return Findings.empty();
+}
+
+void SoakRun::Impl::keepLogs() const {
+  for (const auto &Each : Places_) {
+    std::string File = Options_.Folder_ + "/seed-" +
+                       std::to_string(Options_.Seed_) + "-" +
+                       Each->Machine_.ip() + ".log";
+    std::ofstream(File) << Each->Machine_.output();
+    std::cout << "  log " << File << std::endl;
+  }
+}
+
+SoakRun::SoakRun(const Options &Given) : Impl_(std::make_unique<Impl>(Given)) {}
+
+SoakRun::~SoakRun() = default;
+
+bool SoakRun::play() { return Impl_->play(); }
+
+} // namespace coltsfoot
