Take reports without a start for the life that is known, also when checked

Cause: found on reading the change once more. One that does not tell its start names no equal life, so it neither opened a gate nor renewed its lease. Ruled out: comparing names alone where it matters, as a later life may have the same name; InstanceRecord has decided that already. Change: a report that counts takes over the life that InstanceRecord knows.

--- a/src/libcoordination/instancekeeper.cpp
+++ b/src/libcoordination/instancekeeper.cpp
@@ -136,6 +136,9 @@
          {"service", Report.Service_},
          {"outcome",
           Effect == InstanceRecord::Effect::Ignored ? "ignored" : "changed"}});
+  // One that does not tell its start means the life that is known.
+  if (Effect != InstanceRecord::Effect::Ignored)
+    Report.Life_ = *Record_.life();
   apply(Report, Effect);
   // The gate is closed by now for what the report says has begun to leave.
   Exchange->respond(Dialect_.acknowledgement());
--- a/testsuite/common/platformupstream.cpp
+++ b/testsuite/common/platformupstream.cpp
@@ -35,7 +35,8 @@
   {
     std::lock_guard<std::mutex> Lock(Mutex_);
     Body["sequence"] = ++Sequence_;
-    Body["born"] = BornWallMs_;
+    if (TellsBorn_)
+      Body["born"] = BornWallMs_;
     Instance = ReportedInstance_;
   }
   return request(Ip, Port, "POST", "/instances/" + Instance + "/heartbeat", {},
@@ -63,6 +64,11 @@
   HealthAnswer_ = Status;
 }
 
+void PlatformUpstream::setTellsBorn(bool Tells) {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  TellsBorn_ = Tells;
+}
+
 void PlatformUpstream::startLife(const std::string &Instance,
                                  int64_t BornWallMs) {
   std::lock_guard<std::mutex> Lock(Mutex_);
--- a/testsuite/common/platformupstream.h
+++ b/testsuite/common/platformupstream.h
@@ -48,6 +48,8 @@
   void setShedding(bool Shedding);
   /// What its health check says from now on, whatever the truth.
   void setHealthAnswer(int Status);
+  /// From now on its reports tell when its life began, or do not.
+  void setTellsBorn(bool Tells);
   /// Begins a new life: another instance, whose reports count anew.
   void startLife(const std::string &Instance, int64_t BornWallMs);
   /// Changes the instance that the upstream says it is, not its reports.
@@ -65,6 +67,7 @@
   std::string Instance_;
   std::string ReportedInstance_;
   int64_t BornWallMs_;
+  bool TellsBorn_ = true;
   int64_t Sequence_ = 0;
   bool Shedding_ = false;
   int HealthAnswer_ = 200;
--- a/testsuite/platform/platform_test.cpp
+++ b/testsuite/platform/platform_test.cpp
@@ -73,6 +73,18 @@
         Patience, "both gates are known");
   }
 
+  /// Waits until calls that enter at a machine reach the upstream of another
+  /// once more.
+  void waitForWork(Machine &Gate, Machine &Entry) {
+    size_t Before = Gate.runs("").size();
+    waitUntil(
+        [&] {
+          Entry.call("GET", "/safe/x", "well-");
+          return Gate.runs("").size() > Before;
+        },
+        Patience, "the gate has opened");
+  }
+
   PlatformStore &store() { return Store_; }
   Machine &machine(int Number) { return *Machines_[size_t(Number) - 1]; }
 
@@ -265,13 +277,23 @@
     usleep(300'000);
     Site.machine(1).report();
   }
-  size_t Before = Site.machine(1).runs("").size();
-  waitUntil(
-      [&] {
-        Site.machine(3).call("GET", "/safe/x", "well-");
-        return Site.machine(1).runs("").size() > Before;
-      },
-      Patience, "the gate has opened");
+  Site.waitForWork(Site.machine(1), Site.machine(3));
+}
+
+// Such reports were taken for those of another life and opened nothing.
+TEST_CASE("reports that do not tell their start speak of the known life") {
+  Site Site;
+  Site.startWith(platformConfiguration(3, "alpha"));
+  Site.machine(1).upstream().setHealthAnswer(503);
+  Site.machine(1).stop(SIGKILL);
+  Site.machine(1).start();
+  Site.machine(1).report();
+  Site.machine(1).upstream().setTellsBorn(false);
+  for (int I = 0; I < 3; ++I) {
+    usleep(300'000);
+    Site.machine(1).report();
+  }
+  Site.waitForWork(Site.machine(1), Site.machine(3));
 }
 
 TEST_CASE("a planned stop cuts nothing and readiness tells at once") {
