Say once what stood twice in the platform work and the soak

Cause: on reading the change once more: the record of an ended call, the trimming of field values, the order of log steps, the name of the node's program and the end of a soak's fault were each written twice or more; the soak split addresses and converted times by hand beside parseIpPort() and toChrono(). RetryBudget's comment told of a charge that no entry makes. Ruled out: taking objective_ms out of Offer, RetryBudget::charge and InstanceReport::ColdRemaining_ out of the product here: the first changes the wire, the others carry assertions of tests; they stay noted. Change: callRecord(), trimmed() of httpframing, sortByTime(), NodeProgram of process.h, endLater() and serviceOf() of the soak; draws of a seed keep their order.

--- a/src/coltsfootctl/logstory.cpp
+++ b/src/coltsfootctl/logstory.cpp
@@ -103,6 +103,13 @@
   return {};
 }
 
+void sortByTime(std::vector<LogStep> &Steps) {
+  std::stable_sort(Steps.begin(), Steps.end(),
+                   [](const LogStep &Left, const LogStep &Right) {
+                     return Left.TimeMs_ < Right.TimeMs_;
+                   });
+}
+
 std::vector<LogStep> findSteps(std::istream &Log, std::string_view RequestId) {
   std::vector<LogStep> Steps;
   std::string Line;
@@ -114,10 +121,7 @@
     if (Step && belongs(*Step, RequestId))
       Steps.push_back(std::move(*Step));
   }
-  std::stable_sort(Steps.begin(), Steps.end(),
-                   [](const LogStep &Left, const LogStep &Right) {
-                     return Left.TimeMs_ < Right.TimeMs_;
-                   });
+  sortByTime(Steps);
   return Steps;
 }
 
--- a/src/coltsfootctl/logstory.h
+++ b/src/coltsfootctl/logstory.h
@@ -28,6 +28,9 @@
 /// may come in any order; what is no log line is passed over.
 std::vector<LogStep> findSteps(std::istream &Log, std::string_view RequestId);
 
+/// Puts steps of several logs into the order of their times.
+void sortByTime(std::vector<LogStep> &Steps);
+
 /// Returns in a few words what a step means; empty where its event says all.
 std::string meaningOf(const LogStep &Step);
 
--- a/src/coltsfootctl/showcommands.cpp
+++ b/src/coltsfootctl/showcommands.cpp
@@ -7,7 +7,6 @@
 #include "resourcefile.h"
 #include "table.h"
 
-#include <algorithm>
 #include <boost/json.hpp>
 #include <fstream>
 #include <iostream>
@@ -124,10 +123,7 @@
     for (LogStep &Step : findSteps(Log, Given.Arguments_[0]))
       All.push_back(std::move(Step));
   }
-  std::stable_sort(All.begin(), All.end(),
-                   [](const LogStep &Left, const LogStep &Right) {
-                     return Left.TimeMs_ < Right.TimeMs_;
-                   });
+  sortByTime(All);
   return All;
 }
 
--- a/src/libcoordination/entry.cpp
+++ b/src/libcoordination/entry.cpp
@@ -118,14 +118,8 @@
 
   /// Returns the record of a call that ends here.
   CallRecord recordOf(const Verdict &Outcome) const {
-    return {Request_.Service_,
-            Request_.Route_.Name_,
-            Request_.Route_.Rank_,
-            verdictName(Outcome),
-            reasonName(reasonOf(Outcome)),
-            statusOf(Outcome),
-            Parts_.Knowledge_.Clock_->now() - Now_,
-            Request_.Depth_ == 0};
+    return callRecord(Request_, Outcome, statusOf(Outcome),
+                      Parts_.Knowledge_.Clock_->now() - Now_);
   }
 
 private:
--- a/src/libcoordination/entrycall.cpp
+++ b/src/libcoordination/entrycall.cpp
@@ -90,6 +90,18 @@
   return {"Coltsfoot-Retry-Token", sealRetryToken(Token, Parts.Office_.keys())};
 }
 
+CallRecord callRecord(const EntryRequest &Request, const Verdict &Outcome,
+                      int Status, Millis Latency) {
+  return {Request.Service_,
+          Request.Route_.Name_,
+          Request.Route_.Rank_,
+          verdictName(Outcome),
+          reasonName(reasonOf(Outcome)),
+          Status,
+          Latency,
+          Request.Depth_ == 0};
+}
+
 Millis spreadWait(Millis Least, uint64_t Random) {
   auto Span = static_cast<uint64_t>(std::max<int64_t>(1, Least.whole()));
   return Least + Millis(static_cast<double>(Random % Span));
@@ -590,10 +602,7 @@
 
 void EntryCall::record(const Verdict &Outcome, int Status) {
   if (Parts_->OnEnd_)
-    Parts_->OnEnd_({Request_.Service_, Request_.Route_.Name_,
-                    Request_.Route_.Rank_, verdictName(Outcome),
-                    reasonName(reasonOf(Outcome)), Status, now() - Started_,
-                    Request_.Depth_ == 0});
+    Parts_->OnEnd_(callRecord(Request_, Outcome, Status, now() - Started_));
 }
 
 void EntryCall::respond(const Verdict &Outcome, const std::string &Successor) {
--- a/src/libcoordination/entrycall.h
+++ b/src/libcoordination/entrycall.h
@@ -77,6 +77,11 @@
 HttpField retryTokenField(const EntryRequest &Request, int Credits,
                           const EntryParts &Parts);
 
+/// Returns the record of a call that ends with this outcome and status, Latency
+/// after it came.
+CallRecord callRecord(const EntryRequest &Request, const Verdict &Outcome,
+                      int Status, Millis Latency);
+
 /// Returns a wait of Least and up to as much again, by a random number, so that
 /// callers which were refused together stay apart.
 Millis spreadWait(Millis Least, uint64_t Random);
--- a/src/libstate/retrybudget.h
+++ b/src/libstate/retrybudget.h
@@ -16,9 +16,9 @@
 /// the earned part of its requests plus what the entries had saved, whoever
 /// is killed or cut off meanwhile. A fresh process starts without tokens.
 ///
-/// A repeated run repeats the calls that it makes, so a retry is charged to
-/// the services below as well: charge() takes from them without asking, and
-/// a service in debt grants nothing until it has earned that back.
+/// A repeated run repeats the calls that it makes. charge() is for those: it
+/// takes from the services below without asking, and a service in debt grants
+/// nothing until it has earned that back. Entries do not call it yet.
 ///
 /// Thread-safe: one mutex, under which nothing else is called.
 class RetryBudget {
--- a/src/libtransport/httpframing.cpp
+++ b/src/libtransport/httpframing.cpp
@@ -18,14 +18,6 @@
   return C >= 'A' && C <= 'Z' ? static_cast<char>(C - 'A' + 'a') : C;
 }
 
-std::string_view trimmed(std::string_view Text) {
-  constexpr std::string_view Blanks = " \t";
-  size_t First = Text.find_first_not_of(Blanks);
-  if (First == std::string_view::npos)
-    return {};
-  return Text.substr(First, Text.find_last_not_of(Blanks) - First + 1);
-}
-
 /// Whether the line is a method, a target and a version, one blank between.
 bool isRequestLine(std::string_view Line) {
   constexpr std::string_view Version = "HTTP/0.0";
@@ -78,6 +70,14 @@
 
 } // namespace
 
+std::string_view trimmed(std::string_view Text) {
+  constexpr std::string_view Blanks = " \t";
+  size_t First = Text.find_first_not_of(Blanks);
+  if (First == std::string_view::npos)
+    return {};
+  return Text.substr(First, Text.find_last_not_of(Blanks) - First + 1);
+}
+
 bool isHttpToken(std::string_view Name) {
   constexpr std::string_view Marks = "!#$%&'*+-.^_`|~";
   return !Name.empty() && std::all_of(Name.begin(), Name.end(), [&](char C) {
--- a/src/libtransport/httpframing.h
+++ b/src/libtransport/httpframing.h
@@ -25,6 +25,9 @@
 /// Returns whether two names are equal without regard to case.
 bool equalNames(std::string_view Left, std::string_view Right);
 
+/// Returns the text without blanks and tabs at its ends.
+std::string_view trimmed(std::string_view Text);
+
 /// Checks a request's head, from its request line to the empty line. Returns
 /// what is wrong, or an empty view. Refused are bare line breaks, folded
 /// lines, control characters, more than one Host, Content-Length or
--- a/testsuite/common/fleet.cpp
+++ b/testsuite/common/fleet.cpp
@@ -20,8 +20,6 @@
       std::stoi(Address.substr(Address.rfind(':') + 1)));
 }
 
-constexpr char NodeProgram[] = COLTSFOOT_BIN_DIR "/coltsfootd";
-
 std::string quoted(const std::string &Text) { return '"' + Text + '"'; }
 
 } // namespace
--- a/testsuite/common/platformmachine.cpp
+++ b/testsuite/common/platformmachine.cpp
@@ -10,7 +10,6 @@
 constexpr Millis Patience(15000);
 constexpr uint16_t PeerPort = 7620;
 constexpr uint16_t OwnPort = 9464;
-constexpr char NodeProgram[] = COLTSFOOT_BIN_DIR "/coltsfootd";
 
 } // namespace
 
--- a/testsuite/common/process.cpp
+++ b/testsuite/common/process.cpp
@@ -12,6 +12,8 @@
 
 namespace coltsfoot {
 
+const std::string NodeProgram = COLTSFOOT_BIN_DIR "/coltsfootd";
+
 namespace {
 
 using SteadyClock = std::chrono::steady_clock;
--- a/testsuite/common/process.h
+++ b/testsuite/common/process.h
@@ -12,6 +12,9 @@
 
 namespace coltsfoot {
 
+/// The program of a node, as it was built with the tests.
+extern const std::string NodeProgram;
+
 /// Thrown when something that a test waits for does not come in time; the text
 /// holds what was waited for and the output collected so far.
 class WaitTimeout : public std::runtime_error {
--- a/testsuite/soak/soakrun.cpp
+++ b/testsuite/soak/soakrun.cpp
@@ -3,6 +3,9 @@
 #include "faultproxy.h"
 #include "platformmachine.h"
 #include "platformstore.h"
+#include "timer.h"
+
+#include "coltsfootpoint/ipport.h"
 
 #include <atomic>
 #include <csignal>
@@ -31,9 +34,11 @@
 constexpr Millis UpstreamWork(15);
 constexpr Millis TickSpan(20);
 
-void sleepFor(Millis Time) {
-  std::this_thread::sleep_for(
-      std::chrono::microseconds(static_cast<int64_t>(Time.count() * 1000)));
+void sleepFor(Millis Time) { std::this_thread::sleep_for(toChrono(Time)); }
+
+/// The service to which a version sends the calls that may be repeated.
+std::string serviceOf(int Version) {
+  return Version % 2 == 0 ? "beta" : "alpha";
 }
 
 /// A machine whose links to its upstream and to the store can be disturbed,
@@ -51,9 +56,8 @@
   }
 
   static void target(FaultProxy &Link, const std::string &Address) {
-    size_t Colon = Address.find(':');
-    Link.setTarget(Address.substr(0, Colon),
-                   static_cast<uint16_t>(std::stoi(Address.substr(Colon + 1))));
+    IpPort Parsed = parseIpPort(Address).value();
+    Link.setTarget(Parsed.Ip_, Parsed.Port_);
   }
 
   FaultProxy StoreLink_;
@@ -103,6 +107,7 @@
   void reportAll();
   int reportOf(Place &At, const std::string &State);
   void later(Millis Delay, std::function<void()> Act);
+  void endLater(bool &Busy, Millis Delay, std::function<void()> End);
   void putConfig();
   bool finish();
   void keepLogs() const;
@@ -162,7 +167,7 @@
 }
 
 void SoakRun::Impl::startAll() {
-  Store_.put("config", platformConfiguration(Version_, "alpha"));
+  Store_.put("config", platformConfiguration(Version_, serviceOf(Version_)));
   for (auto &Each : Places_)
     Each->Machine_.start();
   for (auto &Each : Places_)
@@ -242,6 +247,16 @@
   Due_.push_back({Clock_.now() + Delay, std::move(Act)});
 }
 
+// While a fault goes on no other one is drawn for the same thing.
+void SoakRun::Impl::endLater(bool &Busy, Millis Delay,
+                             std::function<void()> End) {
+  Busy = true;
+  later(Delay, [&Busy, End = std::move(End)] {
+    End();
+    Busy = false;
+  });
+}
+
 void SoakRun::Impl::tickUntil(Millis Until) {
   while (Clock_.now() < Until) {
     // An action may plan further ones.
@@ -283,12 +298,8 @@
 }
 
 void SoakRun::Impl::killNode(Place &At) {
-  At.NodeBusy_ = true;
   At.Machine_.stop(SIGKILL);
-  later(drawTime(0, 1500), [&At] {
-    At.Machine_.start();
-    At.NodeBusy_ = false;
-  });
+  endLater(At.NodeBusy_, drawTime(0, 1500), [&At] { At.Machine_.start(); });
 }
 
 void SoakRun::Impl::stopNode(Place &At) {
@@ -315,23 +326,16 @@
 }
 
 void SoakRun::Impl::pauseNode(Place &At) {
-  At.NodeBusy_ = true;
   At.Machine_.node().pause();
-  later(drawTime(50, 2500), [&At] {
-    At.Machine_.node().resume();
-    At.NodeBusy_ = false;
-  });
+  endLater(At.NodeBusy_, drawTime(50, 2500),
+           [&At] { At.Machine_.node().resume(); });
 }
 
 void SoakRun::Impl::hangUp(Place &At) { At.Machine_.node().kill(SIGHUP); }
 
 void SoakRun::Impl::storeDown(Place &) {
-  StoreBusy_ = true;
   Store_.setDown(true);
-  later(drawTime(300, 4000), [this] {
-    Store_.setDown(false);
-    StoreBusy_ = false;
-  });
+  endLater(StoreBusy_, drawTime(300, 4000), [this] { Store_.setDown(false); });
 }
 
 void SoakRun::Impl::storeLink(Place &At) {
@@ -359,12 +363,10 @@
 
 void SoakRun::Impl::putConfig() {
   ++Version_;
-  Store_.put("config", platformConfiguration(
-                           Version_, Version_ % 2 == 0 ? "beta" : "alpha"));
+  Store_.put("config", platformConfiguration(Version_, serviceOf(Version_)));
 }
 
 void SoakRun::Impl::upstreamLink(Place &At) {
-  At.UpstreamBusy_ = true;
   switch (draw(5)) {
   case 0:
     At.UpstreamLink_.cut(Which::Existing);
@@ -382,30 +384,22 @@
     At.UpstreamLink_.delay(drawTime(20, 600));
     break;
   }
-  later(drawTime(300, 2500), [&At] {
-    At.UpstreamLink_.heal();
-    At.UpstreamBusy_ = false;
-  });
+  endLater(At.UpstreamBusy_, drawTime(300, 2500),
+           [&At] { At.UpstreamLink_.heal(); });
 }
 
 void SoakRun::Impl::shed(Place &At) {
-  At.UpstreamBusy_ = true;
   At.Machine_.upstream().setShedding(true);
-  later(drawTime(500, 2500), [&At] {
-    At.Machine_.upstream().setShedding(false);
-    At.UpstreamBusy_ = false;
-  });
+  endLater(At.UpstreamBusy_, drawTime(500, 2500),
+           [&At] { At.Machine_.upstream().setShedding(false); });
 }
 
 // The node forgets its upstream and meets one whose health check is wrong.
 void SoakRun::Impl::lieOnHealth(Place &At) {
-  At.UpstreamBusy_ = true;
   At.Machine_.upstream().setHealthAnswer(503);
   killNode(At);
-  later(drawTime(2500, 4000), [&At] {
-    At.Machine_.upstream().setHealthAnswer(200);
-    At.UpstreamBusy_ = false;
-  });
+  endLater(At.UpstreamBusy_, drawTime(2500, 4000),
+           [&At] { At.Machine_.upstream().setHealthAnswer(200); });
 }
 
 // The node may be stopped, killed or paused meanwhile.
@@ -469,7 +463,7 @@
   constexpr Millis ApplyTime(2000);
   putConfig();
   tickUntil(Clock_.now() + ApplyTime);
-  std::string Wanted = Version_ % 2 == 0 ? "beta" : "alpha";
+  std::string Wanted = serviceOf(Version_);
   for (auto &Each : Places_) {
     std::string Id = "applied-" + Each->Machine_.ip();
     try {
