--- a/src/cmake/Dependencies.cmake
+++ b/src/cmake/Dependencies.cmake
@@ -12,17 +12,15 @@
 find_path(THRIFT_INCLUDE_DIR thrift/TProcessor.h REQUIRED)
 find_library(THRIFT_LIBRARY thrift REQUIRED)
 
-find_program(CCACHE_PROGRAM ccache)
-if(CCACHE_PROGRAM)
-  set(CMAKE_CXX_COMPILER_LAUNCHER ${CCACHE_PROGRAM})
-endif()
-
 # Compile options and libraries that every target of the project shares.
 add_library(coltsfoot_options INTERFACE)
 target_compile_options(coltsfoot_options INTERFACE -Wall -Wextra -Werror
                        -Wno-missing-field-initializers)
 target_compile_definitions(coltsfoot_options INTERFACE BOOST_LOG_DYN_LINK
                            BOOST_ASIO_NO_DEPRECATED
+                           # Compiled once, in src/libutil/asioparts.cpp.
+                           BOOST_ASIO_SEPARATE_COMPILATION
+                           BOOST_BEAST_SEPARATE_COMPILATION
                            COLTSFOOTPOINT_VERSION="${PROJECT_VERSION}")
 target_include_directories(coltsfoot_options INTERFACE
                            ${CMAKE_SOURCE_DIR}/src/include)
@@ -46,3 +44,9 @@
     add_compile_definitions(BOOST_ASIO_DISABLE_FENCED_BLOCK)
   endif()
 endif()
+
+# The test runner with its main(), compiled once for all test programs.
+if(COLTSFOOT_TESTS)
+  add_library(doctest_main OBJECT
+              ${CMAKE_SOURCE_DIR}/testsuite/common/doctest_main.cpp)
+endif()
