--- a/src/cmake/Dependencies.cmake
+++ b/src/cmake/Dependencies.cmake
@@ -12,6 +12,8 @@
 find_path(THRIFT_INCLUDE_DIR thrift/TProcessor.h REQUIRED)
 find_library(THRIFT_LIBRARY thrift REQUIRED)
 
+find_library(JEMALLOC_LIBRARY jemalloc REQUIRED)
+
 # Compile options and libraries that every target of the project shares.
 add_library(coltsfoot_options INTERFACE)
 target_compile_options(coltsfoot_options INTERFACE -Wall -Wextra -Werror
