Tell lost log lines until somebody reads it; a reader that stops, tested

Cause: the line log_left_out took its counts with it when it was lost itself: while nobody read, only the last second's losses were told afterwards. Change: a summary that was not written goes into the next one.

--- a/src/libutil/log.cpp
+++ b/src/libutil/log.cpp
@@ -68,6 +68,10 @@
   return Shared;
 }
 
+/// Whether the last line of this thread was written; the sink tells it here,
+/// since the library's way back from it is void.
+thread_local bool LastWritten = false;
+
 /// Writes lines to standard output where it takes them at once.
 class OutputBackend : public boost::log::sinks::basic_formatted_sink_backend<
                           char, boost::log::sinks::synchronized_feeding> {
@@ -76,7 +80,8 @@
     pollfd Output{STDOUT_FILENO, POLLOUT, 0};
     bool Ready = poll(&Output, 1, 0) == 1 && (Output.revents & POLLOUT) != 0;
     std::string Bytes = Line.substr(0, MaxLineBytes - 1) + '\n';
-    if (Ready && write(STDOUT_FILENO, Bytes.data(), Bytes.size()) > 0)
+    LastWritten = Ready && write(STDOUT_FILENO, Bytes.data(), Bytes.size()) > 0;
+    if (LastWritten)
       return;
     std::lock_guard<std::mutex> Lock(LimiterMutex);
     limiter().noteLost("unwritten");
@@ -128,8 +133,11 @@
   }
   if (Admitted)
     writeLine(Line);
-  if (LeftOut)
-    writeLine(lineHead(LogLevel::Warning, "log_left_out") + ' ' + *LeftOut);
+  if (!LeftOut)
+    return;
+  writeLine(lineHead(LogLevel::Warning, "log_left_out") + ' ' + *LeftOut);
+  std::lock_guard<std::mutex> Lock(LimiterMutex);
+  limiter().summaryEnded(LastWritten);
 }
 
 } // namespace
--- a/src/libutil/loglimiter.cpp
+++ b/src/libutil/loglimiter.cpp
@@ -57,16 +57,24 @@
 }
 
 std::optional<std::string> LogLimiter::takeSummary(Millis Now) {
-  if (ByEvent_.empty() || Now - SummaryAt_ < SummaryEvery)
+  if (ByEvent_.empty() || !BeingTold_.empty() ||
+      Now - SummaryAt_ < SummaryEvery)
     return {};
   SummaryAt_ = Now;
+  BeingTold_.swap(ByEvent_);
   std::string Text;
-  for (const auto &[Event, Lines] : ByEvent_) {
+  for (const auto &[Event, Lines] : BeingTold_) {
     Text += Text.empty() ? "" : " ";
     Text += Event + "=" + std::to_string(Lines);
   }
-  ByEvent_.clear();
   return Text;
 }
 
+void LogLimiter::summaryEnded(bool Written) {
+  if (!Written)
+    for (const auto &[Event, Lines] : BeingTold_)
+      ByEvent_[Event] += Lines;
+  BeingTold_.clear();
+}
+
 } // namespace coltsfoot
--- a/src/libutil/loglimiter.h
+++ b/src/libutil/loglimiter.h
@@ -30,7 +30,10 @@
 
   /// Returns the lines left out since the last summary, such as
   /// `call_ended=12`, when there are any and the last one is a second old.
+  /// summaryEnded() must follow; until then there is no other summary.
   std::optional<std::string> takeSummary(Millis Now);
+  /// Tells whether the summary was written; one that wasn't goes into the next.
+  void summaryEnded(bool Written);
 
   /// Returns how many lines were left out since the start.
   uint64_t leftOut() const { return LeftOut_; }
@@ -41,7 +44,9 @@
   Millis FilledAt_;
   Millis SummaryAt_;
   uint64_t LeftOut_ = 0;
-  std::map<std::string, uint64_t, std::less<>> ByEvent_;
+  using Counts = std::map<std::string, uint64_t, std::less<>>;
+  Counts ByEvent_;
+  Counts BeingTold_;
 };
 
 } // namespace coltsfoot
--- a/src/libutil/loglimiter_test.cpp
+++ b/src/libutil/loglimiter_test.cpp
@@ -39,8 +39,22 @@
   admitted(Limiter, LogAbout::State, 6, Millis(5000));
   Limiter.noteLost("other");
   CHECK(Limiter.takeSummary(Millis(5000)) == "line=2 other=1");
+  Limiter.summaryEnded(true);
   CHECK_FALSE(Limiter.takeSummary(Millis(5000)).has_value());
   Limiter.noteLost("other");
   CHECK_FALSE(Limiter.takeSummary(Millis(5500)).has_value());
   CHECK(Limiter.takeSummary(Millis(6000)) == "other=1");
 }
+
+TEST_CASE("a summary that nobody took goes into the next") {
+  LogLimiter Limiter(100);
+  Limiter.noteLost("one");
+  CHECK(Limiter.takeSummary(Millis(5000)) == "one=1");
+  Limiter.noteLost("one");
+  CHECK_FALSE(Limiter.takeSummary(Millis(6000)).has_value());
+  Limiter.noteLost("two");
+  Limiter.summaryEnded(false);
+  CHECK(Limiter.takeSummary(Millis(7000)) == "one=2 two=1");
+  Limiter.summaryEnded(true);
+  CHECK_FALSE(Limiter.takeSummary(Millis(8000)).has_value());
+}
--- a/testsuite/common/fleet.cpp
+++ b/testsuite/common/fleet.cpp
@@ -112,7 +112,8 @@
   Text += "[membership]\n" + Spec.Membership_ + "peers = [";
   for (const std::string &Peer : Spec.Peers_)
     Text += quoted(Peer) + ",";
-  Text += "]\n[limits]\n" + Spec.Limits_ + "[timeouts]\n" + Spec.Timeouts_;
+  Text += "]\n[limits]\n" + Spec.Limits_ + "[timeouts]\n" + Spec.Timeouts_ +
+          "[logging]\n" + Spec.Logging_;
   Text += "[security]\nticket_key_file = " + quoted(Folder_ + "/key") +
           "\noperator_token_file = " + quoted(Folder_ + "/token") + "\n";
   return Text;
--- a/testsuite/common/fleet.h
+++ b/testsuite/common/fleet.h
@@ -42,6 +42,7 @@
   std::string Limits_;
   std::string Timeouts_;
   std::string LogService_;
+  std::string Logging_;
 };
 
 /// A running node of a test's fleet.
--- a/testsuite/common/process.cpp
+++ b/testsuite/common/process.cpp
@@ -44,6 +44,7 @@
   bool reap();
   /// Sends a signal while the id is surely still the child's.
   void signal(int Number);
+  void setReading(bool Reading);
 
   std::string Program_;
   /// Held from the pipes' creation to the child's start, so that no sibling
@@ -58,6 +59,7 @@
   std::vector<std::string> Lines_;
   std::string StandardOutput_;
   int OpenStreams_ = 2;
+  bool Reading_ = true;
 
   std::mutex ChildLock_;
   std::optional<int> ExitCode_;
@@ -86,6 +88,7 @@
 
 Process::Impl::~Impl() {
   signal(SIGKILL);
+  setReading(true);
   {
     std::lock_guard Guard(ChildLock_);
     if (!ExitCode_)
@@ -98,11 +101,13 @@
 void Process::Impl::collect(boost::process::ipstream &Stream, bool Standard) {
   std::string Line;
   while (std::getline(Stream, Line)) {
-    std::lock_guard Guard(LinesLock_);
+    std::unique_lock Guard(LinesLock_);
     if (Standard)
       StandardOutput_ += Line + "\n";
     Lines_.push_back(Line);
     Changed_.notify_all();
+    if (Standard)
+      Changed_.wait(Guard, [this] { return Reading_; });
   }
   std::lock_guard Guard(LinesLock_);
   --OpenStreams_;
@@ -144,6 +149,12 @@
   return true;
 }
 
+void Process::Impl::setReading(bool Reading) {
+  std::lock_guard Guard(LinesLock_);
+  Reading_ = Reading;
+  Changed_.notify_all();
+}
+
 void Process::Impl::signal(int Number) {
   std::lock_guard Guard(ChildLock_);
   if (!reap())
@@ -205,6 +216,8 @@
 
 void Process::pause() { Impl_->signal(SIGSTOP); }
 
+void Process::setReading(bool Reading) { Impl_->setReading(Reading); }
+
 void Process::resume() { Impl_->signal(SIGCONT); }
 
 int Process::wait(Millis Timeout) {
--- a/testsuite/common/process.h
+++ b/testsuite/common/process.h
@@ -63,6 +63,9 @@
   void pause();
   /// Continues the process by SIGCONT.
   void resume();
+  /// Tells whether standard output is read on. While it isn't, the process'
+  /// pipe fills; what was in it is collected once it is read again.
+  void setReading(bool Reading);
   /// Waits for the end and for the rest of the output. Returns the exit code,
   /// or 128 plus the number of the signal that ended it. Throws WaitTimeout.
   int wait(Millis Timeout);
