Explore every order of the ticket protocol's events in a test

Change: ticketmodel_test plays two entries and three candidates, each of which may crash, with one lost connection and one doubled message, through all states; gates are real ticket tables, replayed, entries are the steps of EntryCall. Checked in each state: one run at most, ran and not run are true, one successor for everybody.

--- /dev/null
+++ b/src/libstate/ticketmodel_test.cpp
@@ -0,0 +1,476 @@
+/// The ticket protocol played out in every order: two entries offer one ticket
+/// with three candidates, while any candidate and either entry may crash, one
+/// connection is lost and one message arrives twice. The gates are real
+/// TicketTables; the entries are the steps of EntryCall, without its clock.
+
+#include "ticket.h"
+#include "tickettable.h"
+
+#include "coltsfootpoint/time.h"
+
+#include <algorithm>
+#include <array>
+#include <doctest/doctest.h>
+#include <string>
+#include <unordered_set>
+#include <vector>
+
+using namespace coltsfoot;
+
+namespace {
+
+constexpr int GateCount = 3;
+constexpr int EntryCount = 2;
+constexpr int SearchAfterFailures = 2;
+
+/// What an entry sends, and what it hears.
+enum Kind : char {
+  Offer = 'o',
+  Inquire = 'i', ///< Find or close.
+  Search = 's',  ///< Find only.
+  HeardRan = 'R',
+  HeardMaybe = 'M',
+  HeardUnknown = 'U',
+  HeardClosed = 'C',
+  HeardLost = 'L',     ///< The connection, after the message was sent.
+  HeardReplaced = 'P', ///< Another process is there.
+};
+
+struct Message {
+  char Kind_ = 0;
+  char Entry_ = 0;
+  char Number_ = 0;
+  char Gate_ = 0;
+  /// The successor that an answer brings; zero for none.
+  char Successor_ = 0;
+  auto operator<=>(const Message &) const = default;
+};
+
+/// What a gate was asked to do since its start, in order.
+enum Step : char {
+  TakeOffer = 'o',
+  TakeInquiry = 'i',
+  TakeSearch = 's',
+  Start = 'b',   ///< The backend server gets it: it counts as run.
+  Finish = 'f',  ///< It ran.
+  Decline = 'd', ///< The backend server certainly did not run it.
+  Close = 'c',   ///< It is refused in the queue.
+};
+
+struct GateStep {
+  char Step_ = 0;
+  char Entry_ = 0;
+  char Number_ = 0;
+};
+
+struct GateState {
+  std::vector<GateStep> Past_;
+  bool Gone_ = false;
+};
+
+enum End : char { Going = 0, EndRan, EndMaybe, EndNotRun, EndCrashed };
+
+struct EntryState {
+  char End_ = Going;
+  char Number_ = 0; ///< Of the message that it waits for.
+  char Sent_ = 0;   ///< What that was.
+  char Gate_ = 0;
+  char Failures_ = 0;
+  char AskAgain_ = -1;
+  char Successor_ = 0;
+};
+
+struct World {
+  std::array<GateState, GateCount> Gates_;
+  std::array<EntryState, EntryCount> Entries_;
+  std::vector<Message> Flying_;
+  char Runs_ = 0;
+  bool MayLose_ = true;
+  bool MayDouble_ = true;
+
+  /// Returns whether an entry still waits for the answer to this message.
+  bool awaited(int Entry, char Number) const {
+    const EntryState &Self = Entries_[size_t(Entry)];
+    return Self.End_ == Going && Self.Number_ == Number;
+  }
+};
+
+/// Plays a gate's past on a real table and then one step more.
+class GatePlay {
+public:
+  GatePlay(const GateState &Gate, int Number)
+      : Number_(Number), Table_(Time_, TicketTable::Limits{}) {
+    for (const GateStep &Each : Gate.Past_)
+      play(Each);
+    Said_.clear();
+  }
+
+  /// Returns what the gate says in answer.
+  std::vector<Message> play(const GateStep &Next) {
+    OutcomeHandler Handler = [this, Next](const Outcome &Told) {
+      say(Next, Told);
+    };
+    SuccessorMint Mint = [this] { return mint(); };
+    if (Next.Step_ == TakeOffer || Next.Step_ == TakeInquiry ||
+        Next.Step_ == TakeSearch)
+      Asked_.push_back(Next);
+    switch (Next.Step_) {
+    case TakeOffer:
+      Table_.offer(Ticket_, "digest", Handler);
+      break;
+    case TakeInquiry:
+      Table_.inquire(Ticket_, true, Reason::ConnectionLost, Mint, Handler,
+                     "digest");
+      break;
+    case TakeSearch:
+      Table_.inquire(Ticket_, false, Reason::ConnectionLost, Mint, Handler,
+                     "digest");
+      break;
+    case Start:
+      Table_.begin(Ticket_.Serial_);
+      break;
+    case Finish:
+      Table_.finish(Ticket_.Serial_, {.Verdict_ = Ran{Answer{200, {}, {}}}});
+      break;
+    case Decline:
+      Table_.begin(Ticket_.Serial_);
+      Table_.finish(Ticket_.Serial_, {.Verdict_ = NotRun{Reason::UpstreamShed},
+                                      .Successor_ = mint()});
+      break;
+    case Close:
+      Table_.close(Ticket_.Serial_, Reason::QueueTimeout, mint());
+      break;
+    default:
+      FAIL("no such step");
+    }
+    ++Played_;
+    return std::exchange(Said_, {});
+  }
+
+  /// Returns who waits for an answer, as bits of awaited entries.
+  char waiting(const World &Now) const {
+    char Bits = 0;
+    for (const GateStep &Each : Asked_)
+      if (Now.awaited(Each.Entry_, Each.Number_))
+        Bits = char(Bits | 1 << Each.Entry_);
+    return Bits;
+  }
+  bool queued() const { return Table_.figures().Queued_ > 0; }
+  bool running() const { return Table_.figures().Running_ > 0; }
+
+private:
+  // Each mint of a gate gives another ticket, and only the last gate mints.
+  std::string mint() const {
+    return Number_ + 1 == GateCount ? std::string(1, char('A' + Played_)) : "";
+  }
+
+  void say(const GateStep &To, const Outcome &Told) {
+    char Successor = Told.Successor_.empty() ? 0 : Told.Successor_.front();
+    char How = HeardUnknown;
+    if (std::holds_alternative<Ran>(Told.Verdict_))
+      How = HeardRan;
+    else if (Told.Closed_)
+      How = HeardClosed;
+    else if (Told.Verdict_ != Verdict(MayHaveRun{Reason::CandidateGone}))
+      How = HeardMaybe;
+    Said_.push_back({How, To.Entry_, To.Number_, char(Number_), Successor});
+    std::erase_if(Asked_, [&](const GateStep &Each) {
+      return Each.Entry_ == To.Entry_ && Each.Number_ == To.Number_;
+    });
+  }
+
+  const int Number_;
+  ManualClock Time_;
+  TicketTable Table_;
+  int Played_ = 0;
+  std::vector<Message> Said_;
+  std::vector<GateStep> Asked_;
+  const Ticket Ticket_{.Service_ = "s",
+                       .Route_ = "r",
+                       .Client_ = "c",
+                       .Serial_ = "serial",
+                       .ExpiryWall_ = Time_.wallNow() + Millis(30'000),
+                       .Candidates_ = {{"10.0.0.1:1", 1}}};
+};
+
+/// The steps of an entry, as EntryCall takes them.
+class EntrySteps {
+public:
+  EntrySteps(World &Now, int Number)
+      : World_(Now), Self_(Now.Entries_[size_t(Number)]), Number_(Number) {}
+
+  void offer(int Gate) { send(Offer, Gate); }
+
+  void hear(const Message &Heard) {
+    if (Self_.End_ != Going || Heard.Number_ != Self_.Number_)
+      return;
+    bool Lost = Heard.Kind_ == HeardLost || Heard.Kind_ == HeardReplaced;
+    if (Self_.Sent_ == Search)
+      return Lost ? search(Self_.Gate_ + 1) : onFound(Heard);
+    if (Lost)
+      return onLost(Heard.Kind_ == HeardReplaced);
+    onReply(Heard);
+  }
+
+private:
+  void send(Kind What, int Gate) {
+    Self_.Sent_ = What;
+    Self_.Gate_ = char(Gate);
+    ++Self_.Number_;
+    // To a process that is gone nothing is sent: the handshake tells.
+    bool Gone = World_.Gates_[size_t(Gate)].Gone_;
+    World_.Flying_.push_back({char(Gone ? HeardReplaced : What), char(Number_),
+                              Self_.Number_, char(Gate), 0});
+  }
+
+  void end(End How, char Successor = 0) {
+    Self_.End_ = How;
+    Self_.Successor_ = Successor;
+  }
+
+  void onReply(const Message &Heard) {
+    Self_.Failures_ = 0;
+    Self_.AskAgain_ = -1;
+    if (Heard.Kind_ == HeardRan)
+      return end(EndRan);
+    if (Heard.Kind_ != HeardClosed)
+      return end(EndMaybe);
+    if (Self_.Gate_ + 1 == GateCount)
+      return end(EndNotRun, Heard.Successor_);
+    offer(Self_.Gate_ + 1);
+  }
+
+  void onLost(bool Replaced) {
+    if (Replaced)
+      return search(Self_.Gate_ + 1);
+    if (++Self_.Failures_ % SearchAfterFailures == 0) {
+      Self_.AskAgain_ = Self_.Gate_;
+      return search(Self_.Gate_ + 1);
+    }
+    send(Inquire, Self_.Gate_);
+  }
+
+  void search(int Gate) {
+    if (Gate < GateCount)
+      return send(Search, Gate);
+    if (Self_.AskAgain_ < 0)
+      return end(EndMaybe);
+    send(Inquire, std::exchange(Self_.AskAgain_, char(-1)));
+  }
+
+  void onFound(const Message &Heard) {
+    if (Heard.Kind_ == HeardClosed)
+      return onReply(Heard);
+    if (Heard.Kind_ == HeardRan)
+      return end(EndRan);
+    if (Heard.Kind_ == HeardMaybe)
+      return end(EndMaybe);
+    search(Self_.Gate_ + 1);
+  }
+
+  World &World_;
+  EntryState &Self_;
+  const int Number_;
+};
+
+bool isRequest(const Message &Each) {
+  return Each.Kind_ == Offer || Each.Kind_ == Inquire || Each.Kind_ == Search;
+}
+
+/// Returns a text that two worlds share only when the same can follow from
+/// both: of a gate's past counts what it would answer, of messages whether they
+/// are waited for.
+std::string keyOf(const World &Now) {
+  constexpr char Nobody = EntryCount;
+  std::string Text;
+  for (int I = 0; I < GateCount; ++I) {
+    const GateState &Gate = Now.Gates_[size_t(I)];
+    GatePlay Play(Gate, I);
+    Text += Gate.Gone_ ? '!' : Play.queued() ? 'q' : Play.running() ? 'r' : '.';
+    Text += char('0' + Play.waiting(Now));
+    if (!Gate.Gone_ && !Play.queued() && !Play.running())
+      for (const Message &Said : Play.play({TakeSearch, Nobody, 0}))
+        Text += {Said.Kind_, char('0' + Said.Successor_)};
+  }
+  for (const EntryState &Each : Now.Entries_)
+    if (Each.End_ == Going)
+      Text += {'w', Each.Sent_, Each.Gate_, Each.Failures_, Each.AskAgain_};
+    else
+      Text += {'0', Each.End_, Each.Successor_};
+  std::vector<Message> Sorted = Now.Flying_;
+  for (Message &Each : Sorted)
+    Each.Number_ = Now.awaited(Each.Entry_, Each.Number_) ? 1 : 0;
+  std::sort(Sorted.begin(), Sorted.end());
+  for (const Message &Each : Sorted)
+    Text +=
+        {Each.Kind_, Each.Entry_, Each.Number_, Each.Gate_, Each.Successor_};
+  Text += {char('0' + Now.Runs_), Now.MayLose_ ? 'l' : '-',
+           Now.MayDouble_ ? 'd' : '-'};
+  return Text;
+}
+
+/// Explores every world that can follow from the first.
+class Explorer {
+public:
+  /// Returns the number of worlds seen.
+  size_t explore(const World &First) {
+    add(First);
+    while (!Open_.empty()) {
+      World Next = std::move(Open_.back());
+      Open_.pop_back();
+      follow(Next);
+    }
+    return Seen_.size();
+  }
+
+  size_t Ran_ = 0;
+  size_t NotRun_ = 0;
+  size_t Maybe_ = 0;
+  size_t AtLater_ = 0;
+
+private:
+  // An answer that nobody waits for changes nothing.
+  void add(World Fresh) {
+    std::erase_if(Fresh.Flying_, [&](const Message &Each) {
+      return !isRequest(Each) && !Fresh.awaited(Each.Entry_, Each.Number_);
+    });
+    if (!Seen_.insert(keyOf(Fresh)).second)
+      return;
+    check(Fresh);
+    Open_.push_back(std::move(Fresh));
+  }
+
+  void check(const World &Now) {
+    char Successor = 0;
+    bool Kept = Now.Runs_ <= 1;
+    for (const EntryState &Each : Now.Entries_) {
+      Ran_ += Each.End_ == EndRan ? 1 : 0;
+      NotRun_ += Each.End_ == EndNotRun ? 1 : 0;
+      Maybe_ += Each.End_ == EndMaybe ? 1 : 0;
+      if (Each.End_ == EndRan)
+        Kept = Kept && Now.Runs_ == 1;
+      if (Each.End_ != EndNotRun)
+        continue;
+      Kept = Kept && Now.Runs_ == 0 && Each.Successor_ != 0 &&
+             (Successor == 0 || Successor == Each.Successor_);
+      Successor = Each.Successor_;
+    }
+    REQUIRE(Kept);
+  }
+
+  void follow(const World &Now) {
+    for (size_t I = 0; I < Now.Flying_.size(); ++I)
+      followMessage(Now, I);
+    for (int Gate = 0; Gate < GateCount; ++Gate)
+      followGate(Now, Gate);
+    for (size_t I = 0; I < EntryCount; ++I) {
+      World Next = Now;
+      if (std::exchange(Next.Entries_[I].End_, EndCrashed) == Going)
+        add(Next);
+    }
+  }
+
+  void followMessage(const World &Now, size_t At) {
+    const Message Taken = Now.Flying_[At];
+    World Next = Now;
+    Next.Flying_.erase(Next.Flying_.begin() + std::ptrdiff_t(At));
+    if (!isRequest(Taken)) {
+      EntrySteps(Next, Taken.Entry_).hear(Taken);
+      add(Next);
+      if (Now.MayLose_)
+        add(lose(Now, At));
+      return;
+    }
+    const auto Gate = static_cast<unsigned char>(Taken.Gate_);
+    if (Now.Gates_[size_t(Gate)].Gone_) {
+      EntrySteps(Next, Taken.Entry_)
+          .hear({HeardLost, Taken.Entry_, Taken.Number_, Taken.Gate_, 0});
+      return add(Next);
+    }
+    step(Next, Gate, {Taken.Kind_, Taken.Entry_, Taken.Number_});
+    add(Next);
+    if (Now.MayLose_)
+      add(lose(Now, At));
+    if (!Now.MayDouble_)
+      return;
+    Next.MayDouble_ = false;
+    Next.Flying_.push_back(Taken);
+    add(Next);
+  }
+
+  // A connection is lost: the entry hears of it, an answer on it is gone, but a
+  // request may still arrive, however late.
+  static World lose(const World &Now, size_t At) {
+    World Next = Now;
+    Next.MayLose_ = false;
+    const Message Lost = Now.Flying_[At];
+    if (!isRequest(Lost))
+      Next.Flying_.erase(Next.Flying_.begin() + std::ptrdiff_t(At));
+    EntrySteps(Next, Lost.Entry_)
+        .hear({HeardLost, Lost.Entry_, Lost.Number_, Lost.Gate_, 0});
+    return Next;
+  }
+
+  void followGate(const World &Now, int Number) {
+    const GateState &Gate = Now.Gates_[size_t(Number)];
+    if (Gate.Gone_)
+      return;
+    GatePlay Present(Gate, Number);
+    auto Try = [&](Step What) {
+      World Next = Now;
+      step(Next, Number, {What, 0, 0});
+      Next.Runs_ = char(Next.Runs_ + (What == Start ? 1 : 0));
+      AtLater_ += What == Start && Number > 0 ? 1 : 0;
+      add(Next);
+    };
+    if (Present.queued())
+      for (Step What : {Start, Decline, Close})
+        Try(What);
+    if (Present.running())
+      Try(Finish);
+    crash(Now, Number);
+  }
+
+  void crash(World Next, int Number) {
+    Next.Gates_[size_t(Number)] = {{}, true};
+    for (int I = 0; I < EntryCount; ++I) {
+      const EntryState Waiting = Next.Entries_[size_t(I)];
+      bool Underway = std::any_of(
+          Next.Flying_.begin(), Next.Flying_.end(), [&](const Message &Each) {
+            return Each.Entry_ == I && Each.Number_ == Waiting.Number_;
+          });
+      if (Waiting.End_ == Going && Waiting.Gate_ == Number && !Underway)
+        EntrySteps(Next, I).hear(
+            {HeardLost, char(I), Waiting.Number_, char(Number), 0});
+    }
+    add(Next);
+  }
+
+  static void step(World &Next, int Number, const GateStep &What) {
+    GateState &Gate = Next.Gates_[size_t(Number)];
+    GatePlay Play(Gate, Number);
+    for (const Message &Said : Play.play(What))
+      Next.Flying_.push_back(Said);
+    Gate.Past_.push_back(What);
+  }
+
+  std::unordered_set<std::string> Seen_;
+  std::vector<World> Open_;
+};
+
+} // namespace
+
+TEST_CASE("in every order of events a ticket runs once and not run is true") {
+  World First;
+  for (int I = 0; I < EntryCount; ++I)
+    EntrySteps(First, I).offer(0);
+  Explorer All;
+  size_t Worlds = All.explore(First);
+  MESSAGE("worlds=", Worlds, " with an entry told ran=", All.Ran_,
+          " not run=", All.NotRun_, " may have run=", All.Maybe_,
+          " runs at later candidates=", All.AtLater_);
+  CHECK(All.Ran_ > 0);
+  CHECK(All.NotRun_ > 0);
+  CHECK(All.Maybe_ > 0);
+  CHECK(All.AtLater_ > 0);
+}
