Name once how tests restart a node and what a gate takes

Found on reading the whole change again. Three cases of e2e.platform killed, started and reported in the same lines, two of them with the same loop of reports; ticketmodel_test named the requests that a gate takes a second time, with the same letters as the messages, and relied on their being equal. Change: restartNode(), reportAgain(); a gate's step is a Step or the Kind of the request that it took. No assertion, bound or order of actions changed.

--- a/src/libstate/ticketmodel_test.cpp
+++ b/src/libstate/ticketmodel_test.cpp
@@ -46,11 +46,8 @@
   auto operator<=>(const Message &) const = default;
 };
 
-/// What a gate was asked to do since its start, in order.
+/// What a gate does by itself; besides it takes what entries send.
 enum Step : char {
-  TakeOffer = 'o',
-  TakeInquiry = 'i',
-  TakeSearch = 's',
   Start = 'b',   ///< The backend server gets it: it counts as run.
   Finish = 'f',  ///< It ran.
   Decline = 'd', ///< The backend server certainly did not run it.
@@ -58,7 +55,7 @@
 };
 
 struct GateStep {
-  char Step_ = 0;
+  char Step_ = 0; ///< A Step, or the Kind of a request that it took.
   char Entry_ = 0;
   char Number_ = 0;
 };
@@ -111,18 +108,17 @@
       say(Next, Told);
     };
     SuccessorMint Mint = [this] { return mint(); };
-    if (Next.Step_ == TakeOffer || Next.Step_ == TakeInquiry ||
-        Next.Step_ == TakeSearch)
+    if (Next.Step_ == Offer || Next.Step_ == Inquire || Next.Step_ == Search)
       Asked_.push_back(Next);
     switch (Next.Step_) {
-    case TakeOffer:
+    case Offer:
       Table_.offer(Ticket_, "digest", Handler);
       break;
-    case TakeInquiry:
+    case Inquire:
       Table_.inquire(Ticket_, true, Reason::ConnectionLost, Mint, Handler,
                      "digest");
       break;
-    case TakeSearch:
+    case Search:
       Table_.inquire(Ticket_, false, Reason::ConnectionLost, Mint, Handler,
                      "digest");
       break;
@@ -289,7 +285,7 @@
     Text += Gate.Gone_ ? '!' : Play.queued() ? 'q' : Play.running() ? 'r' : '.';
     Text += char('0' + Play.waiting(Now));
     if (!Gate.Gone_ && !Play.queued() && !Play.running())
-      for (const Message &Said : Play.play({TakeSearch, Nobody, 0}))
+      for (const Message &Said : Play.play({Search, Nobody, 0}))
         Text += {Said.Kind_, char('0' + Said.Successor_)};
   }
   for (const EntryState &Each : Now.Entries_)
--- a/testsuite/platform/platform_test.cpp
+++ b/testsuite/platform/platform_test.cpp
@@ -94,6 +94,21 @@
   std::vector<std::unique_ptr<Machine>> Machines_;
 };
 
+/// Kills a node and starts it again; its upstream reports once.
+void restartNode(PlatformMachine &Machine) {
+  Machine.stop(SIGKILL);
+  Machine.start();
+  Machine.report();
+}
+
+/// Has the upstream report as often, at the pace of a heartbeat.
+void reportAgain(PlatformMachine &Machine, int Times) {
+  for (int I = 0; I < Times; ++I) {
+    usleep(300'000);
+    Machine.report();
+  }
+}
+
 } // namespace
 
 TEST_CASE("calls are served with the upstream's own answer") {
@@ -255,9 +270,7 @@
 TEST_CASE("a report that comes before the configuration is not forgotten") {
   Site Site;
   Site.start();
-  Site.machine(1).stop(SIGKILL);
-  Site.machine(1).start();
-  Site.machine(1).report();
+  restartNode(Site.machine(1));
   Site.store().put("config", platformConfiguration(1, "alpha"));
   Site.waitForBothGates(Site.machine(3));
 }
@@ -266,17 +279,12 @@
   Site Site;
   Site.startWith(platformConfiguration(3, "alpha"));
   Site.machine(1).upstream().setHealthAnswer(503);
-  Site.machine(1).stop(SIGKILL);
-  Site.machine(1).start();
-  Site.machine(1).report();
+  restartNode(Site.machine(1));
   for (int I = 0; I < 20; ++I)
     CHECK(Site.machine(3).call("GET", "/safe/x", "ill-").Status_ == 200);
   CHECK(Site.machine(1).runs("ill-").empty());
   // One that leaves would say so by its next reports.
-  for (int I = 0; I < 2; ++I) {
-    usleep(300'000);
-    Site.machine(1).report();
-  }
+  reportAgain(Site.machine(1), 2);
   Site.waitForWork(Site.machine(1), Site.machine(3));
 }
 
@@ -285,14 +293,9 @@
   Site Site;
   Site.startWith(platformConfiguration(3, "alpha"));
   Site.machine(1).upstream().setHealthAnswer(503);
-  Site.machine(1).stop(SIGKILL);
-  Site.machine(1).start();
-  Site.machine(1).report();
+  restartNode(Site.machine(1));
   Site.machine(1).upstream().setTellsBorn(false);
-  for (int I = 0; I < 3; ++I) {
-    usleep(300'000);
-    Site.machine(1).report();
-  }
+  reportAgain(Site.machine(1), 3);
   Site.waitForWork(Site.machine(1), Site.machine(3));
 }
 
