Tell which calls a stopping node took, refused and cut

Each call that the end of the drain cuts now leaves a drain-cut line; draining_ms, there and with call-ended, is how long the node had been draining when it took the call; drain_ended counts what was taken and refused, and the metric coltsfoot_drain_calls counts by part of the node. The schedule of a drain and the estimate of how long calls take come with their unit tests; nothing decides by them yet. The entry lists its calls in progress in place of a count.

--- a/src/libcoordination/api.cpp
+++ b/src/libcoordination/api.cpp
@@ -123,7 +123,10 @@
   explicit Impl(ApiParts Parts)
       : Parts_(std::move(Parts)),
         Metrics_(Parts_.Config_, Parts_.Gate_, Parts_.Gossip_),
-        Resources_(Parts_.Config_, [this] { return Parts_.Gossip_.view(); }) {}
+        Resources_(Parts_.Config_, [this] { return Parts_.Gossip_.view(); }) {
+    Metrics_.addDrainGauges("entry", Parts_.EntryDrain_);
+    Metrics_.addDrainGauges("gate", Parts_.GateDrain_);
+  }
 
   void handle(const HttpExchange::Pointer &Exchange);
   std::string localStatus(std::string_view QueryKind,
--- a/src/libcoordination/api.h
+++ b/src/libcoordination/api.h
@@ -14,6 +14,7 @@
 namespace coltsfoot {
 
 class ConfigService;
+class DrainAdmission;
 class Gate;
 class GossipService;
 class PeerPool;
@@ -30,6 +31,8 @@
   Entry &Entry_;
   RequestLedger &Ledger_;
   GossipService &Gossip_;
+  const DrainAdmission &EntryDrain_;
+  const DrainAdmission &GateDrain_;
   std::string Node_;
   Secret OperatorToken_;
   std::function<std::string()> State_;
--- a/src/libcoordination/entry.cpp
+++ b/src/libcoordination/entry.cpp
@@ -3,8 +3,10 @@
 #include "attempttable.h"
 #include "calldialect.h"
 #include "configstate.h"
+#include "drainadmission.h"
 #include "entrycall.h"
 #include "entrythreshold.h"
+#include "pendingcalls.h"
 #include "policy.h"
 #include "randomgenerator.h"
 #include "refusal.h"
@@ -491,13 +493,19 @@
 
 Entry::Entry(EntryParts Parts)
     : Parts_(std::make_shared<EntryParts>(std::move(Parts))),
-      Pending_(std::make_shared<std::atomic<size_t>>(0)),
+      Pending_(std::make_shared<PendingCalls>()),
       StepOfferTable_(std::make_shared<StepOfferTable>()),
       SpentTokens_(std::make_unique<SpentTokens>()) {}
 
-Entry::~Entry() = default;
+// Each pending call refers to the list, which refers to the call.
+Entry::~Entry() { Pending_->clear(); }
 
-size_t Entry::pending() const { return *Pending_; }
+size_t Entry::pending() const { return Pending_->size(); }
+
+void Entry::cutPending() {
+  for (const EntryCall::Pointer &Each : Pending_->all())
+    Each->cut();
+}
 
 bool Entry::isCall(const HttpRequest &Request) const {
   if (Parts_->Dialect_)
--- a/src/libcoordination/entry.h
+++ b/src/libcoordination/entry.h
@@ -15,8 +15,10 @@
 class AttemptTable;
 class Balancer;
 class CallDialect;
+class DrainAdmission;
 class EntryThreshold;
 class PeerPool;
+class PendingCalls;
 class RequestLedger;
 class RetryBudget;
 class SpentTokens;
@@ -49,6 +51,7 @@
   RequestLedger &Ledger_;
   PolicyKind Policy_;
   RetryBudget &Budget_;
+  DrainAdmission &Drain_;
   /// The format of calls; null for the project's own interface.
   const CallDialect *Dialect_ = nullptr;
   /// Returns the service of the backend server of this VM.
@@ -79,6 +82,8 @@
   void issueTicket(const HttpExchange::Pointer &Exchange);
   /// Returns the number of calls that have not been answered yet.
   size_t pending() const;
+  /// Logs and counts the calls in progress, which the end of the drain cuts.
+  void cutPending();
 
 private:
   class RequestReader;
@@ -87,7 +92,7 @@
                                          const std::string &Serial);
 
   const std::shared_ptr<EntryParts> Parts_;
-  const std::shared_ptr<std::atomic<size_t>> Pending_;
+  const std::shared_ptr<PendingCalls> Pending_;
   const std::shared_ptr<StepOfferTable> StepOfferTable_;
   const std::unique_ptr<SpentTokens> SpentTokens_;
 };
--- a/src/libcoordination/entrycall.cpp
+++ b/src/libcoordination/entrycall.cpp
@@ -3,8 +3,10 @@
 #include "attempttable.h"
 #include "calldialect.h"
 #include "coltsfoot_types.h"
+#include "drainadmission.h"
 #include "entrythreshold.h"
 #include "peerpool.h"
+#include "pendingcalls.h"
 #include "policy.h"
 #include "randomgenerator.h"
 #include "refusal.h"
@@ -133,21 +135,23 @@
 }
 
 EntryCall::EntryCall(std::shared_ptr<const EntryParts> Parts,
-                     std::shared_ptr<std::atomic<size_t>> Pending,
+                     std::shared_ptr<PendingCalls> Pending,
                      HttpExchange::Pointer Exchange, EntryRequest Request)
     : Parts_(std::move(Parts)), Pending_(std::move(Pending)),
       Exchange_(std::move(Exchange)), Request_(std::move(Request)),
       Started_(Parts_->NodeContext_.Clock_->now()),
+      DrainElapsed_(Parts_->Drain_.elapsed()),
       Strand_(boost::asio::make_strand(Parts_->Context_)), Deadline_(Strand_),
-      Pause_(Strand_), Credits_(Request_.Credits_) {
-  ++*Pending_;
-}
+      Pause_(Strand_), Credits_(Request_.Credits_) {}
 
 EntryCall::~EntryCall() = default;
 
 Millis EntryCall::now() const { return Parts_->NodeContext_.Clock_->now(); }
 
 void EntryCall::start() {
+  Pending_->add(*this);
+  if (DrainElapsed_)
+    Parts_->Drain_.countTaken();
   boost::asio::dispatch(Strand_, [Self = Pointer(this)] { Self->begin(); });
 }
 
@@ -536,6 +540,26 @@
       Strand_, [Self = Pointer(this)] { Self->abandon(Reason::Cancelled); });
 }
 
+void EntryCall::cut() {
+  boost::asio::dispatch(Strand_, [Self = Pointer(this)] {
+    if (Self->Ended_)
+      return;
+    Self->Parts_->Drain_.countCut();
+    Self->note("drain-cut",
+               "gate=" + Self->LastGate_ + " running_ms=" +
+                   std::to_string((Self->now() - Self->Started_).whole()) +
+                   Self->drainText());
+  });
+}
+
+/// Returns as log text how long the node had been draining when it took the
+/// call; empty for a call that was taken before.
+std::string EntryCall::drainText() const {
+  if (!DrainElapsed_)
+    return {};
+  return " draining_ms=" + std::to_string(DrainElapsed_->whole());
+}
+
 // Ends the call because of its deadline, its caller or its parent. The gate is
 // asked to cancel the attempt; it completes a running non-idempotent call.
 void EntryCall::abandon(Reason Why) {
@@ -578,8 +602,9 @@
 void EntryCall::end(Verdict Outcome, std::string Successor) {
   if (Ended_)
     return;
+  Pointer Self(this);
   Ended_ = true;
-  --*Pending_;
+  Pending_->remove(*this);
   // An earlier attempt may have run, although the last one did not.
   if (AttemptMayHaveRun_ && std::holds_alternative<NotRun>(Outcome))
     Outcome = MayHaveRun{reasonOf(Outcome)};
@@ -595,7 +620,7 @@
              std::string(reasonName(reasonOf(Outcome))) + " gate=" + LastGate_ +
              " gates_tried=" + std::to_string(TriedGates_.size()) +
              " took_ms=" + std::to_string((now() - Started_).whole()) +
-             " credits_left=" + std::to_string(Credits_.held()));
+             drainText() + " credits_left=" + std::to_string(Credits_.held()));
   } else {
     logRequest(LogCategory::Success, "call-ended",
                {{"request", Request_.RequestId_},
@@ -606,7 +631,9 @@
                 {"gate", LastGate_},
                 {"gates_tried", TriedGates_.size()},
                 {"depth", Request_.Depth_},
-                {"took_ms", (now() - Started_).whole()}});
+                LogField::preformatted(
+                    "took_ms=" + std::to_string((now() - Started_).whole()) +
+                    drainText())});
   }
   respond(Outcome, Successor);
 }
--- a/src/libcoordination/entrycall.h
+++ b/src/libcoordination/entrycall.h
@@ -7,9 +7,9 @@
 #include "ticket.h"
 
 #include <array>
-#include <atomic>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
+#include <boost/intrusive/list.hpp>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 #include <mutex>
@@ -19,6 +19,8 @@
 
 namespace coltsfoot {
 
+class PendingCalls;
+
 namespace wire {
 class Offer;
 class Reply;
@@ -106,15 +108,16 @@
 /// One message is outstanding at a time, and only its answer or its loss
 /// advances the call. The deadline, the caller's disconnect or the end of the
 /// parent call may end it at any time. All of this runs on the call's own
-/// strand; start() and parentEnded() may be called from any thread.
+/// strand; start(), parentEnded() and cut() may be called from any thread.
 class EntryCall
     : public boost::intrusive_ref_counter<EntryCall,
-                                          boost::thread_safe_counter> {
+                                          boost::thread_safe_counter>,
+      public boost::intrusive::list_base_hook<> {
 public:
   using Pointer = boost::intrusive_ptr<EntryCall>;
 
   EntryCall(std::shared_ptr<const EntryParts> Parts,
-            std::shared_ptr<std::atomic<size_t>> Pending,
+            std::shared_ptr<PendingCalls> Pending,
             HttpExchange::Pointer Exchange, EntryRequest Request);
   ~EntryCall();
   EntryCall(const EntryCall &) = delete;
@@ -123,6 +126,8 @@
   void start();
   /// Cancels the call because its parent call has ended.
   void parentEnded();
+  /// Logs that the call is cut, because the node's drain ends.
+  void cut();
 
 private:
   int lend();
@@ -161,13 +166,16 @@
   void record(const Verdict &Outcome, int Status);
   bool spendRetry();
   void note(std::string_view Event, const std::string &Detail) const;
+  std::string drainText() const;
   Millis now() const;
 
   const std::shared_ptr<const EntryParts> Parts_;
-  const std::shared_ptr<std::atomic<size_t>> Pending_;
+  const std::shared_ptr<PendingCalls> Pending_;
   const HttpExchange::Pointer Exchange_;
   const EntryRequest Request_;
   const Millis Started_;
+  /// How long the node had been draining when it took the call.
+  const std::optional<Millis> DrainElapsed_;
   const boost::asio::strand<boost::asio::io_context::executor_type> Strand_;
   boost::asio::steady_timer Deadline_;
   boost::asio::steady_timer Pause_;
--- a/src/libcoordination/node.cpp
+++ b/src/libcoordination/node.cpp
@@ -7,6 +7,7 @@
 #include "configfollower.h"
 #include "configservice.h"
 #include "configsync.h"
+#include "drainadmission.h"
 #include "entry.h"
 #include "entrythreshold.h"
 #include "gate.h"
@@ -170,6 +171,8 @@
   AttemptTable Attempts_;
   RequestLedger Ledger_;
   RetryBudget Budget_;
+  DrainAdmission EntryDrain_{Clock_};
+  DrainAdmission GateDrain_{Clock_};
   TicketIssuer TicketIssuer_;
   Gate Gate_;
   Entry Entry_;
@@ -384,6 +387,7 @@
                     Ledger_,
                     Policy_,
                     Budget_,
+                    EntryDrain_,
                     Adapters_.Calls_.get(),
                     [this] {
                       const std::string &Configured = Settings_.Node_.Service_;
@@ -394,9 +398,10 @@
 }
 
 ApiParts Node::Impl::apiParts() {
-  ApiParts Parts{Context_, Clock_,         Config_, Peers_, Gate_, Entry_,
-                 Ledger_,  *Sockets_.Udp_, {},      {},     {},    {},
-                 {}};
+  ApiParts Parts{Context_,    Clock_,     Config_, Peers_,
+                 Gate_,       Entry_,     Ledger_, *Sockets_.Udp_,
+                 EntryDrain_, GateDrain_, {},      {},
+                 {},          {},         {}};
   Parts.Node_ = Sockets_.Name_;
   // Where an external source supplies the configuration, the token is optional;
   // without it no request is accepted as an operator's.
@@ -565,6 +570,8 @@
       return;
     State_ = Lifecycle_.state();
     DrainStart_ = Clock_.now();
+    EntryDrain_.begin({DrainStart_, Settings_.Timeouts_.DrainNotice_,
+                       Settings_.Timeouts_.Drain_});
     IdleSince_ = DrainStart_;
     logEvent(LogLevel::Info, "drain_started", {{"node", Sockets_.Name_}});
     callServer().disableKeepAlive();
@@ -600,10 +607,15 @@
     return;
   Lifecycle_.stop();
   State_ = Lifecycle_.state();
+  if (Busy)
+    Entry_.cutPending();
+  DrainAdmission::Figures Calls = EntryDrain_.figures();
   logEvent(TimedOut && Busy ? LogLevel::Warning : LogLevel::Info, "drain_ended",
            {{"node", Sockets_.Name_},
             {"took_ms", (Now - DrainStart_).count()},
-            {"cut", TimedOut && Busy}});
+            {"cut", TimedOut && Busy},
+            {"taken", Calls.Taken_},
+            {"refused", Calls.Refused_}});
   stopAll();
 }
 
--- a/src/libcoordination/nodemetrics.cpp
+++ b/src/libcoordination/nodemetrics.cpp
@@ -2,6 +2,7 @@
 
 #include "configservice.h"
 #include "configstate.h"
+#include "drainadmission.h"
 #include "entry.h"
 #include "gate.h"
 #include "gossipservice.h"
@@ -75,6 +76,22 @@
                  });
 }
 
+void NodeMetrics::addDrainGauges(std::string_view Part,
+                                 const DrainAdmission &Drain) {
+  auto Add = [&](const char *Outcome,
+                 uint64_t DrainAdmission::Figures::*Count) {
+    Metrics_.gauge("coltsfoot_drain_calls",
+                   "Calls since the drain began, by what became of them.",
+                   {{"part", std::string(Part)}, {"outcome", Outcome}},
+                   [&Drain, Count] {
+                     return static_cast<double>(Drain.figures().*Count);
+                   });
+  };
+  Add("taken", &DrainAdmission::Figures::Taken_);
+  Add("refused", &DrainAdmission::Figures::Refused_);
+  Add("cut", &DrainAdmission::Figures::Cut_);
+}
+
 LatencyHistogram &NodeMetrics::addCallHistogram(std::string_view Verdict) {
   return Metrics_.histogram(
       "coltsfoot_call_seconds",
--- a/src/libcoordination/nodemetrics.h
+++ b/src/libcoordination/nodemetrics.h
@@ -10,6 +10,7 @@
 namespace coltsfoot {
 
 class ConfigService;
+class DrainAdmission;
 class Gate;
 class GossipService;
 struct CallRecord;
@@ -21,10 +22,14 @@
 /// of call counters, and nothing but Metrics is called while it is held.
 class NodeMetrics {
 public:
-  /// All three must outlive the metrics.
+  /// All references must outlive the metrics.
   NodeMetrics(const ConfigService &Config, const Gate &LocalGate,
               const GossipService &Gossip);
 
+  /// Adds the counts of the calls that one part of the node, `entry` or `gate`,
+  /// took, refused and cut during a drain.
+  void addDrainGauges(std::string_view Part, const DrainAdmission &Drain);
+
   /// Counts a call that has ended and, for a root call, records its latency.
   void record(const CallRecord &Ended);
 
--- /dev/null
+++ b/src/libstate/drainadmission.cpp
@@ -0,0 +1,83 @@
+#include "drainadmission.h"
+
+namespace coltsfoot {
+
+namespace {
+
+/// Limit on the number of routes whose durations are kept. Calls of further
+/// routes are taken as those of an unknown duration.
+constexpr size_t MaxRoutes = 4096;
+
+} // namespace
+
+void DrainAdmission::learn(std::string_view RouteKey, Millis Duration) {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  auto Known = Durations_.find(RouteKey);
+  if (Known != Durations_.end())
+    Known->second.record(Duration);
+  else if (Durations_.size() < MaxRoutes)
+    Durations_.emplace(RouteKey, CallDuration(Duration));
+}
+
+void DrainAdmission::begin(const DrainSchedule &Schedule) {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  if (!Schedule_)
+    Schedule_ = Schedule;
+  Draining_ = true;
+}
+
+// Called with Mutex_ held, while draining.
+bool DrainAdmission::isTaken(std::string_view RouteKey, Millis Deadline,
+                             bool Nested) const {
+  DrainCandidate Candidate;
+  Candidate.Deadline_ = Deadline;
+  Candidate.Nested_ = Nested;
+  auto Known = Durations_.find(RouteKey);
+  if (Known != Durations_.end())
+    Candidate.Expected_ = Known->second.expected();
+  return Schedule_->takes(Candidate, Clock_.now());
+}
+
+bool DrainAdmission::takes(std::string_view RouteKey, Millis Deadline,
+                           bool Nested) {
+  if (!Draining_)
+    return true;
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  bool Taken = isTaken(RouteKey, Deadline, Nested);
+  Figures_.Refused_ += Taken ? 0 : 1;
+  return Taken;
+}
+
+// A call that was taken before the notice passed may start after it.
+bool DrainAdmission::canStart(std::string_view RouteKey, Millis Deadline) {
+  if (!Draining_)
+    return true;
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  bool InTime = isTaken(RouteKey, Deadline, true);
+  Figures_.Refused_ += InTime ? 0 : 1;
+  return InTime;
+}
+
+void DrainAdmission::countTaken() {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  ++Figures_.Taken_;
+}
+
+void DrainAdmission::countCut() {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  ++Figures_.Cut_;
+}
+
+std::optional<Millis> DrainAdmission::elapsed() const {
+  if (!Draining_)
+    return {};
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  return Clock_.now() - Schedule_->start();
+}
+
+DrainAdmission::Figures DrainAdmission::figures() const {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  return Figures_;
+}
+
+} // namespace coltsfoot
--- /dev/null
+++ b/src/libstate/drainadmission_test.cpp
@@ -0,0 +1,115 @@
+#include "drainadmission.h"
+
+#include <doctest/doctest.h>
+
+using namespace coltsfoot;
+
+namespace {
+
+constexpr Millis Start(1000);
+constexpr Millis Notice(3000);
+constexpr Millis Duration(5600);
+constexpr Millis LongDeadline(60'000);
+
+/// An admission that has learned one route and begins its drain at once.
+struct Fixture {
+  ManualClock Clock_;
+  DrainAdmission Admission_{Clock_};
+  const Millis Begin_ = Clock_.now();
+
+  explicit Fixture(Millis CallTime) {
+    for (int I = 0; I < 20; ++I)
+      Admission_.learn("route", CallTime);
+    Admission_.begin({Begin_, Notice, Duration});
+  }
+
+  bool takesAt(double SinceStartMs, std::string_view Route, bool Nested,
+               Millis Deadline = LongDeadline) {
+    Millis Wanted = Begin_ + Millis(SinceStartMs);
+    Clock_.advance(Wanted - Clock_.now());
+    return Admission_.takes(Route, Wanted + Deadline, Nested);
+  }
+};
+
+} // namespace
+
+TEST_CASE("a draining node takes no root call after the notice") {
+  Fixture Test(Millis(100));
+  CHECK(Test.takesAt(2999, "route", false));
+  CHECK(!Test.takesAt(3001, "route", false));
+  CHECK(!Test.takesAt(5590, "route", false));
+}
+
+TEST_CASE("a draining node takes no call that it is expected not to finish") {
+  Fixture Test(Millis(3500));
+  CHECK(Test.takesAt(1990, "route", false));
+  CHECK(!Test.takesAt(2010, "route", false));
+  CHECK(Test.takesAt(2020, "unknown route", false));
+  CHECK(!Test.takesAt(2100, "route", true));
+}
+
+TEST_CASE("nested calls are taken after the notice while there is time") {
+  Fixture Test(Millis(200));
+  CHECK(Test.takesAt(3500, "route", true));
+  CHECK(Test.takesAt(5200, "route", true));
+  CHECK(!Test.takesAt(5400, "route", true));
+}
+
+TEST_CASE("a draining node takes calls whose deadline lies within the drain") {
+  Fixture Test(Millis(4000));
+  CHECK(Test.takesAt(4000, "route", false, Millis(1400)));
+  CHECK(!Test.takesAt(4000, "route", false, Millis(1600)));
+}
+
+TEST_CASE("a call that was taken is not started too late") {
+  Fixture Test(Millis(1000));
+  CHECK(Test.takesAt(2900, "route", false));
+  Test.Clock_.advance(Millis(1000));
+  Millis Deadline = Test.Clock_.now() + LongDeadline;
+  CHECK(Test.Admission_.canStart("route", Deadline));
+  Test.Clock_.advance(Millis(700));
+  CHECK(!Test.Admission_.canStart("route", Deadline));
+}
+
+TEST_CASE("a drain counts what it takes, refuses and cuts") {
+  Fixture Test(Millis(100));
+  CHECK(Test.takesAt(10, "route", false));
+  Test.Admission_.countTaken();
+  CHECK(Test.takesAt(20, "route", false));
+  Test.Admission_.countTaken();
+  CHECK(!Test.takesAt(3500, "route", false));
+  Test.Admission_.countCut();
+  CHECK(Test.Admission_.figures() == DrainAdmission::Figures{2, 1, 1});
+  CHECK(Test.Admission_.elapsed() == Millis(3500));
+}
+
+TEST_CASE("all calls are taken before a drain begins") {
+  ManualClock Time;
+  DrainAdmission Admission(Time);
+  Admission.learn("route", LongDeadline);
+  CHECK(Admission.takes("route", Time.now() + LongDeadline, false));
+  CHECK(Admission.canStart("route", Time.now() + LongDeadline));
+  CHECK(!Admission.elapsed());
+  CHECK(Admission.figures() == DrainAdmission::Figures());
+}
+
+TEST_CASE("the expected duration follows the calls that ended") {
+  CallDuration Estimate(Millis(1000));
+  CHECK(Estimate.expected() == Millis(1000));
+  for (int I = 0; I < 60; ++I)
+    Estimate.record(Millis(I % 2 == 0 ? 100 : 300));
+  CHECK(Estimate.expected() > Millis(300));
+  CHECK(Estimate.expected() < Millis(700));
+  for (int I = 0; I < 60; ++I)
+    Estimate.record(Millis(3500));
+  CHECK(Estimate.expected() > Millis(3400));
+  CHECK(Estimate.expected() < Millis(3600));
+}
+
+TEST_CASE("a schedule keeps time free for the answers") {
+  DrainSchedule Schedule(Start, Notice, Duration);
+  Millis Now = Start + Millis(1000);
+  CHECK(Schedule.end() == Start + Duration);
+  CHECK(Schedule.takes({Schedule.end() - Millis(100), {}, false}, Now));
+  CHECK(!Schedule.takes({LongDeadline, Millis(4600), false}, Now));
+}
--- /dev/null
+++ b/src/libstate/drainschedule.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "coltsfootpoint/time.h"
+
+#include <optional>
+
+namespace coltsfoot {
+
+/// A call that asks a draining node to be taken.
+struct DrainCandidate {
+  /// When the caller stops waiting.
+  Millis Deadline_;
+  /// How long calls of its route take; nothing if that is not known.
+  std::optional<Millis> Expected_;
+  /// Whether the backend server of this VM makes it while it runs another call,
+  /// whose work a refusal would waste.
+  bool Nested_ = false;
+};
+
+/// The times of one graceful shutdown, and the decision which calls the node
+/// still takes in it. Times are those of Clock::now(). An immutable value.
+class DrainSchedule {
+public:
+  /// Notice is how long callers have to learn of the drain, and Duration how
+  /// long the drain may take; both count from Start.
+  DrainSchedule(Millis Start, Millis Notice, Millis Duration)
+      : Start_(Start), NoticeEnd_(Start + Notice), End_(Start + Duration) {}
+
+  Millis start() const { return Start_; }
+  /// When calls that are still in progress are cut.
+  Millis end() const { return End_; }
+  bool noticePassed(Millis Now) const { return Now > NoticeEnd_; }
+
+  /// Returns whether the node takes a call now. It takes one whose deadline
+  /// lies within the drain, and no other one that is expected to take longer
+  /// than the drain still does. Once the notice has passed, it takes no other
+  /// root calls at all, since nothing ensures that they end in time.
+  bool takes(const DrainCandidate &Candidate, Millis Now) const;
+
+  bool operator==(const DrainSchedule &) const = default;
+
+private:
+  Millis Start_;
+  Millis NoticeEnd_;
+  Millis End_;
+};
+
+} // namespace coltsfoot
