Take no call in a drain that may not end within it

What callers saw: with the deployed limits (drain_ms 5600, drain_notice_ms 3000) a stopped node took requests until 5.5 s after SIGTERM and gave them up at 5.6 s: answered 504 by itself, or the connection closed.

Cause: the gate closes at the notice, but the entry went on taking calls until the gate was idle, which long calls put off until the end of the drain; nothing compared the time that a call takes with the time that is left. At the end the event loop stopped at once, so that answers of cut calls were not sent.

Evidence: "a stopping node takes no call that it then gives up", 24 callers with calls of 1.5, 2.5 and 3.5 s on open and new connections.

The entry refuses as not run, at once; for a caller's own ticket it lets the candidates close it first. The gate refuses offers that are not expected to end in time, and queued calls that would start too late; they move on at no cost. What is left at the end is answered and flushed before the event loop stops. The steps of a drain move from Node into DrainSequence.

--- a/src/libcoordination/entry.cpp
+++ b/src/libcoordination/entry.cpp
@@ -148,7 +148,9 @@
   void readStepTicket(const ParentCall &Parent);
   void setTicket(std::string Text);
   void readDeadline();
+  void checkDrain();
   void checkThresholds();
+  [[noreturn]] void refuseUnsent(Reason Why, std::string Detail);
   [[noreturn]] void refuseWithNewTicket();
 
   const EntryParts &Parts_;
@@ -178,6 +180,7 @@
   else
     readNested(Context);
   readDeadline();
+  checkDrain();
   checkThresholds();
 }
 
@@ -198,6 +201,7 @@
   Request_.Client_ = Incoming_.RemoteAddress_;
   Request_.Bucket_ = admissionBucketOf(Request_.RequestId_);
   readParent(Metadata);
+  checkDrain();
   Parts_.Budget_.earn(Request_.Service_);
   checkThresholds();
   if (!Request_.Route_.Idempotent_)
@@ -457,6 +461,30 @@
   Request_.Deadline_ = std::min(Now_ + Timeout, ParentDeadline_);
 }
 
+// A draining node refuses what it may not finish. A ticket of the caller's may
+// have been used at another node before, so only its candidates can tell that
+// the call has not run and never will; they are asked to close it.
+void Entry::RequestReader::checkDrain() {
+  bool Nested = Request_.Depth_ > 0;
+  if (Parts_.Drain_.takes(routeKey(Request_.Service_, Request_.Route_.Name_),
+                          Request_.Deadline_, Nested))
+    return;
+  if (Request_.Ticket_ && !Nested)
+    Request_.CloseTicket_ = true;
+  else
+    refuseUnsent(Reason::Leaving, "the node is draining");
+}
+
+/// Refuses a call that was not sent to any gate. An idempotent root call gets a
+/// retry token with all credits that it came with.
+void Entry::RequestReader::refuseUnsent(Reason Why, std::string Detail) {
+  Refusal Refused{NotRun{Why}, std::move(Detail), {}};
+  if (Request_.ParentKey_.empty() && !Request_.Ticket_)
+    Refused.Fields_.push_back(
+        retryTokenField(Request_, Request_.Credits_ + RetryCredit_, Parts_));
+  throw Refused;
+}
+
 void Entry::RequestReader::checkThresholds() {
   if (Parts_.Policy_ != PolicyKind::Adaptive || Request_.Ticket_)
     return;
@@ -475,13 +503,7 @@
       static_cast<int>(Parts_.TicketIssuer_.gatesOf(Request_.Service_).size());
   if (!Parts_.Thresholds_.wouldRefuse(Query, Now_, threadRandomGenerator()))
     return;
-  Refusal OverloadRefusal{NotRun{Reason::Overload},
-                          "refused by the entry's admission threshold",
-                          {}};
-  if (Request_.ParentKey_.empty())
-    OverloadRefusal.Fields_.push_back(
-        retryTokenField(Request_, Request_.Credits_ + RetryCredit_, Parts_));
-  throw OverloadRefusal;
+  refuseUnsent(Reason::Overload, "refused by the entry's admission threshold");
 }
 
 /// The offers of each nested step whose parent has not ended, by the serial of
--- a/src/libcoordination/entry.h
+++ b/src/libcoordination/entry.h
@@ -82,7 +82,7 @@
   void issueTicket(const HttpExchange::Pointer &Exchange);
   /// Returns the number of calls that have not been answered yet.
   size_t pending() const;
-  /// Logs and counts the calls in progress, which the end of the drain cuts.
+  /// Ends the calls in progress because the drain ends, and answers them.
   void cutPending();
 
 private:
--- a/src/libcoordination/entrycall.cpp
+++ b/src/libcoordination/entrycall.cpp
@@ -150,7 +150,7 @@
 
 void EntryCall::start() {
   Pending_->add(*this);
-  if (DrainElapsed_)
+  if (DrainElapsed_ && !Request_.CloseTicket_)
     Parts_->Drain_.countTaken();
   boost::asio::dispatch(Strand_, [Self = Pointer(this)] { Self->begin(); });
 }
@@ -382,6 +382,8 @@
 }
 
 void EntryCall::offerCandidate(size_t Candidate) {
+  if (Request_.CloseTicket_)
+    return inquire(Candidate);
   const NodeRef &Gate = Request_.Ticket_->Candidates_[Candidate];
   if (Request_.StepOffers_ && !Request_.StepOffers_->beginSend(Candidate)) {
     if (Candidate + 1 < Request_.Ticket_->Candidates_.size())
@@ -549,6 +551,7 @@
                "gate=" + Self->LastGate_ + " running_ms=" +
                    std::to_string((Self->now() - Self->Started_).whole()) +
                    Self->drainText());
+    Self->abandon(Reason::Leaving);
   });
 }
 
@@ -560,8 +563,9 @@
   return " draining_ms=" + std::to_string(DrainElapsed_->whole());
 }
 
-// Ends the call because of its deadline, its caller or its parent. The gate is
-// asked to cancel the attempt; it completes a running non-idempotent call.
+// Ends the call because of its deadline, its caller, its parent or a drain. The
+// gate is asked to cancel the attempt; it completes a running non-idempotent
+// call.
 void EntryCall::abandon(Reason Why) {
   if (Ended_)
     return;
@@ -608,6 +612,11 @@
   // An earlier attempt may have run, although the last one did not.
   if (AttemptMayHaveRun_ && std::holds_alternative<NotRun>(Outcome))
     Outcome = MayHaveRun{reasonOf(Outcome)};
+  if (Request_.CloseTicket_ && std::holds_alternative<NotRun>(Outcome))
+    Outcome = NotRun{Reason::Leaving};
+  if (std::holds_alternative<Ran>(Outcome) && !Request_.CloseTicket_)
+    Parts_->Drain_.learn(routeKey(Request_.Service_, Request_.Route_.Name_),
+                         now() - Started_);
   Deadline_.cancel();
   Pause_.cancel();
   Exchange_->onAbandoned(nullptr);
--- a/src/libcoordination/entrycall.h
+++ b/src/libcoordination/entrycall.h
@@ -70,6 +70,9 @@
   /// Whether the ticket was issued for this call alone, so that no other call
   /// offers it.
   bool ExclusiveTicket_ = false;
+  /// Whether the call is not to be run: its candidates are asked to close the
+  /// ticket, and only an answer that one of them holds already is passed on.
+  bool CloseTicket_ = false;
   /// The key of the parent call in the attempt table; empty for root calls.
   std::string ParentKey_;
   /// Service and step name of a nested non-idempotent call; else empty.
@@ -126,7 +129,7 @@
   void start();
   /// Cancels the call because its parent call has ended.
   void parentEnded();
-  /// Logs that the call is cut, because the node's drain ends.
+  /// Ends the call because the node's drain ends, and logs that.
   void cut();
 
 private:
--- a/src/libcoordination/gate.cpp
+++ b/src/libcoordination/gate.cpp
@@ -5,6 +5,7 @@
 #include "calldialect.h"
 #include "coltsfoot_types.h"
 #include "configstate.h"
+#include "drainadmission.h"
 #include "entrythreshold.h"
 #include "policy.h"
 #include "queuedrequest.h"
@@ -184,7 +185,8 @@
   using Decisions =
       std::vector<std::pair<CallPointer, AdmissionQueue::Decision>>;
 
-  Reason refusalReason(const std::string &Service) const;
+  Reason refusalReason(const Call &Incoming) const;
+  Reason lateRefusalReason(const Call &Queued) const;
   AdmissionRequest admissionRequestOf(const ConfigState &Config,
                                       const Route &CallRoute,
                                       const wire::Offer &Offered) const;
@@ -325,13 +327,34 @@
     refuse(WithdrawnCall, Why);
 }
 
-Reason Gate::Impl::refusalReason(const std::string &Service) const {
-  std::lock_guard<std::mutex> Lock(Mutex_);
-  if (Draining_ || Announced_.State_ == Announcement::State::Leaving)
-    return Reason::Leaving;
-  if (!Serving_ || Announced_.Service_ != Service)
-    return Reason::NoUpstream;
-  return Reason::None;
+Reason Gate::Impl::refusalReason(const Call &Incoming) const {
+  {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    if (Draining_ || Announced_.State_ == Announcement::State::Leaving)
+      return Reason::Leaving;
+    if (!Serving_ || Announced_.Service_ != Incoming.Offer_.service_name)
+      return Reason::NoUpstream;
+  }
+  bool Taken = !Options_.Drain_ ||
+               Options_.Drain_->takes(Incoming.RouteKey_,
+                                      Incoming.Request_.Deadline_, false);
+  return Taken ? Reason::None : Reason::Leaving;
+}
+
+/// Returns why a call that waited in the queue can no longer be started, or
+/// Reason::None.
+Reason Gate::Impl::lateRefusalReason(const Call &Queued) const {
+  {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    // While the call was queued, a backend server of another service may have
+    // announced itself on this VM.
+    if (Announced_.Service_ != Queued.Offer_.service_name)
+      return Reason::NoUpstream;
+  }
+  bool InTime =
+      !Options_.Drain_ ||
+      Options_.Drain_->canStart(Queued.RouteKey_, Queued.Request_.Deadline_);
+  return InTime ? Reason::None : Reason::Leaving;
 }
 
 AdmissionRequest
@@ -370,7 +393,7 @@
   if (!Offered.ticket.empty())
     return offerTicketed(Incoming, std::move(OnReply));
   Incoming->OnReply_ = std::move(OnReply);
-  Reason Why = refusalReason(Offered.service_name);
+  Reason Why = refusalReason(*Incoming);
   if (!CallRoute.Idempotent_)
     Why = Reason::TicketNeeded;
   if (Why != Reason::None)
@@ -409,7 +432,7 @@
     return ReplyNow(MayHaveRun{Reason::CandidateGone});
   Incoming->Ticket_ = std::move(Opened);
 
-  Reason Why = refusalReason(Offered.service_name);
+  Reason Why = refusalReason(*Incoming);
   if (Why != Reason::None)
     Tickets_.closeIfUnknown(*Incoming->Ticket_, Why,
                             successorTicket(*Incoming->Ticket_));
@@ -494,18 +517,15 @@
 
 void Gate::Impl::startCall(const CallPointer &StartedCall) {
   const wire::Offer &Offered = StartedCall->Offer_;
-  bool ServiceReplaced = false;
+  Reason TooLate = lateRefusalReason(*StartedCall);
   {
     std::lock_guard<std::mutex> Lock(Mutex_);
-    // While the call was queued, a backend server of another service may have
-    // announced itself on this VM.
-    ServiceReplaced = Announced_.Service_ != Offered.service_name;
     StartedCall->ShedMeansNotRun_ = Announced_.ShedMeansNotRun_;
     StartedCall->Instance_ = Announced_.Instance_;
   }
-  bool TicketExpired = !ServiceReplaced && StartedCall->Ticket_ &&
+  bool TicketExpired = TooLate == Reason::None && StartedCall->Ticket_ &&
                        !Tickets_.begin(StartedCall->Ticket_->Serial_);
-  if (ServiceReplaced || TicketExpired) {
+  if (TooLate != Reason::None || TicketExpired) {
     Decisions NextDecisions;
     {
       std::lock_guard<std::mutex> Lock(Mutex_);
@@ -514,8 +534,8 @@
       NextDecisions = takeDecisions();
     }
     // For an expired ticket, begin() has already replied.
-    if (ServiceReplaced)
-      refuse(StartedCall, Reason::NoUpstream);
+    if (TooLate != Reason::None)
+      refuse(StartedCall, TooLate);
     return applyDecisions(NextDecisions);
   }
   Millis Now = NodeContext_.Clock_->now();
@@ -616,6 +636,8 @@
   learnPath(*EndedCall, CallVerdict);
   int Credits = Attempts_.close(EndedCall->AttemptKey_);
   Millis Latency = NodeContext_.Clock_->now() - EndedCall->Started_;
+  if (Options_.Drain_ && std::holds_alternative<Ran>(CallVerdict))
+    Options_.Drain_->learn(EndedCall->RouteKey_, Latency);
   Decisions NextDecisions;
   {
     std::lock_guard<std::mutex> Lock(Mutex_);
--- a/src/libcoordination/gate.h
+++ b/src/libcoordination/gate.h
@@ -14,6 +14,7 @@
 
 class AttemptTable;
 class CallDialect;
+class DrainAdmission;
 class EntryThreshold;
 class RequestLedger;
 enum class PolicyKind;
@@ -83,6 +84,9 @@
     /// Translates requests and answers for a backend server with another HTTP
     /// interface; null for the native one.
     const CallDialect *Dialect_ = nullptr;
+    /// Decides which offers are still taken during a drain; null takes all
+    /// until Gate::drain() is called.
+    DrainAdmission *Drain_ = nullptr;
   };
 
   Gate(boost::asio::io_context &Context, NodeContext ThisNode,
@@ -117,7 +121,7 @@
   /// closed.
   void connectionClosed(uint64_t Connection);
 
-  /// Refuses all new work from now on.
+  /// Refuses all new work from now on, for the last part of a drain.
   void drain();
   bool draining() const;
   /// Returns whether no call is queued or running.
--- a/src/libcoordination/node.cpp
+++ b/src/libcoordination/node.cpp
@@ -8,6 +8,7 @@
 #include "configservice.h"
 #include "configsync.h"
 #include "drainadmission.h"
+#include "drainsequence.h"
 #include "entry.h"
 #include "entrythreshold.h"
 #include "gate.h"
@@ -42,14 +43,6 @@
 
 constexpr int ProtocolVersion = 1;
 constexpr Millis TickInterval(50);
-/// Minimum time for which a closed gate still answers offers, so that other
-/// nodes learn from its refusals or by gossip that it is leaving before its
-/// process ends.
-constexpr Millis ClosedGateGrace(500);
-/// Idle time after which a node that has stopped accepting connections for
-/// calls ends its drain. Until then it still answers requests on connections
-/// that are open.
-constexpr Millis OpenConnectionGrace(300);
 
 tcp::endpoint endpointOf(const std::string &Address, uint16_t Port) {
   return {asio::ip::make_address(Address), Port};
@@ -150,7 +143,7 @@
   void updateIsolation();
   void scheduleTick();
   void tick();
-  void advanceDrain(Millis Now);
+  void endDrain();
   void stopAll();
 
   asio::io_context &Context_;
@@ -191,10 +184,7 @@
   NodeLifecycle Lifecycle_;
   std::atomic<NodeLifecycle::State> State_ = NodeLifecycle::State::Joining;
   std::atomic<bool> Isolated_ = false;
-  Millis DrainStart_;
-  Millis GateClosedAt_;
-  Millis IdleSince_;
-  bool CallServerStopped_ = false;
+  DrainSequence Drain_;
   std::function<void()> Stopped_;
 };
 
@@ -235,9 +225,12 @@
              AllSettings.Timeouts_.Attempt_,
              AllSettings.Limits_.Slots_ == SlotsMeaning::Exact,
              AllSettings.Limits_.SlotShare_, AllSettings.Limits_.UpstreamIdle_,
-             Adapters_.Calls_.get()}),
+             Adapters_.Calls_.get(), &GateDrain_}),
       Entry_(entryParts()), Api_(apiParts()),
-      Strand_(asio::make_strand(Context)), Timer_(Strand_) {
+      Strand_(asio::make_strand(Context)), Timer_(Strand_),
+      Drain_({Gate_, Entry_, Api_, EntryDrain_, GateDrain_,
+              AllSettings.Timeouts_.DrainNotice_,
+              AllSettings.Timeouts_.Drain_}) {
   tcp::endpoint HttpAddress =
       endpointOf(AllSettings.Node_.Address_, AllSettings.Node_.HttpPort_);
   bool SeparateCallListener = !AllSettings.Listen_.Calls_.empty();
@@ -558,8 +551,9 @@
              {{"node", Sockets_.Name_},
               {"config_offset", Config_.current()->nextOffset()}});
   }
-  if (Lifecycle_.state() == NodeLifecycle::State::Draining)
-    advanceDrain(Clock_.now());
+  if (Lifecycle_.state() == NodeLifecycle::State::Draining &&
+      Drain_.advance(Clock_.now()))
+    endDrain();
   if (Lifecycle_.state() != NodeLifecycle::State::Stopped)
     scheduleTick();
 }
@@ -569,53 +563,13 @@
     if (!Lifecycle_.drain())
       return;
     State_ = Lifecycle_.state();
-    DrainStart_ = Clock_.now();
-    EntryDrain_.begin({DrainStart_, Settings_.Timeouts_.DrainNotice_,
-                       Settings_.Timeouts_.Drain_});
-    IdleSince_ = DrainStart_;
-    logEvent(LogLevel::Info, "drain_started", {{"node", Sockets_.Name_}});
-    callServer().disableKeepAlive();
+    Drain_.begin(Sockets_.Name_, callServer(), Clock_.now());
   });
 }
 
-// The gate stays open until callers have learned of the drain: its backend
-// server keeps running, and nodes that stop together would otherwise leave a
-// service without any open gate. The gate then finishes its calls while the
-// entry still accepts new ones. Last, the HTTP server for calls stops listening
-// and the outstanding answers are sent.
-void Node::Impl::advanceDrain(Millis Now) {
-  bool Busy =
-      !Gate_.idle() || Entry_.pending() > 0 || callServer().pending() > 0;
-  if (Busy)
-    IdleSince_ = Now;
-  bool TimedOut = Now - DrainStart_ > Settings_.Timeouts_.Drain_;
-  bool Quiet = Now - IdleSince_ > OpenConnectionGrace;
-  bool NoticePassed = Now - DrainStart_ > Settings_.Timeouts_.DrainNotice_;
-  if (NoticePassed && !Gate_.draining()) {
-    Gate_.drain();
-    GateClosedAt_ = Now;
-  }
-  bool ClosureKnown = Gate_.draining() && Now - GateClosedAt_ > ClosedGateGrace;
-  if (!CallServerStopped_ && ClosureKnown && Gate_.idle()) {
-    CallServerStopped_ = true;
-    IdleSince_ = Now;
-    callServer().stop();
-    Api_.endWatches();
-    return;
-  }
-  if (!TimedOut && !(CallServerStopped_ && Quiet))
-    return;
+void Node::Impl::endDrain() {
   Lifecycle_.stop();
   State_ = Lifecycle_.state();
-  if (Busy)
-    Entry_.cutPending();
-  DrainAdmission::Figures Calls = EntryDrain_.figures();
-  logEvent(TimedOut && Busy ? LogLevel::Warning : LogLevel::Info, "drain_ended",
-           {{"node", Sockets_.Name_},
-            {"took_ms", (Now - DrainStart_).count()},
-            {"cut", TimedOut && Busy},
-            {"taken", Calls.Taken_},
-            {"refused", Calls.Refused_}});
   stopAll();
 }
 
--- /dev/null
+++ b/testsuite/leaving/long_calls_test.cpp
@@ -0,0 +1,259 @@
+/// Calls that take seconds, through a node that is stopped meanwhile.
+
+#include "fleet.h"
+
+#include <algorithm>
+#include <atomic>
+#include <csignal>
+#include <doctest/doctest.h>
+#include <mutex>
+#include <thread>
+
+using namespace coltsfoot;
+
+namespace {
+
+constexpr Millis WaitLimit(20000);
+constexpr Millis AttemptTimeout(9000);
+constexpr Millis RefusedPause(20);
+constexpr int DeadlineMs = 5000;
+constexpr int CallersOfEachKind = 2;
+constexpr std::string_view DeployedTimeouts =
+    "drain_ms = 5600\ndrain_notice_ms = 3000\n";
+/// A call sent by this time after SIGTERM may be cut if its backend server
+/// still works on it at LongestWork.
+constexpr Millis LastSafeSend(3000);
+constexpr Millis LongestWork(5000);
+
+/// One kind of call: a read or a booking that takes this long.
+struct CallKind {
+  int WorkMs_ = 0;
+  bool Booking_ = false;
+  bool KeepConnection_ = false;
+
+  std::string path() const {
+    return (Booking_ ? "/bookings-" : "/items-") + std::to_string(WorkMs_);
+  }
+};
+
+std::vector<CallKind> allKinds() {
+  std::vector<CallKind> Kinds;
+  for (int WorkMs : {1500, 2500, 3500})
+    for (bool Booking : {false, true})
+      for (bool KeepConnection : {false, true})
+        Kinds.push_back({WorkMs, Booking, KeepConnection});
+  return Kinds;
+}
+
+/// Returns the JSON of a service with a route for the path of each kind.
+std::string longServiceJson() {
+  std::string Routes;
+  for (const CallKind &Kind : allKinds()) {
+    if (Kind.KeepConnection_)
+      continue;
+    std::string Name = Kind.path().substr(1);
+    Routes += std::string(Routes.empty() ? "" : ",") + R"({"name":")" + Name +
+              R"(","method":")" + (Kind.Booking_ ? "POST" : "GET") +
+              R"(","path":")" + Kind.path() + R"(","kind":")" + Name +
+              R"(","deadline_ms":)" + std::to_string(DeadlineMs) + "}";
+  }
+  return R"({"routes":[)" + Routes + "]}";
+}
+
+/// One sending of a request, without the 428 that a booking's ticket takes.
+struct Attempt {
+  enum class Result { Answered, NotRun, Lost };
+  std::string Tag_;
+  bool Booking_ = false;
+  Result Result_ = Result::Lost;
+  std::string Text_; ///< What the caller got, for a lost attempt.
+  Millis Sent_;
+  Millis Ended_;
+};
+
+/// Callers that go on sending to the stopped node, on open and new connections,
+/// until it refuses connections.
+class InsistentLoad {
+public:
+  InsistentLoad(const TestNode &Node) : Ip_(Node.ip()), Port_(Node.httpPort()) {
+    int Number = 0;
+    for (const CallKind &Kind : allKinds())
+      for (int I = 0; I < CallersOfEachKind; ++I)
+        Threads_.emplace_back(
+            [this, Kind, Id = Number++] { run(Kind, std::to_string(Id)); });
+  }
+  ~InsistentLoad() { finish(); }
+  InsistentLoad(const InsistentLoad &) = delete;
+  InsistentLoad &operator=(const InsistentLoad &) = delete;
+
+  std::vector<Attempt> finish() {
+    Stopping_ = true;
+    for (std::thread &Each : Threads_)
+      Each.join();
+    Threads_.clear();
+    return Attempts_;
+  }
+
+  size_t answered() const {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    return static_cast<size_t>(std::count_if(
+        Attempts_.begin(), Attempts_.end(), [](const Attempt &Each) {
+          return Each.Result_ == Attempt::Result::Answered;
+        }));
+  }
+
+private:
+  void run(const CallKind &Kind, const std::string &Caller) {
+    HttpSession Session(Ip_, Port_);
+    bool Reachable = true;
+    for (int I = 0; Reachable && !Stopping_; ++I) {
+      Attempt Sent;
+      Sent.Tag_ = "caller-" + Caller + "-" + std::to_string(I);
+      Sent.Booking_ = Kind.Booking_;
+      if (!Kind.KeepConnection_)
+        Session.close();
+      Reachable = sendOnce(Kind, Session, Sent);
+      if (!Reachable)
+        return;
+      {
+        std::lock_guard<std::mutex> Lock(Mutex_);
+        Attempts_.push_back(Sent);
+      }
+      if (Sent.Result_ != Attempt::Result::Answered)
+        sleepFor(RefusedPause);
+    }
+  }
+
+  /// Returns false if the node refused the connection.
+  bool sendOnce(const CallKind &Kind, HttpSession &Session, Attempt &Sent) {
+    std::vector<HttpField> Fields = requestFields("shop", "caller", Sent.Tag_);
+    Fields.push_back({"X-Work-Ms", std::to_string(Kind.WorkMs_)});
+    try {
+      HttpReply Reply = send(Kind, Session, Fields, Sent);
+      if (Kind.Booking_ && Reply.Status_ == 428) {
+        Fields.push_back(
+            {"Coltsfoot-Ticket", Reply.header("Coltsfoot-Ticket")});
+        Reply = send(Kind, Session, Fields, Sent);
+      }
+      if (Reply.Status_ == 200)
+        Sent.Result_ = Attempt::Result::Answered;
+      else if (Reply.header("Coltsfoot-Verdict") == "not-run")
+        Sent.Result_ = Attempt::Result::NotRun;
+      Sent.Text_ = std::to_string(Reply.Status_) + " " + Reply.Body_;
+    } catch (const HttpNotConnected &) {
+      return false;
+    } catch (const HttpError &Error) {
+      Sent.Text_ = Error.what();
+    }
+    Sent.Ended_ = Time_.now();
+    return true;
+  }
+
+  HttpReply send(const CallKind &Kind, HttpSession &Session,
+                 const std::vector<HttpField> &Fields, Attempt &Sent) {
+    Sent.Sent_ = Time_.now();
+    return Session.request(Kind.Booking_ ? "POST" : "GET", Kind.path(), Fields,
+                           Kind.Booking_ ? Sent.Tag_ : "", AttemptTimeout);
+  }
+
+  static void sleepFor(Millis Duration) {
+    std::this_thread::sleep_for(
+        std::chrono::duration<double, std::milli>(Duration.count()));
+  }
+
+  const std::string Ip_;
+  const uint16_t Port_;
+  const SystemClock Time_;
+  std::atomic<bool> Stopping_ = false;
+  mutable std::mutex Mutex_; // guards Attempts_
+  std::vector<Attempt> Attempts_;
+  std::vector<std::thread> Threads_;
+};
+
+/// Two nodes with the deployed time limits and a backend server beside each.
+struct LongCalls {
+  Fleet Fleet_;
+  std::vector<std::unique_ptr<TestNode>> Nodes_;
+  std::vector<std::unique_ptr<BackendServer>> Backends_;
+
+  LongCalls() {
+    NodeSpec Spec;
+    Spec.Timeouts_ = DeployedTimeouts;
+    for (int I = 0; I < 2; ++I)
+      Nodes_.push_back(Fleet_.startNode(Spec));
+    BackendOptions Options;
+    Options.Service_ = "shop";
+    Options.Slots_ = 64;
+    for (const auto &Node : Nodes_) {
+      Node->waitUntilServing();
+      Backends_.push_back(Fleet_.startBackend(*Node, Options));
+    }
+    Fleet::putResource(*Nodes_[0], "services/shop", longServiceJson());
+    for (const auto &Node : Nodes_) {
+      Node->waitForGates("shop", 2);
+      waitUntil(
+          [&] {
+            return Node->requestAsOperator("GET", "/v1/services/shop")
+                       .Status_ == 200;
+          },
+          WaitLimit, "the node knows the service");
+    }
+  }
+
+  size_t runs(const std::string &Tag) const {
+    return Backends_[0]->count(Tag) + Backends_[1]->count(Tag);
+  }
+};
+
+bool mayBeCut(const Attempt &Lost, Millis Terminated) {
+  return Lost.Sent_ - Terminated <= LastSafeSend &&
+         Lost.Ended_ - Terminated >= LongestWork;
+}
+
+} // namespace
+
+TEST_CASE("a stopping node takes no call that it then gives up") {
+  LongCalls Test;
+  TestNode &Stopped = *Test.Nodes_[1];
+  InsistentLoad Load(Stopped);
+  waitUntil([&] { return Load.answered() >= 3 * allKinds().size(); }, WaitLimit,
+            "calls of each kind have ended");
+  const SystemClock Time;
+  Millis Terminated = Time.now();
+  Stopped.process().kill(SIGTERM);
+  std::string Line =
+      Stopped.process().waitForLine("event=drain_ended", WaitLimit);
+  CHECK(Stopped.process().wait(WaitLimit) == 0);
+  size_t Answered = 0;
+  size_t Refused = 0;
+  size_t Cut = 0;
+  size_t RanThoughRefused = 0;
+  size_t RanTwice = 0;
+  std::vector<std::string> Lost;
+  for (const Attempt &Each : Load.finish()) {
+    Answered += Each.Result_ == Attempt::Result::Answered ? 1 : 0;
+    Refused += Each.Result_ == Attempt::Result::NotRun ? 1 : 0;
+    size_t Runs = Test.runs(Each.Tag_);
+    RanTwice += Each.Booking_ && Runs > 1 ? 1 : 0;
+    RanThoughRefused +=
+        Each.Result_ == Attempt::Result::NotRun && Runs > 0 ? 1 : 0;
+    if (Each.Result_ != Attempt::Result::Lost)
+      continue;
+    if (mayBeCut(Each, Terminated))
+      ++Cut;
+    else
+      Lost.push_back(Each.Tag_ + " sent " +
+                     std::to_string((Each.Sent_ - Terminated).whole()) +
+                     ", ended " +
+                     std::to_string((Each.Ended_ - Terminated).whole()) + ": " +
+                     Each.Text_);
+  }
+  MESSAGE(Line);
+  MESSAGE("answered=", Answered, " refused=", Refused, " cut=", Cut,
+          " lost=", Lost.size());
+  INFO("first lost call: ", Lost.empty() ? "" : Lost.front());
+  CHECK(Lost.empty());
+  CHECK(RanThoughRefused == 0);
+  CHECK(RanTwice == 0);
+  CHECK(Answered > 3 * allKinds().size());
+}
