Test that a draining node closes the ticket of a booking that it refuses

A draining node may not answer not-run for a caller's own ticket by itself: the ticket may have been used at another node. The test repeats a booking that ran elsewhere (same answer, one run) and sends a new one (not run, with a successor that runs once elsewhere).

--- a/testsuite/leaving/long_calls_test.cpp
+++ b/testsuite/leaving/long_calls_test.cpp
@@ -176,9 +176,9 @@
   std::vector<std::unique_ptr<TestNode>> Nodes_;
   std::vector<std::unique_ptr<BackendServer>> Backends_;
 
-  LongCalls() {
+  explicit LongCalls(std::string_view Timeouts = DeployedTimeouts) {
     NodeSpec Spec;
-    Spec.Timeouts_ = DeployedTimeouts;
+    Spec.Timeouts_ = Timeouts;
     for (int I = 0; I < 2; ++I)
       Nodes_.push_back(Fleet_.startNode(Spec));
     BackendOptions Options;
@@ -257,3 +257,57 @@
   CHECK(RanTwice == 0);
   CHECK(Answered > 3 * allKinds().size());
 }
+
+TEST_CASE("a draining node closes the ticket of a booking that it refuses") {
+  LongCalls Test("drain_ms = 4000\ndrain_notice_ms = 100\n");
+  const TestNode &Other = *Test.Nodes_[0];
+  TestNode &Draining = *Test.Nodes_[1];
+  const std::string Path = "/bookings-1500";
+  std::string RanTicket;
+  HttpReply First =
+      callWithTicket(Other, "shop", Path, "caller", "ran", "ran", &RanTicket);
+  REQUIRE(First.Status_ == 200);
+  auto Book = [&](const TestNode &Node, const std::string &Tag,
+                  const std::string &Ticket) {
+    std::vector<HttpField> Fields = requestFields("shop", "caller", Tag);
+    Fields.push_back({"Coltsfoot-Ticket", Ticket});
+    return Node.call("POST", Path, Fields, Tag);
+  };
+  HttpReply Issued =
+      Other.call("POST", Path, requestFields("shop", "caller", "new"), "new");
+  std::string NewTicket = Issued.header("Coltsfoot-Ticket");
+  REQUIRE(Issued.Status_ == 428);
+
+  // A long read keeps the gate busy, so that the node goes on listening.
+  std::vector<HttpField> LongRead = requestFields("shop", "reader", "long");
+  LongRead.push_back({"X-Work-Ms", "3500"});
+  std::vector<std::thread> Readers;
+  for (int I = 0; I < 6; ++I)
+    Readers.emplace_back([&] { Other.call("GET", "/items-3500", LongRead); });
+  waitUntil([&] { return Test.Backends_[1]->busy() > 0; }, WaitLimit,
+            "the draining node's backend server runs a call");
+  Draining.process().kill(SIGTERM);
+  waitUntil(
+      [&] {
+        return Draining
+                   .call("GET", "/items-1500",
+                         requestFields("shop", "reader", "short"))
+                   .Status_ == 503;
+      },
+      WaitLimit, "the draining node refuses calls");
+
+  HttpReply Repeated = Book(Draining, "ran", RanTicket);
+  CHECK(Repeated.Status_ == 200);
+  CHECK(Repeated.Body_ == First.Body_);
+  HttpReply Refused = Book(Draining, "new", NewTicket);
+  CHECK(Refused.Status_ == 503);
+  CHECK(Refused.header("Coltsfoot-Verdict") == "not-run");
+  std::string Successor = Refused.header("Coltsfoot-Ticket");
+  CHECK(Book(Other, "new", NewTicket).header("Coltsfoot-Verdict") == "not-run");
+  CHECK(Test.runs("new") == 0);
+  CHECK(Book(Other, "new", Successor).Status_ == 200);
+  CHECK(Test.runs("new") == 1);
+  CHECK(Test.runs("ran") == 1);
+  for (std::thread &Each : Readers)
+    Each.join();
+}
