--- a/src/libtransport/bytebudget_test.cpp
+++ b/src/libtransport/bytebudget_test.cpp
@@ -32,8 +32,10 @@
   constexpr size_t Limit = 1000;
   boost::intrusive_ptr<ByteBudget> Budget(new ByteBudget(Limit));
   std::atomic<bool> Exceeded = false;
+  constexpr int ThreadCount = 4;
   std::vector<std::thread> Threads;
-  for (int I = 0; I < 4; ++I)
+  Threads.reserve(ThreadCount);
+  for (int I = 0; I < ThreadCount; ++I)
     Threads.emplace_back([&] {
       for (int Round = 0; Round < 2000; ++Round) {
         ByteBudget::Reservation Own(Budget);
--- a/testsuite/leaving/long_calls_test.cpp
+++ b/testsuite/leaving/long_calls_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <boost/json.hpp>
 #include <csignal>
 #include <doctest/doctest.h>
 #include <mutex>
@@ -47,17 +48,19 @@
 
 /// Returns the JSON of a service with a route for the path of each kind.
 std::string longServiceJson() {
-  std::string Routes;
+  boost::json::array Routes;
   for (const CallKind &Kind : allKinds()) {
     if (Kind.KeepConnection_)
       continue;
     std::string Name = Kind.path().substr(1);
-    Routes += std::string(Routes.empty() ? "" : ",") + R"({"name":")" + Name +
-              R"(","method":")" + (Kind.Booking_ ? "POST" : "GET") +
-              R"(","path":")" + Kind.path() + R"(","kind":")" + Name +
-              R"(","deadline_ms":)" + std::to_string(DeadlineMs) + "}";
+    Routes.push_back({{"name", Name},
+                      {"method", Kind.Booking_ ? "POST" : "GET"},
+                      {"path", Kind.path()},
+                      {"kind", Name},
+                      {"deadline_ms", DeadlineMs}});
   }
-  return R"({"routes":[)" + Routes + "]}";
+  return boost::json::serialize(
+      boost::json::object{{"routes", std::move(Routes)}});
 }
 
 /// One sending of a request, without the 428 that a booking's ticket takes.
@@ -281,8 +284,10 @@
   // A long read keeps the gate busy, so that the node goes on listening.
   std::vector<HttpField> LongRead = requestFields("shop", "reader", "long");
   LongRead.push_back({"X-Work-Ms", "3500"});
+  constexpr int ReaderCount = 6;
   std::vector<std::thread> Readers;
-  for (int I = 0; I < 6; ++I)
+  Readers.reserve(ReaderCount);
+  for (int I = 0; I < ReaderCount; ++I)
     Readers.emplace_back([&] { Other.call("GET", "/items-3500", LongRead); });
   waitUntil([&] { return Test.Backends_[1]->busy() > 0; }, WaitLimit,
             "the draining node's backend server runs a call");
