Take no call after the end of a drain

What callers saw: in the time between the cut at the end of a drain and the end of the process (up to 200 ms) the node still took nested calls of a route whose duration it did not know, and with drain_ms below drain_notice_ms root calls too, and the gate still started such calls from its queue. Nobody cuts or answers them: the connection ends.

Cause: DrainSchedule compared the time left only with a known duration. An unknown one passed the check at any time.

Evidence: "a node takes no call once its drain has ended" fails three of three checks without the fix: 50 ms after the end a nested call of an unknown route is taken, and, with a drain shorter than its notice, a root call is taken and a queued one started.

Change: a call of an unknown duration is expected to take no time, so that it is refused once nothing is left but the time kept for the answers.

--- a/src/libstate/drainadmission_test.cpp
+++ b/src/libstate/drainadmission_test.cpp
@@ -55,6 +55,17 @@
   CHECK(!Test.takesAt(5400, "route", true));
 }
 
+TEST_CASE("a node takes no call once its drain has ended") {
+  Fixture Test(Millis(10));
+  CHECK(!Test.takesAt(5650, "unknown route", true));
+  ManualClock Time;
+  DrainAdmission Short(Time);
+  Short.begin({Time.now(), Notice, Millis(1000)});
+  Time.advance(Millis(1050));
+  CHECK(!Short.takes("unknown route", Time.now() + LongDeadline, false));
+  CHECK(!Short.canStart("unknown route", Time.now() + LongDeadline));
+}
+
 TEST_CASE("a draining node takes calls whose deadline lies within the drain") {
   Fixture Test(Millis(4000));
   CHECK(Test.takesAt(4000, "route", false, Millis(1400)));
--- a/src/libstate/drainschedule.cpp
+++ b/src/libstate/drainschedule.cpp
@@ -13,7 +13,7 @@
   Millis LatestEnd = End_ - AnswerReserve;
   if (Candidate.Deadline_ <= LatestEnd)
     return true;
-  if (Candidate.Expected_ && Now + *Candidate.Expected_ > LatestEnd)
+  if (Now + Candidate.Expected_.value_or(Millis()) > LatestEnd)
     return false;
   return Candidate.Nested_ || !noticePassed(Now);
 }
--- a/src/libstate/drainschedule.h
+++ b/src/libstate/drainschedule.h
@@ -33,8 +33,9 @@
 
   /// Returns whether the node takes a call now. It takes one whose deadline
   /// lies within the drain, and no other one that is expected to take longer
-  /// than the drain still does. Once the notice has passed, it takes no other
-  /// root calls at all, since nothing ensures that they end in time.
+  /// than the drain still does; a call of an unknown duration is expected to
+  /// take no time. Once the notice has passed, it takes no other root calls at
+  /// all, since nothing ensures that they end in time.
   bool takes(const DrainCandidate &Candidate, Millis Now) const;
 
   bool operator==(const DrainSchedule &) const = default;
