Refuse a long queue in a drain without recursion

What callers saw: if a gate with a very long queue drains and its calls can't start in time any more, the process ends by SIGSEGV, and all calls that it serves are lost. limits.queue allows up to 1,000,000; at its default of 256 the stack suffices.

Cause: a call that can't be started frees its slot, and startCall() applied the decision that follows, which started the next call, and so on: one nested call of startCall() for each call that waits. Since queued calls are checked against the drain, the whole queue may be refused this way. A queue whose tickets have all expired takes the same path.

Change: startCall() returns the decisions that follow, and applyDecisions() adds them to the list that it works through.

--- a/src/libcoordination/gate.cpp
+++ b/src/libcoordination/gate.cpp
@@ -193,8 +193,9 @@
   void offerTicketed(const CallPointer &Incoming, ReplyHandler OnReply);
   void enqueue(const CallPointer &Incoming);
   Decisions takeDecisions();
-  void applyDecisions(const Decisions &NewDecisions);
-  void startCall(const CallPointer &StartedCall);
+  void applyDecisions(Decisions Due);
+  Decisions startCall(const CallPointer &StartedCall);
+  Decisions releaseSlot(const Call &NotStarted);
   void addUpstreamFields(UpstreamRequest &Request, const Call &StartedCall,
                          Millis Remaining) const;
   ServiceResult classifyResult(const Call &EndedCall,
@@ -262,7 +263,7 @@
     Queue_.tick();
     NewDecisions = takeDecisions();
   }
-  applyDecisions(NewDecisions);
+  applyDecisions(std::move(NewDecisions));
   expireLease();
   if (++Ticks_ % TicksPerExpiry == 0)
     Tickets_.expire();
@@ -467,7 +468,7 @@
     Queue_.offer(*Incoming);
     NewDecisions = takeDecisions();
   }
-  applyDecisions(NewDecisions);
+  applyDecisions(std::move(NewDecisions));
 }
 
 // Called with the mutex held. The returned pointers keep the calls alive after
@@ -480,20 +481,23 @@
   return NewDecisions;
 }
 
-void Gate::Impl::applyDecisions(const Decisions &NewDecisions) {
-  for (const auto &Decided : NewDecisions) {
-    const CallPointer &DecidedCall = Decided.first;
-    std::visit(Overloaded{[&](const AdmissionQueue::Start &) {
-                            startCall(DecidedCall);
-                          },
-                          [&](const AdmissionQueue::Refuse &Refused) {
-                            {
-                              std::lock_guard<std::mutex> Lock(Mutex_);
-                              Calls_.erase(DecidedCall->Key_);
-                            }
-                            refuse(DecidedCall, Refused.Reason_);
-                          }},
-               Decided.second.Action_);
+// The decisions that follow from a call that is not started after all are added
+// to the list. A recursive call for each would need a stack as deep as the
+// queue is long.
+void Gate::Impl::applyDecisions(Decisions Due) {
+  for (size_t I = 0; I < Due.size(); ++I) {
+    const auto [DecidedCall, Decided] = Due[I];
+    if (const auto *Refused =
+            std::get_if<AdmissionQueue::Refuse>(&Decided.Action_)) {
+      {
+        std::lock_guard<std::mutex> Lock(Mutex_);
+        Calls_.erase(DecidedCall->Key_);
+      }
+      refuse(DecidedCall, Refused->Reason_);
+      continue;
+    }
+    for (auto &Next : startCall(DecidedCall))
+      Due.push_back(std::move(Next));
   }
 }
 
@@ -515,7 +519,17 @@
        std::to_string(std::max<int64_t>(0, Remaining.whole()))});
 }
 
-void Gate::Impl::startCall(const CallPointer &StartedCall) {
+/// Frees the slot of a call that is not started after all. Returns the
+/// decisions that follow.
+Gate::Impl::Decisions Gate::Impl::releaseSlot(const Call &NotStarted) {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  Queue_.abandon(NotStarted.Request_);
+  Calls_.erase(NotStarted.Key_);
+  return takeDecisions();
+}
+
+/// Starts a call. Returns the decisions that follow if it can't be started.
+Gate::Impl::Decisions Gate::Impl::startCall(const CallPointer &StartedCall) {
   const wire::Offer &Offered = StartedCall->Offer_;
   Reason TooLate = lateRefusalReason(*StartedCall);
   {
@@ -526,17 +540,11 @@
   bool TicketExpired = TooLate == Reason::None && StartedCall->Ticket_ &&
                        !Tickets_.begin(StartedCall->Ticket_->Serial_);
   if (TooLate != Reason::None || TicketExpired) {
-    Decisions NextDecisions;
-    {
-      std::lock_guard<std::mutex> Lock(Mutex_);
-      Queue_.abandon(StartedCall->Request_);
-      Calls_.erase(StartedCall->Key_);
-      NextDecisions = takeDecisions();
-    }
+    Decisions NextDecisions = releaseSlot(*StartedCall);
     // For an expired ticket, begin() has already replied.
     if (TooLate != Reason::None)
       refuse(StartedCall, TooLate);
-    return applyDecisions(NextDecisions);
+    return NextDecisions;
   }
   Millis Now = NodeContext_.Clock_->now();
   Millis Remaining = StartedCall->Request_.Deadline_ - Now;
@@ -585,6 +593,7 @@
   }
   if (Cancelled)
     Upstream->cancel();
+  return {};
 }
 
 void Gate::Impl::refuse(const CallPointer &RefusedCall, Reason Why) {
@@ -652,7 +661,7 @@
     NextDecisions = takeDecisions();
   }
   endCall(EndedCall, CallVerdict, Credits);
-  applyDecisions(NextDecisions);
+  applyDecisions(std::move(NextDecisions));
 }
 
 /// Returns the queueing time and the backend server's service time as log text.
--- a/src/libcoordination/gate_test.cpp
+++ b/src/libcoordination/gate_test.cpp
@@ -4,6 +4,7 @@
 #include "balancer.h"
 #include "coltsfoot_types.h"
 #include "configstate.h"
+#include "drainadmission.h"
 #include "entrythreshold.h"
 #include "memberview.h"
 #include "policy.h"
@@ -26,6 +27,9 @@
 constexpr int32_t MayHaveRunOutcome = 2;
 
 constexpr Millis TicketLife(60'000);
+constexpr Millis Notice(1000);
+constexpr Millis Drain(2000);
+constexpr Millis OfferTime(5000);
 constexpr std::string_view HttpAnswer =
     "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok";
 
@@ -78,16 +82,25 @@
   EntryThreshold Thresholds_;
   RequestLedger Ledger_{Clock_};
   TicketIssuer TicketIssuer_{nodeContext(), SealingKeys("key"), Balancer_};
-  Gate Gate_{Context_,    nodeContext(), TicketIssuer_,      Attempts_,
-             Thresholds_, Ledger_,       PolicyKind::Static, {}};
+  DrainAdmission Drain_{Clock_};
+  Gate Gate_;
   Backend Backend_{Context_};
   std::map<int64_t, wire::Reply> Replies_;
 
-  Fixture() {
+  explicit Fixture(int QueueLimit = Gate::Options().QueueLimit_)
+      : Gate_(Context_, nodeContext(), TicketIssuer_, Attempts_, Thresholds_,
+              Ledger_, PolicyKind::Static, gateOptions(QueueLimit)) {
     Gate_.start([](const std::string &, int, bool) {});
     announce("shop", Backend_);
   }
 
+  Gate::Options gateOptions(int QueueLimit) {
+    Gate::Options Options;
+    Options.QueueLimit_ = QueueLimit;
+    Options.Drain_ = &Drain_;
+    return Options;
+  }
+
   NodeContext nodeContext() {
     NodeContext ThisNode;
     ThisNode.Clock_ = &Clock_;
@@ -129,7 +142,7 @@
     Offer.service_name = "shop";
     Offer.method = "POST";
     Offer.target = "/bookings";
-    Offer.remaining_ms = 5000;
+    Offer.remaining_ms = static_cast<int32_t>(OfferTime.whole());
     Offer.credits = 2;
     Offer.client = "client";
     Offer.ticket = Ticket;
@@ -273,3 +286,18 @@
   }
   CHECK(Fixture.Gate_.idle());
 }
+
+TEST_CASE("a long queue whose calls can't start in a drain does not exhaust "
+          "the stack") {
+  constexpr int Waiting = 30'000;
+  Fixture Fixture(Waiting);
+  Fixture.Drain_.learn(routeKey("shop", "book"), OfferTime);
+  Fixture.occupySlot(0);
+  for (int I = 1; I <= Waiting; ++I)
+    Fixture.offer(I, Fixture.ticket("waits-" + std::to_string(I)));
+  Fixture.Drain_.begin({Fixture.Clock_.now(), Notice, Drain});
+  Fixture.Backend_.answerAll();
+  Fixture.runUntil([&] { return Fixture.Replies_.size() == Waiting + 1; });
+  Fixture.checkClosed(Waiting, Reason::Leaving);
+  CHECK(Fixture.Gate_.idle());
+}
