Refuse queued calls before the end of a drain cuts them

What callers saw: the gate of a stopping node gave no reply to a call that waited there until the end of the drain, so that its entry has to take it for one that may have run, although no backend server had it.

Cause: the gate checked a queued call against the drain only when a slot became free. While long calls hold all slots, that does not happen before the end.

Change: at each tick of a drain the gate refuses the calls that can no longer start in time. Their entries may offer them to other gates.

--- a/src/libcoordination/gate.cpp
+++ b/src/libcoordination/gate.cpp
@@ -201,7 +201,9 @@
   ServiceResult classifyResult(const Call &EndedCall,
                                Verdict &CallVerdict) const;
   void refuse(const CallPointer &RefusedCall, Reason Why);
+  template <typename F> std::vector<CallPointer> withdrawQueued(F Condition);
   void refuseQueued(Reason Why);
+  void refuseTooLate();
   void onUpstreamEnd(const CallPointer &EndedCall, Verdict CallVerdict);
   std::string timingText(const Call &Ended) const;
   void endCall(const CallPointer &EndedCall, const Verdict &CallVerdict,
@@ -264,6 +266,7 @@
     NewDecisions = takeDecisions();
   }
   applyDecisions(std::move(NewDecisions));
+  refuseTooLate();
   expireLease();
   if (++Ticks_ % TicksPerExpiry == 0)
     Tickets_.expire();
@@ -310,22 +313,40 @@
   return Options_.Lease_;
 }
 
+/// Removes the queued calls for which the condition holds and returns them.
+template <typename F>
+std::vector<Gate::Impl::CallPointer> Gate::Impl::withdrawQueued(F Condition) {
+  std::vector<CallPointer> Withdrawn;
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  for (auto Entry = Calls_.begin(); Entry != Calls_.end();) {
+    CallPointer QueuedCall = Entry->second;
+    bool Removed = Condition(*QueuedCall) && Queue_.cancel(*QueuedCall);
+    Entry = Removed ? Calls_.erase(Entry) : std::next(Entry);
+    if (Removed)
+      Withdrawn.push_back(std::move(QueuedCall));
+  }
+  return Withdrawn;
+}
+
 // Queued calls could otherwise reach the backend server long after it announced
 // that it is leaving.
 void Gate::Impl::refuseQueued(Reason Why) {
-  std::vector<CallPointer> Withdrawn;
-  {
-    std::lock_guard<std::mutex> Lock(Mutex_);
-    for (auto Entry = Calls_.begin(); Entry != Calls_.end();) {
-      CallPointer QueuedCall = Entry->second;
-      bool Queued = Queue_.cancel(*QueuedCall);
-      Entry = Queued ? Calls_.erase(Entry) : std::next(Entry);
-      if (Queued)
-        Withdrawn.push_back(std::move(QueuedCall));
-    }
+  for (const CallPointer &Each :
+       withdrawQueued([](const Call &) { return true; }))
+    refuse(Each, Why);
+}
+
+// A call that waits until the drain ends would be cut as one that may have run.
+void Gate::Impl::refuseTooLate() {
+  if (!Options_.Drain_ || !Options_.Drain_->elapsed())
+    return;
+  auto TooLate = [this](const Call &Each) {
+    return Options_.Drain_->tooLate(Each.RouteKey_, Each.Request_.Deadline_);
+  };
+  for (const CallPointer &Each : withdrawQueued(TooLate)) {
+    Options_.Drain_->countRefused();
+    refuse(Each, Reason::Leaving);
   }
-  for (const CallPointer &WithdrawnCall : Withdrawn)
-    refuse(WithdrawnCall, Why);
 }
 
 Reason Gate::Impl::refusalReason(const Call &Incoming) const {
--- a/src/libcoordination/gate_test.cpp
+++ b/src/libcoordination/gate_test.cpp
@@ -101,6 +101,13 @@
     return Options;
   }
 
+  /// Begins a drain as the node does, with the gate closed after its notice.
+  void closeGateForDrain() {
+    Drain_.begin({Clock_.now(), Notice, Drain});
+    Clock_.advance(Notice + Millis(1));
+    Gate_.drain();
+  }
+
   NodeContext nodeContext() {
     NodeContext ThisNode;
     ThisNode.Clock_ = &Clock_;
@@ -287,6 +294,18 @@
   CHECK(Fixture.Gate_.idle());
 }
 
+TEST_CASE("a call that still waits when the drain ends is closed as not run") {
+  Fixture Fixture;
+  Fixture.occupySlot(1);
+  Fixture.offer(2, Fixture.ticket("waits"));
+  Fixture.closeGateForDrain();
+  CHECK(Fixture.Replies_.empty());
+  Fixture.Clock_.advance(Drain - Notice);
+  Fixture.runUntil([&] { return Fixture.Replies_.count(2) == 1; });
+  Fixture.checkClosed(2, Reason::Leaving);
+  CHECK(Fixture.Backend_.requests() == 1);
+}
+
 TEST_CASE("a long queue whose calls can't start in a drain does not exhaust "
           "the stack") {
   constexpr int Waiting = 30'000;
--- a/src/libstate/drainadmission.cpp
+++ b/src/libstate/drainadmission.cpp
@@ -49,13 +49,23 @@
 }
 
 // A call that was taken before the notice passed may start after it.
-bool DrainAdmission::canStart(std::string_view RouteKey, Millis Deadline) {
+bool DrainAdmission::tooLate(std::string_view RouteKey, Millis Deadline) const {
   if (!Draining_)
+    return false;
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  return !isTaken(RouteKey, Deadline, true);
+}
+
+bool DrainAdmission::canStart(std::string_view RouteKey, Millis Deadline) {
+  if (!tooLate(RouteKey, Deadline))
     return true;
+  countRefused();
+  return false;
+}
+
+void DrainAdmission::countRefused() {
   std::lock_guard<std::mutex> Lock(Mutex_);
-  bool InTime = isTaken(RouteKey, Deadline, true);
-  Figures_.Refused_ += InTime ? 0 : 1;
-  return InTime;
+  ++Figures_.Refused_;
 }
 
 void DrainAdmission::countTaken() {
--- a/src/libstate/drainadmission.h
+++ b/src/libstate/drainadmission.h
@@ -40,6 +40,11 @@
   /// Returns whether a call that was taken earlier can still be started; if it
   /// can't, counts it as refused.
   bool canStart(std::string_view RouteKey, Millis Deadline);
+  /// Returns whether a call that waits can no longer be started; counts
+  /// nothing.
+  bool tooLate(std::string_view RouteKey, Millis Deadline) const;
+  /// Counts a call that was refused after it was taken.
+  void countRefused();
   /// Counts a call that was taken since the drain began.
   void countTaken();
   /// Counts a call in progress that the end of the drain cuts.
