Send no call on in a drain that may not end within it

What callers saw: a stopping node that had taken a call in time offered it to another gate later, when the first one refused it, although the call could no longer end within the drain. The call ran, was cut, and was answered 504 by the node itself.

Cause: the time left was compared with the expected duration only when the call arrived. A further attempt, after a wait in a queue, was not checked.

Evidence: "a stopping node sends no call on that it then gives up": a call of 3 s waits at a gate until 3.3 s of a drain of 6 s, then that gate's backend server leaves.

Change: before each further attempt the entry asks the drain whether the call can still end. If not, it refuses it; for a ticket, the candidates that are left close it first, which costs no credit. Nested steps with a ticket go on as before.

--- a/src/libcoordination/entrycall.cpp
+++ b/src/libcoordination/entrycall.cpp
@@ -150,7 +150,7 @@
 
 void EntryCall::start() {
   Pending_->add(*this);
-  if (DrainElapsed_ && !Request_.CloseTicket_)
+  if (DrainElapsed_ && !ClosesTicket_)
     Parts_->Drain_.countTaken();
   boost::asio::dispatch(Strand_, [Self = Pointer(this)] { Self->begin(); });
 }
@@ -366,11 +366,17 @@
   constexpr size_t MaxGatesTried = 8;
   bool CanRetry =
       now() < Request_.Deadline_ && TriedGates_.size() < MaxGatesTried;
-  if (CanRetry && (NeedsNoCredit || spendRetry()))
+  if (CanRetry && canStillEnd() && (NeedsNoCredit || spendRetry()))
     return offerNextGate();
   end(std::move(Outcome));
 }
 
+/// Returns whether a further attempt is expected to end before a drain does.
+bool EntryCall::canStillEnd() const {
+  return Parts_->Drain_.canStart(
+      routeKey(Request_.Service_, Request_.Route_.Name_), Request_.Deadline_);
+}
+
 // Checks the request's own credits first: a token taken from the budget would
 // be lost if the request had no credit to use it with.
 bool EntryCall::spendRetry() {
@@ -382,7 +388,7 @@
 }
 
 void EntryCall::offerCandidate(size_t Candidate) {
-  if (Request_.CloseTicket_)
+  if (ClosesTicket_)
     return inquire(Candidate);
   const NodeRef &Gate = Request_.Ticket_->Candidates_[Candidate];
   if (Request_.StepOffers_ && !Request_.StepOffers_->beginSend(Candidate)) {
@@ -425,9 +431,13 @@
   AttemptMayHaveRun_ = false;
   if (Candidate + 1 == Candidates.size())
     return endTicketClosed(std::move(Outcome), Reply.successor);
+  // The later candidates close the ticket too, so that the refusal is true.
+  if (!Request_.StepOffers_ && !ClosesTicket_)
+    ClosesTicket_ = !canStillEnd();
   // A gate refuses before any work is done, but a backend server that shed the
   // call has spent work on it, so the next attempt then costs a credit.
-  bool NeedsNoCredit = reasonOf(Outcome) != Reason::UpstreamShed;
+  bool NeedsNoCredit =
+      ClosesTicket_ || reasonOf(Outcome) != Reason::UpstreamShed;
   if (now() < Request_.Deadline_ && (NeedsNoCredit || spendRetry()))
     return offerCandidate(Candidate + 1);
   end(std::move(Outcome));
@@ -612,9 +622,9 @@
   // An earlier attempt may have run, although the last one did not.
   if (AttemptMayHaveRun_ && std::holds_alternative<NotRun>(Outcome))
     Outcome = MayHaveRun{reasonOf(Outcome)};
-  if (Request_.CloseTicket_ && std::holds_alternative<NotRun>(Outcome))
+  if (ClosesTicket_ && std::holds_alternative<NotRun>(Outcome))
     Outcome = NotRun{Reason::Leaving};
-  if (std::holds_alternative<Ran>(Outcome) && !Request_.CloseTicket_)
+  if (std::holds_alternative<Ran>(Outcome) && !ClosesTicket_)
     Parts_->Drain_.learn(routeKey(Request_.Service_, Request_.Route_.Name_),
                          now() - Started_);
   Deadline_.cancel();
--- a/src/libcoordination/entrycall.h
+++ b/src/libcoordination/entrycall.h
@@ -167,6 +167,7 @@
   void respond(const Verdict &Outcome, const std::string &Successor);
   void respondInDialect(const Verdict &Outcome);
   void record(const Verdict &Outcome, int Status);
+  bool canStillEnd() const;
   bool spendRetry();
   void note(std::string_view Event, const std::string &Detail) const;
   std::string drainText() const;
@@ -176,6 +177,8 @@
   const std::shared_ptr<PendingCalls> Pending_;
   const HttpExchange::Pointer Exchange_;
   const EntryRequest Request_;
+  /// Whether the candidates that are left are asked to close the ticket.
+  bool ClosesTicket_ = Request_.CloseTicket_;
   const Millis Started_;
   /// How long the node had been draining when it took the call.
   const std::optional<Millis> DrainElapsed_;
--- a/testsuite/leaving/long_calls_test.cpp
+++ b/testsuite/leaving/long_calls_test.cpp
@@ -257,3 +257,107 @@
   CHECK(RanTwice == 0);
   CHECK(Answered > 3 * allKinds().size());
 }
+
+namespace {
+
+constexpr Millis DrainTime(6000);
+constexpr int LearnedWorkMs = 3000;
+constexpr int EndlessWorkMs = 60'000;
+/// A call of LearnedWorkMs that starts later does not end within DrainTime.
+constexpr Millis TooLateToStart(3300);
+
+/// A node without a backend server of its own, and two others with a backend
+/// server of one slot each, which endless calls occupy.
+struct OccupiedGates {
+  Fleet Fleet_;
+  std::vector<std::unique_ptr<TestNode>> Nodes_;
+  std::vector<std::unique_ptr<BackendServer>> Backends_;
+  std::vector<HttpSession> Occupants_;
+
+  OccupiedGates() {
+    NodeSpec Spec;
+    Spec.Timeouts_ = "drain_ms = " + std::to_string(DrainTime.whole()) +
+                     "\ndrain_notice_ms = 1000\nattempt_ms = 60000\n";
+    for (int I = 0; I < 3; ++I)
+      Nodes_.push_back(Fleet_.startNode(Spec));
+    for (const auto &Node : Nodes_)
+      Node->waitUntilServing();
+    BackendOptions Options;
+    Options.Service_ = "shop";
+    Options.Slots_ = 1;
+    for (size_t I = 1; I < Nodes_.size(); ++I)
+      Backends_.push_back(Fleet_.startBackend(*Nodes_[I], Options));
+    Fleet::putResource(*Nodes_[0], "services/shop", shopServiceJson(30'000));
+    for (const auto &Node : Nodes_) {
+      Node->waitForGates("shop", 2);
+      waitUntil(
+          [&] {
+            return Node->requestAsOperator("GET", "/v1/services/shop")
+                       .Status_ == 200;
+          },
+          WaitLimit, "the node knows the service");
+    }
+  }
+
+  static std::vector<HttpField> fields(const std::string &Tag, int WorkMs) {
+    std::vector<HttpField> Fields = requestFields("shop", "caller", Tag);
+    Fields.push_back({"X-Work-Ms", std::to_string(WorkMs)});
+    return Fields;
+  }
+
+  HttpReply callStopped(const std::string &Tag) const {
+    return Nodes_[0]->call("GET", "/items", fields(Tag, LearnedWorkMs), {},
+                           WaitLimit);
+  }
+
+  void occupyAll() {
+    const TestNode &Other = *Nodes_[1];
+    for (int Wanted = 1; Wanted <= 2; ++Wanted) {
+      Occupants_.emplace_back(Other.ip(), Other.httpPort());
+      Occupants_.back().send("GET", "/report",
+                             fields("occupies", EndlessWorkMs));
+      waitUntil([&] { return busy() == Wanted; }, WaitLimit,
+                "one more slot is taken");
+    }
+  }
+
+  int busy() const { return Backends_[0]->busy() + Backends_[1]->busy(); }
+
+  size_t runs(const std::string &Tag) const {
+    return Backends_[0]->count(Tag) + Backends_[1]->count(Tag);
+  }
+
+  bool callWaitsAt(size_t Gate) const {
+    return Nodes_[Gate + 1]
+               ->requestAsOperator("GET", "/metrics")
+               .Body_.find("coltsfoot_gate_waiting 1") != std::string::npos;
+  }
+};
+
+} // namespace
+
+TEST_CASE("a stopping node sends no call on that it then gives up") {
+  OccupiedGates Test;
+  CHECK(Test.callStopped("learned").Status_ == 200);
+  Test.occupyAll();
+  TestNode &Stopped = *Test.Nodes_[0];
+  const SystemClock Time;
+  Stopped.process().kill(SIGTERM);
+  Stopped.process().waitForLine("event=drain_started", WaitLimit);
+  Millis Started = Time.now();
+  HttpReply Reply;
+  std::thread Caller([&] { Reply = Test.callStopped("late"); });
+  waitUntil([&] { return Test.callWaitsAt(0) || Test.callWaitsAt(1); },
+            WaitLimit, "the call waits at a gate");
+  size_t Queued = Test.callWaitsAt(0) ? 0 : 1;
+  waitUntil([&] { return Time.now() - Started > TooLateToStart; }, WaitLimit,
+            "the call can no longer end in time");
+  Test.Backends_[Queued]->leave();
+  waitUntil([&] { return !Test.callWaitsAt(Queued); }, WaitLimit,
+            "the leaving gate has refused the call");
+  Test.Occupants_.clear();
+  Caller.join();
+  INFO(Reply.Status_, " ", Reply.Body_);
+  CHECK(Reply.header("Coltsfoot-Verdict") == "not-run");
+  CHECK(Test.runs("late") == 0);
+}
