--- a/testsuite/leaving/long_calls_test.cpp
+++ b/testsuite/leaving/long_calls_test.cpp
@@ -52,10 +52,13 @@
     if (Kind.KeepConnection_)
       continue;
     std::string Name = Kind.path().substr(1);
-    Routes += std::string(Routes.empty() ? "" : ",") + R"({"name":")" + Name +
-              R"(","method":")" + (Kind.Booking_ ? "POST" : "GET") +
-              R"(","path":")" + Kind.path() + R"(","kind":")" + Name +
-              R"(","deadline_ms":)" + std::to_string(DeadlineMs) + "}";
+    Routes += Routes.empty() ? "" : ",";
+    Routes += R"({"name":")" + Name;
+    Routes += R"(","method":")";
+    Routes += Kind.Booking_ ? "POST" : "GET";
+    Routes += R"(","path":")" + Kind.path();
+    Routes += R"(","kind":")" + Name;
+    Routes += R"(","deadline_ms":)" + std::to_string(DeadlineMs) + "}";
   }
   return R"({"routes":[)" + Routes + "]}";
 }
