Count only calls of the leaving incarnation in the soak's drain check

Cause: the check compared two counts of requests, the second of which was due 40 ms before the next incarnation starts. A delayed loop took it later and counted calls of the next incarnation, which are right.

Change: the stand-in records with each request the incarnation that received it and the time, under the lock that also starts an incarnation. The ledger counts every request of the leaving incarnation that came later than the drain time after the acknowledgement. This is stricter than before: the interval starts exactly at the drain time and lasts until the end of the incarnation, where the old one started with the first turn of the loop after it and was meant to end 40 ms earlier. soakledger_test shows that a request of the leaving incarnation 1 ms after the drain time is a violation, also beside requests of the next one, and that requests of the next one alone are none.

--- a/testsuite/common/platformupstream.cpp
+++ b/testsuite/common/platformupstream.cpp
@@ -82,14 +82,19 @@
   Instance_ = Instance;
 }
 
+std::string PlatformUpstream::instance() const {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  return Instance_;
+}
+
 std::vector<PlatformUpstream::Run> PlatformUpstream::runs() const {
   std::lock_guard<std::mutex> Lock(Mutex_);
   return Runs_;
 }
 
-size_t PlatformUpstream::requestCount() const {
+std::vector<PlatformUpstream::Request> PlatformUpstream::requests() const {
   std::lock_guard<std::mutex> Lock(Mutex_);
-  return RequestCount_;
+  return Requests_;
 }
 
 void PlatformUpstream::handle(const HttpExchange::Pointer &Exchange) {
@@ -108,8 +113,8 @@
     std::string_view Expected = Request.field("Expected-Instance");
     if (!Expected.empty() && Expected != Instance_)
       return Exchange->respond(Answer{421, Reply.Fields_, ""});
-    ++RequestCount_;
-    if (Shedding_ && RequestCount_ % 2 == 1) {
+    Requests_.push_back({Instance_, Clock_.now()});
+    if (Shedding_ && Requests_.size() % 2 == 1) {
       Reply.Fields_.push_back({"Request-Not-Executed", "1"});
       return Exchange->respond(Answer{503, Reply.Fields_, ""});
     }
--- a/testsuite/common/platformupstream.h
+++ b/testsuite/common/platformupstream.h
@@ -33,6 +33,12 @@
     bool operator==(const Run &) const = default;
   };
 
+  /// A request that the upstream received, whether it was run or shed.
+  struct Request {
+    std::string Instance_; ///< The instance that received it.
+    Millis Received_;      ///< The time of receipt by SystemClock::now().
+  };
+
   explicit PlatformUpstream(Options UpstreamOptions);
   ~PlatformUpstream();
   PlatformUpstream(const PlatformUpstream &) = delete;
@@ -57,17 +63,20 @@
   /// Simulates a restart: the upstream becomes another instance with a new
   /// start time, and the sequence numbers of its reports start again.
   void startIncarnation(const std::string &Instance, int64_t StartWallMs);
+  /// Returns the present instance id.
+  std::string instance() const;
   /// Changes the instance id in answers, but not in reports.
   void setInstance(const std::string &Instance);
   std::vector<Run> runs() const;
-  /// Returns the number of requests received, whether run or shed, without
-  /// health checks and requests answered 421.
-  size_t requestCount() const;
+  /// Returns the requests of all instances so far, without health checks and
+  /// requests answered 421.
+  std::vector<Request> requests() const;
 
 private:
   void handle(const HttpExchange::Pointer &Exchange);
 
   const Options Options_;
+  const SystemClock Clock_;
   LoopbackServer Server_;
   mutable std::mutex Mutex_; // guards the members below
   std::string Instance_;
@@ -77,7 +86,7 @@
   int64_t Sequence_ = 0;
   bool Shedding_ = false;
   int HealthStatus_ = 200;
-  size_t RequestCount_ = 0;
+  std::vector<Request> Requests_;
   std::vector<Run> Runs_;
 };
 
--- a/testsuite/soak/soakledger.cpp
+++ b/testsuite/soak/soakledger.cpp
@@ -53,6 +53,12 @@
   ++CountsByStatus_[0];
 }
 
+void SoakLedger::recordLeaving(const std::string &Instance,
+                               Millis Acknowledged) {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  LeavingSince_.emplace(Instance, Acknowledged);
+}
+
 void SoakLedger::addViolation(const std::string &What) {
   std::lock_guard<std::mutex> Lock(Mutex_);
   Violations_.push_back(What);
@@ -85,6 +91,23 @@
                           std::to_string(Repeats));
 }
 
+void SoakLedger::checkLeaving(
+    const std::vector<PlatformUpstream::Request> &Requests, Millis DrainTime) {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  std::map<std::string, size_t> LateCounts;
+  for (const auto &Each : Requests) {
+    auto Found = LeavingSince_.find(Each.Instance_);
+    if (Found != LeavingSince_.end() &&
+        Each.Received_ > Found->second + DrainTime)
+      ++LateCounts[Each.Instance_];
+  }
+  for (const auto &[Instance, Count] : LateCounts)
+    Violations_.push_back(
+        std::to_string(Count) +
+        " calls reached the leaving upstream after the drain time: " +
+        Instance);
+}
+
 std::vector<std::string> SoakLedger::violations() const {
   std::lock_guard<std::mutex> Lock(Mutex_);
   return Violations_;
--- a/testsuite/soak/soakledger.h
+++ b/testsuite/soak/soakledger.h
@@ -20,6 +20,9 @@
                     const HttpReply &Reply);
   /// Records a call that got no complete answer, which guarantees nothing.
   void recordNoAnswer(const std::string &Id, bool MayRepeat);
+  /// Records when the node acknowledged that this instance of its upstream is
+  /// leaving.
+  void recordLeaving(const std::string &Instance, Millis Acknowledged);
   /// Records a violation of a guarantee.
   void addViolation(const std::string &What);
 
@@ -27,6 +30,11 @@
   /// repeated ran at most once, a refused call never ran, a call answered 200
   /// did run, and all repeats are within the retry budget.
   void check(const std::vector<PlatformUpstream::Run> &Runs);
+  /// Checks that no leaving instance received a request later than DrainTime
+  /// after the acknowledgement. Requests of other instances don't count,
+  /// whenever they came.
+  void checkLeaving(const std::vector<PlatformUpstream::Request> &Requests,
+                    Millis DrainTime);
 
   /// Returns the violations so far.
   std::vector<std::string> violations() const;
@@ -47,6 +55,7 @@
   mutable std::mutex Mutex_; // guards the members below
   std::map<std::string, Call> Calls_;
   std::map<int, size_t> CountsByStatus_;
+  std::map<std::string, Millis> LeavingSince_; ///< By instance.
   std::vector<std::string> Violations_;
 };
 
--- a/testsuite/soak/soakledger_test.cpp
+++ b/testsuite/soak/soakledger_test.cpp
@@ -76,6 +76,27 @@
   CHECK(Ledger.violations().size() == 1);
 }
 
+TEST_CASE("only calls that a leaving instance gets after the drain time are a "
+          "violation") {
+  const Millis Acknowledged(10000);
+  const Millis DrainTime(2000);
+  auto CountViolations =
+      [&](const std::vector<PlatformUpstream::Request> &Requests) {
+        SoakLedger Ledger;
+        Ledger.recordLeaving("leaving", Acknowledged);
+        Ledger.checkLeaving(Requests, DrainTime);
+        return Ledger.violations().size();
+      };
+  CHECK(CountViolations({{"leaving", Millis(9000)}}) == 0);
+  CHECK(CountViolations({{"leaving", Millis(12000)}}) == 0);
+  CHECK(CountViolations({{"next", Millis(14040)}, {"next", Millis(14135)}}) ==
+        0);
+  CHECK(CountViolations({{"other", Millis(13000)}}) == 0);
+  CHECK(CountViolations({{"leaving", Millis(12001)}}) == 1);
+  CHECK(CountViolations(
+            {{"leaving", Millis(14135)}, {"next", Millis(14040)}}) == 1);
+}
+
 TEST_CASE("more repeats than the retry budget are a violation") {
   SoakLedger Ledger;
   std::vector<PlatformUpstream::Run> Runs;
--- a/testsuite/soak/soakrun.cpp
+++ b/testsuite/soak/soakrun.cpp
@@ -128,7 +128,6 @@
   void shedRequests(FaultyMachine &Target);
   void failHealthCheck(FaultyMachine &Target);
   void drainUpstream(FaultyMachine &Target);
-  void checkDrain(FaultyMachine &Target);
 
   uint64_t draw(uint64_t Below) { return Random_() % Below; }
   Millis drawTime(double From, double To) {
@@ -429,7 +428,7 @@
   Target.State_ = "draining";
   Target.Machine_.upstream().setHealthStatus(503);
   if (!Target.NodeFaultActive_ && reportOf(Target, Target.State_) == 200)
-    checkDrain(Target);
+    Ledger_.recordLeaving(Target.Machine_.upstream().instance(), Clock_.now());
   schedule(LeavingTime + TickInterval, [this, &Target] {
     ++Target.IncarnationCount_;
     Target.Machine_.upstream().startIncarnation(
@@ -442,20 +441,6 @@
   });
 }
 
-void SoakRun::Impl::checkDrain(FaultyMachine &Target) {
-  schedule(DrainTime, [this, &Target] {
-    size_t Before = Target.Machine_.upstream().requestCount();
-    schedule(LeavingTime - DrainTime - TickInterval, [this, &Target, Before] {
-      size_t After = Target.Machine_.upstream().requestCount();
-      if (After != Before)
-        Ledger_.addViolation(
-            std::to_string(After - Before) +
-            " calls reached the leaving upstream after the drain time at " +
-            Target.Machine_.ip());
-    });
-  });
-}
-
 void SoakRun::Impl::endFaults() {
   while (!Scheduled_.empty())
     tickUntil(Clock_.now() + TickInterval);
@@ -508,9 +493,11 @@
 
 bool SoakRun::Impl::finish() {
   std::vector<PlatformUpstream::Run> Runs;
-  for (auto &Each : Machines_)
+  for (auto &Each : Machines_) {
     for (auto &Run : Each->Machine_.upstream().runs())
       Runs.push_back(std::move(Run));
+    Ledger_.checkLeaving(Each->Machine_.upstream().requests(), DrainTime);
+  }
   Ledger_.check(Runs);
   auto Violations = Ledger_.violations();
   std::cout << "seed=" << Options_.Seed_
