Don't take a repeated response for that of the next request

What callers saw: when a store or log service wrote a response twice in one piece, the client of a node returned the copy as the response to its next request: records of another position, or the acknowledgement of another append.

Cause: whether the kept connection is reusable was decided from the socket alone. Bytes that had been read together with the previous response were in the read buffer, and the parser of the next request began with them.

Fix: a connection whose read buffer holds bytes is closed instead of reused. A copy that arrives only after the next request was sent can't be told apart here; the readers of the records compare its position with the end that it states.

--- a/src/libtransport/serialhttpclient.cpp
+++ b/src/libtransport/serialhttpclient.cpp
@@ -89,10 +89,10 @@
 
   // Servers close idle connections, and a request written to a closed
   // connection fails although it could have been sent on a new one. Unread
-  // bytes or a pending end of stream show that the connection must not be used
-  // again.
+  // bytes, whether still in the socket or read together with the last response,
+  // or a pending end of stream show that the connection must not be used again.
   bool isReusable() {
-    if (!Connected_)
+    if (!Connected_ || Buffer_.size() > 0)
       return false;
     if (Steady::now() - LastUse_ > toDuration(Settings_.IdleTimeout_))
       return false;
