Read on after a record of the operator's log that can't be read

What callers saw: one odd record by another writer under the operator's topic kept a node from all later configurations, and a node that started never became ready. An invalid configuration after a good one in the same response had the good one passed over.

Cause: a record shorter than its key, an item of the newest records that isn't an object or lacks a key, and a value of another type each turned the whole response into ConfigSourceDown. The position did not move, so each retry read the same records. Of the configurations in one response only the last that could be parsed was offered, before its routes and services were checked. Nothing compared the position with the end that the response states.

Fix: such a record or item is passed over, with config_passed_over and its position, and reading goes on after it. A response offers its configurations by descending version until one is valid. After three of those the follower gives up its position, logs config_history_lost with the reason and requests the newest configuration; its retry delay is not reset until records can be read again, so that a log that stays damaged costs two requests in each delay.

--- a/src/libcoordination/configfollower.cpp
+++ b/src/libcoordination/configfollower.cpp
@@ -41,7 +41,9 @@
 private:
   void poll();
   void onAnswer(const ConfigPollResponse &Answer);
-  void adopt(const VersionedConfig &NewConfig);
+  void onDamaged(const std::string &Why);
+  void adoptFrom(const ConfigPollResponse &Answer);
+  bool adopt(const VersionedConfig &NewConfig);
   void scheduleRetry();
   void onSourceDown(const std::string &Why);
   void onSourceUp();
@@ -60,6 +62,8 @@
   bool HasPosition_ = false;
   int64_t Position_ = 0;
   bool SourceDown_ = false;
+  /// Damaged answers since a request with fetchAfter() last succeeded.
+  int DamagedAnswers_ = 0;
 };
 
 void ConfigFollower::Impl::poll() {
@@ -85,6 +89,10 @@
     onSourceDown(Down->Why_);
     return scheduleRetry();
   }
+  if (const auto *Damaged = std::get_if<ConfigAnswerDamaged>(&Answer.Result_))
+    return onDamaged(Damaged->Why_);
+  if (HasPosition_)
+    DamagedAnswers_ = 0;
   onSourceUp();
   if (std::holds_alternative<ConfigHistoryLost>(Answer.Result_)) {
     logEvent(LogLevel::Info, "config_history_lost", {{"position", Position_}});
@@ -94,11 +102,10 @@
   bool Unchanged = std::holds_alternative<NoNewConfig>(Answer.Result_);
   bool HadPosition = std::exchange(HasPosition_, true);
   Position_ = Answer.Position_;
-  if (const auto *NewConfig = std::get_if<VersionedConfig>(&Answer.Result_))
-    adopt(*NewConfig);
-  if (const auto *Invalid = std::get_if<InvalidConfig>(&Answer.Result_))
+  for (const PassedOverRecord &Each : Answer.PassedOver_)
     logEvent(LogLevel::Warning, "config_passed_over",
-             {{"position", Position_}, {"why", Invalid->Why_}});
+             {{"position", Each.Offset_}, {"why", Each.Why_}});
+  adoptFrom(Answer);
   // After a wait of zero the source answers at once that nothing is newer, so
   // polling again without a delay would be a busy loop.
   bool MayPollAtOnce = !Unchanged || !HadPosition || Wait_ > Millis();
@@ -108,7 +115,33 @@
     scheduleRetry();
 }
 
-void ConfigFollower::Impl::adopt(const VersionedConfig &NewConfig) {
+// The records at a position can stay unreadable for as long as the source keeps
+// them, while the newest configuration and what follows it can be read. While
+// answers stay damaged the retry delay is not reset, so that starting again
+// adds no more than one request to each retry.
+void ConfigFollower::Impl::onDamaged(const std::string &Why) {
+  onSourceDown(Why);
+  ++DamagedAnswers_;
+  if (HasPosition_ && DamagedAnswers_ >= Options_.MaxDamaged_) {
+    logEvent(LogLevel::Warning, "config_history_lost",
+             {{"position", Position_}, {"why", Why}});
+    HasPosition_ = false;
+  }
+  scheduleRetry();
+}
+
+void ConfigFollower::Impl::adoptFrom(const ConfigPollResponse &Answer) {
+  const auto *NewConfig = std::get_if<VersionedConfig>(&Answer.Result_);
+  if (!NewConfig || adopt(*NewConfig))
+    return;
+  for (const VersionedConfig &Each : Answer.Older_)
+    if (adopt(Each))
+      return;
+}
+
+/// Returns whether the configuration in force is now at least as new as this
+/// one.
+bool ConfigFollower::Impl::adopt(const VersionedConfig &NewConfig) {
   int64_t CurrentVersion = Config_.current()->nextOffset();
   if (NewConfig.Version_ <= CurrentVersion) {
     if (NewConfig.Version_ < CurrentVersion)
@@ -116,14 +149,16 @@
                {{"version", NewConfig.Version_},
                 {"present", CurrentVersion},
                 {"why", "older than the configuration in force"}});
-    return;
+    return true;
   }
   try {
     Config_.adopt(
         ConfigState::fromResources(NewConfig.Version_, NewConfig.Resources_));
+    return true;
   } catch (const ResourceError &Error) {
     logEvent(LogLevel::Warning, "config_passed_over",
              {{"version", NewConfig.Version_}, {"why", Error.what()}});
+    return false;
   }
 }
 
@@ -148,7 +183,8 @@
 }
 
 void ConfigFollower::Impl::onSourceUp() {
-  RetryDelay_ = Options_.RetryMin_;
+  if (DamagedAnswers_ == 0)
+    RetryDelay_ = Options_.RetryMin_;
   if (std::exchange(SourceDown_, false))
     logEvent(LogLevel::Info, "config_source_regained");
 }
--- a/src/libcoordination/configfollower.h
+++ b/src/libcoordination/configfollower.h
@@ -17,7 +17,9 @@
 /// It requests the newest configuration, then those after it. Older versions
 /// and records that can't be used are skipped with a log line. While the source
 /// does not answer the node keeps its configuration and receives newer versions
-/// from its peers through ConfigSync.
+/// from its peers through ConfigSync. When several answers in a row are damaged
+/// as a whole, it requests the newest configuration again, because the records
+/// at its position may never become readable.
 ///
 /// The source answers a waiting request as soon as there is a newer
 /// configuration, so the wait only bounds how long a dead connection stays
@@ -32,6 +34,7 @@
     Millis FollowWait_ = Millis(8000); ///< Longest wait of other nodes.
     Millis RetryMin_ = Millis(100);    ///< First delay after a failure.
     Millis RetryMax_ = Millis(1000);
+    int MaxDamaged_ = 3; ///< Damaged answers before the position is given up.
   };
 
   ConfigFollower(boost::asio::io_context &Context, ConfigSource &Source,
--- a/src/libcoordination/configfollower_test.cpp
+++ b/src/libcoordination/configfollower_test.cpp
@@ -70,8 +70,105 @@
   return Source.Waits_;
 }
 
+/// Answers the requests with prepared responses in their order, and stops the
+/// context when none is left.
+class ScriptedSource : public ConfigSource {
+public:
+  ScriptedSource(boost::asio::io_context &Context,
+                 std::vector<ConfigPollResponse> Script)
+      : Context_(Context), Script_(std::move(Script)) {}
+  void fetchNewest(Handler Done) override { answer("newest", Done); }
+  void fetchAfter(int64_t Position, Millis, Handler Done) override {
+    answer(std::to_string(Position), Done);
+  }
+  std::vector<std::string> Requests_;
+
+private:
+  void answer(std::string Request, const Handler &Done) {
+    if (Requests_.size() >= Script_.size())
+      return Context_.stop();
+    const ConfigPollResponse &Response = Script_[Requests_.size()];
+    Requests_.push_back(std::move(Request));
+    boost::asio::post(Context_, [Done, Response] { Done(Response); });
+  }
+
+  boost::asio::io_context &Context_;
+  const std::vector<ConfigPollResponse> Script_;
+};
+
+VersionedConfig serviceConfig(int64_t Version, const std::string &Body) {
+  return {Version, {{ResourceKind::Service, "a", Body}}};
+}
+
+constexpr const char *ValidService = R"({"routes":[]})";
+constexpr const char *InvalidService = R"({"routes":7})";
+
+/// What a node requested and has in force after the answers of a source.
+struct Followed {
+  std::vector<std::string> Requests_;
+  int64_t Version_ = 0;
+};
+
+Followed follow(std::vector<ConfigPollResponse> Script) {
+  boost::asio::io_context Context;
+  SystemClock Clock;
+  UnusedLog Log;
+  ConfigService::Options Settings;
+  Settings.ExternalSource_ = true;
+  ConfigService Config(Context, Log, Clock, Settings);
+  Config.start();
+  ScriptedSource Source(Context, std::move(Script));
+  ConfigFollower::Options Options;
+  Options.RetryMin_ = Options.RetryMax_ = Millis(1);
+  ConfigFollower Follower(Context, Source, Config, Options);
+  Follower.start();
+  Context.run_for(std::chrono::seconds(10));
+  return {Source.Requests_, Config.current()->nextOffset()};
+}
+
 } // namespace
 
+TEST_CASE("a position that stays unreadable is given up for the newest "
+          "configuration") {
+  ConfigPollResponse Damaged{ConfigAnswerDamaged{"cut"}};
+  auto Followed = follow({{serviceConfig(3, ValidService), 7},
+                          Damaged,
+                          Damaged,
+                          Damaged,
+                          {serviceConfig(5, ValidService), 9},
+                          Damaged,
+                          Damaged,
+                          {NoNewConfig{}, 11},
+                          {NoNewConfig{}, 12},
+                          Damaged,
+                          {NoNewConfig{}, 12}});
+  CHECK(Followed.Requests_ ==
+        std::vector<std::string>{"newest", "7", "7", "7", "newest", "9",
+                                 "newest", "newest", "11", "12", "12"});
+  CHECK(Followed.Version_ == 5);
+}
+
+TEST_CASE("an unavailable source does not cost the position") {
+  ConfigPollResponse Down{ConfigSourceDown{"503"}};
+  auto Followed = follow({{serviceConfig(3, ValidService), 7},
+                          Down,
+                          Down,
+                          Down,
+                          Down,
+                          {NoNewConfig{}, 7}});
+  CHECK(Followed.Requests_ ==
+        std::vector<std::string>{"newest", "7", "7", "7", "7", "7"});
+}
+
+TEST_CASE("an invalid configuration does not hide a valid older one of the "
+          "same response") {
+  ConfigPollResponse Both{serviceConfig(9, InvalidService), 7};
+  Both.Older_ = {serviceConfig(8, InvalidService),
+                 serviceConfig(5, ValidService),
+                 serviceConfig(4, ValidService)};
+  CHECK(follow({Both, {NoNewConfig{}, 7}}).Version_ == 5);
+}
+
 TEST_CASE("a log reader polls with short waits, other nodes with long ones") {
   CHECK(requestWaits(true) == std::vector<Millis>{Millis(), Millis(1000),
                                                   Millis(1000), Millis(1000)});
--- a/src/libcoordination/configsource.h
+++ b/src/libcoordination/configsource.h
@@ -18,8 +18,10 @@
   std::vector<UnparsedResource> Resources_;
 };
 
-/// The source holds a record that can't be read as a configuration.
-struct InvalidConfig {
+/// A record of the source that can't be read as a configuration. The records
+/// after it are read nevertheless.
+struct PassedOverRecord {
+  int64_t Offset_ = 0;
   std::string Why_;
 };
 
@@ -30,20 +32,29 @@
 /// caller has to start again with fetchNewest().
 struct ConfigHistoryLost {};
 
-/// The source did not answer, or its answer was malformed.
+/// The source did not answer or refused to.
 struct ConfigSourceDown {
   std::string Why_;
 };
 
+/// The source answered, but the answer as a whole can't be read.
+struct ConfigAnswerDamaged {
+  std::string Why_;
+};
+
 using ConfigPollResult =
-    std::variant<VersionedConfig, InvalidConfig, NoNewConfig, ConfigHistoryLost,
-                 ConfigSourceDown>;
+    std::variant<VersionedConfig, NoNewConfig, ConfigHistoryLost,
+                 ConfigSourceDown, ConfigAnswerDamaged>;
 
 /// The result of one request, and the position to continue from with
 /// fetchAfter().
 struct ConfigPollResponse {
   ConfigPollResult Result_;
   int64_t Position_ = 0;
+  /// Configurations of the same response with lower versions than Result_, the
+  /// highest first. They matter when Result_ turns out to be invalid.
+  std::vector<VersionedConfig> Older_ = {};
+  std::vector<PassedOverRecord> PassedOver_ = {};
 };
 
 /// An external store of complete configurations, which replaces the platform's
--- a/testsuite/common/platformstore.cpp
+++ b/testsuite/common/platformstore.cpp
@@ -22,6 +22,16 @@
   return Out;
 }
 
+/// Returns the text of a query parameter, or an empty one when it is missing.
+/// The keys that tests use need no decoding.
+std::string queryText(std::string_view Target, const std::string &Name) {
+  size_t Position = Target.find("&" + Name + "=");
+  if (Position == std::string_view::npos)
+    return "";
+  std::string_view Text = Target.substr(Position + Name.size() + 2);
+  return std::string(Text.substr(0, Text.find('&')));
+}
+
 /// Returns the number of a query parameter, or 0 when it is missing.
 int64_t queryNumber(std::string_view Target, const std::string &Name) {
   size_t Position = Target.find(Name + "=");
@@ -59,6 +69,26 @@
   Records_.push_back({EndOffset_++, Key, Value});
 }
 
+void PlatformStore::putRaw(const std::string &Content) {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  Records_.push_back({EndOffset_++, "", "", Content});
+}
+
+void PlatformStore::addNewestItem(const std::string &Json) {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  NewestItems_.push_back(Json);
+}
+
+void PlatformStore::setPageSize(size_t Size) {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  PageSize_ = Size;
+}
+
+void PlatformStore::setCutsRecords(bool Cut) {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  CutsRecords_ = Cut;
+}
+
 void PlatformStore::setDown(bool Down) {
   std::lock_guard<std::mutex> Lock(Mutex_);
   Down_ = Down;
@@ -75,7 +105,7 @@
   if (Down_)
     return Exchange->respond(Answer{503, {}, ""});
   if (Target.starts_with("/log-newest"))
-    return Exchange->respond(newest());
+    return Exchange->respond(newest(queryText(Target, "after")));
   if (!Target.starts_with("/log-read"))
     return Exchange->respond(Answer{404, {}, ""});
   int64_t From = queryNumber(Target, "from");
@@ -85,18 +115,37 @@
   Waiters_.push_back({Exchange, From, Clock_.now() + Wait});
 }
 
-Answer PlatformStore::newest() const {
+Answer PlatformStore::newest(const std::string &After) const {
   std::map<std::string, const Record *> Latest;
   for (const Record &Each : Records_)
-    Latest[Each.Key_] = &Each;
-  json::array Items;
-  for (const auto &[Key, Each] : Latest)
-    Items.push_back(json::object{{"key", Key},
-                                 {"value", encodeBase64(Each->Value_)},
-                                 {"offset", Each->Offset_}});
-  json::object Body{{"more", false}, {"end", EndOffset_}};
-  Body["items"] = std::move(Items);
-  return Answer{200, {}, json::serialize(Body)};
+    if (!Each.Raw_)
+      Latest[Each.Key_] = &Each;
+  std::string Items;
+  auto Append = [&](const std::string &Json) {
+    Items += (Items.empty() ? "" : ",") + Json;
+  };
+  for (const std::string &Json : NewestItems_)
+    Append(Json);
+  size_t Count = 0;
+  bool More = false;
+  for (const auto &[Key, Each] : Latest) {
+    if (Key <= After && !After.empty())
+      continue;
+    More = PageSize_ > 0 && Count == PageSize_;
+    if (More)
+      break;
+    ++Count;
+    Append(json::serialize(json::object{{"key", Key},
+                                        {"value", encodeBase64(Each->Value_)},
+                                        {"offset", Each->Offset_}}));
+  }
+  for (const std::string &Json : NewestItems_)
+    Append(Json);
+  return Answer{200,
+                {},
+                R"({"more":)" + std::string(More ? "true" : "false") +
+                    R"(,"end":)" + std::to_string(EndOffset_) +
+                    R"(,"items":[)" + Items + "]}"};
 }
 
 Answer PlatformStore::recordsFrom(int64_t From) const {
@@ -108,10 +157,12 @@
   for (const Record &Each : Records_) {
     if (Each.Offset_ < From)
       continue;
-    std::string Content = encodeBigEndian(Each.Key_.size(), 1);
-    Content += Each.Key_ + Each.Value_;
+    std::string Content = Each.Raw_.value_or(
+        encodeBigEndian(Each.Key_.size(), 1) + Each.Key_ + Each.Value_);
     Body += encodeBigEndian(Content.size(), 4) + Content;
   }
+  if (CutsRecords_ && From < EndOffset_)
+    Body.pop_back();
   return Answer{200, {}, std::move(Body)};
 }
 
--- a/testsuite/common/platformstore.h
+++ b/testsuite/common/platformstore.h
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <list>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,15 @@
   /// Appends a record. Waiting reads are answered by the next tick(), not at
   /// once.
   void put(const std::string &Key, const std::string &Value);
+  /// Appends a record with this content in place of a key and a value. It is
+  /// not among the newest records.
+  void putRaw(const std::string &Content);
+  /// Adds an item, as JSON text, before and after the newest records.
+  void addNewestItem(const std::string &Json);
+  /// Sets how many newest records one response holds at most; 0 for all.
+  void setPageSize(size_t Size);
+  /// Sets whether responses with records lack their last byte.
+  void setCutsRecords(bool Cut);
   /// Starts or ends an outage, in which all requests are answered with 503.
   void setDown(bool Down);
   /// Makes the log of records start at its present end: reads from an earlier
@@ -37,6 +47,8 @@
     int64_t Offset_ = 0;
     std::string Key_;
     std::string Value_;
+    /// Set for a record that does not consist of a key and a value.
+    std::optional<std::string> Raw_ = {};
   };
   struct Waiter {
     HttpExchange::Pointer Exchange_;
@@ -45,7 +57,7 @@
   };
 
   void handle(const HttpExchange::Pointer &Exchange);
-  Answer newest() const;
+  Answer newest(const std::string &After) const;
   Answer recordsFrom(int64_t From) const;
   void scheduleTick();
   void tick();
@@ -58,6 +70,9 @@
   int64_t EndOffset_ = 0;
   int64_t FirstOffset_ = 0;
   bool Down_ = false;
+  bool CutsRecords_ = false;
+  size_t PageSize_ = 0;
+  std::vector<std::string> NewestItems_;
   std::list<Waiter> Waiters_;
 };
 
--- a/testsuite/platform/platform_test.cpp
+++ b/testsuite/platform/platform_test.cpp
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr Millis WaitLimit(15000);
+/// Time within which a changed configuration is in force on all nodes.
+constexpr Millis ChangeLimit(5000);
 constexpr uint16_t CallPort = PlatformMachine::CallPort;
 constexpr uint16_t ReportPort = PlatformMachine::ReportPort;
 
@@ -87,6 +89,24 @@
         WaitLimit, "the gate's upstream runs a call");
   }
 
+  /// Waits until the calls of /safe/ that enter at any node run at one of the
+  /// machines First to Last. Label is part of the calls' ids and must be new.
+  void waitUntilMoved(const std::string &Label, int First, int Last) {
+    for (int Entry : {1, 2, 3})
+      waitUntil(
+          [&] {
+            std::string Id = Label + "-" + std::to_string(Entry) + "-";
+            machine(Entry).call("GET", "/safe/x", Id);
+            bool Ran = false;
+            for (int Number = First; Number <= Last; ++Number)
+              Ran = Ran || !machine(Number).runs(Id).empty();
+            return Ran;
+          },
+          ChangeLimit, "the node uses the new configuration");
+  }
+  void waitUntilMovedToAlpha() { waitUntilMoved("alpha", 1, 2); }
+  void waitUntilMovedToBeta() { waitUntilMoved("beta", 3, 3); }
+
   PlatformStore &store() { return Store_; }
   Machine &machine(int Number) { return *Machines_[size_t(Number) - 1]; }
 
@@ -112,6 +132,38 @@
   }
 }
 
+/// Appends records and newest items that can't be read.
+void putOddRecords(PlatformStore &Store) {
+  using namespace std::string_literals;
+  for (const std::string &Content :
+       {""s, "\x07"s, "\x07short"s, "\xff"s, "\0"s, "\0value"s})
+    Store.putRaw(Content);
+  for (const char *Json :
+       {"7", "null", "[]", "{}", R"({"key":7,"value":"YQ=="})",
+        R"({"value":"YQ==","offset":1e300})", R"({"key":"other","value":{}})"})
+    Store.addNewestItem(Json);
+}
+
+/// Appends configurations that can't be used.
+void putOddConfigurations(PlatformStore &Store, int Version) {
+  using namespace std::string_literals;
+  std::string Good = platformConfiguration(Version, "alpha");
+  auto Replaced = [&](std::string_view From, std::string_view To) {
+    std::string Text = Good;
+    return Text.replace(Text.find(From), From.size(), To);
+  };
+  std::string VersionText = ":" + std::to_string(Version);
+  for (const std::string &Text :
+       {std::string(100'000, '['), "\0\0\0"s, "\xff\xfe"s,
+        std::string(900'000, 'x'), Good.substr(0, 100),
+        Replaced(VersionText, ":9223372036854775807"),
+        Replaced(VersionText, ":1e400"), Replaced("3000ms", "0ms"),
+        Replaced("3000ms", "1e308s"), Replaced("3000ms", "-1ms"),
+        Replaced("max-attempts\":2", "max-attempts\":1000000000"),
+        Replaced("shop.example", "\\u0000")})
+    Store.put("config", Text);
+}
+
 } // namespace
 
 TEST_CASE("a caller gets the answer of the upstream unchanged") {
@@ -201,6 +253,49 @@
   CHECK(Site.machine(3).runs("kept").size() == Before + 30);
 }
 
+TEST_CASE("a node that starts passes over records that can't be read") {
+  Site Site;
+  putOddRecords(Site.store());
+  Site.startWithConfig(platformConfiguration(3, "alpha"));
+}
+
+TEST_CASE("records that can't be read do not keep nodes from the next "
+          "configuration") {
+  Site Site;
+  Site.startWithConfig(platformConfiguration(3, "alpha"));
+  putOddRecords(Site.store());
+  Site.store().put("config", platformConfiguration(5, "beta"));
+  Site.waitUntilMovedToBeta();
+  putOddRecords(Site.store());
+  putOddConfigurations(Site.store(), 6);
+  Site.store().put("config", platformConfiguration(7, "alpha"));
+  Site.waitUntilMovedToAlpha();
+}
+
+TEST_CASE("a configuration between records that can't be read is in force "
+          "after an outage") {
+  Site Site;
+  Site.startWithConfig(platformConfiguration(3, "alpha"));
+  // The records of the outage arrive in one response.
+  Site.store().setDown(true);
+  putOddConfigurations(Site.store(), 4);
+  Site.store().put("config", platformConfiguration(5, "beta"));
+  putOddConfigurations(Site.store(), 6);
+  Site.store().setDown(false);
+  Site.waitUntilMovedToBeta();
+}
+
+TEST_CASE("nodes follow while all records at their position are damaged") {
+  Site Site;
+  Site.startWithConfig(platformConfiguration(3, "alpha"));
+  Site.store().setCutsRecords(true);
+  Site.store().put("config", platformConfiguration(5, "beta"));
+  Site.waitUntilMovedToBeta();
+  Site.store().setCutsRecords(false);
+  Site.store().put("config", platformConfiguration(7, "alpha"));
+  Site.waitUntilMovedToAlpha();
+}
+
 TEST_CASE("while the store is down nodes keep serving, and a restarted one "
           "gets the configuration from its peers") {
   Site Site;
