--- a/testsuite/platform/platform_test.cpp
+++ b/testsuite/platform/platform_test.cpp
@@ -285,6 +285,14 @@
   Site.waitUntilMovedToBeta();
 }
 
+TEST_CASE("a configuration after the first page of newest records is found") {
+  Site Site;
+  for (char Letter : {'a', 'b', 'c', 'd', 'e'})
+    Site.store().put(std::string(1, Letter), "other");
+  Site.store().setPageSize(2);
+  Site.startWithConfig(platformConfiguration(3, "alpha"));
+}
+
 TEST_CASE("nodes follow while all records at their position are damaged") {
   Site Site;
   Site.startWithConfig(platformConfiguration(3, "alpha"));
