--- a/testsuite/common/platformupstream.cpp
+++ b/testsuite/common/platformupstream.cpp
@@ -64,6 +64,11 @@
   HealthStatus_ = Status;
 }
 
+void PlatformUpstream::setHealthFields(std::vector<HttpField> Fields) {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  HealthFields_ = std::move(Fields);
+}
+
 void PlatformUpstream::setReportsStartTime(bool Included) {
   std::lock_guard<std::mutex> Lock(Mutex_);
   ReportsStartTime_ = Included;
@@ -103,6 +108,8 @@
         {"Server-Load", "0,0," + std::to_string(Options_.Slots_)});
     if (Request.Target_ == "/health") {
       Reply.Status_ = HealthStatus_;
+      if (!HealthFields_.empty())
+        Reply.Fields_ = HealthFields_;
       return Exchange->respond(std::move(Reply));
     }
     std::string_view Expected = Request.field("Expected-Instance");
--- a/testsuite/common/platformupstream.h
+++ b/testsuite/common/platformupstream.h
@@ -52,6 +52,8 @@
   /// Sets the status with which the health check is answered, independently of
   /// the upstream's real state.
   void setHealthStatus(int Status);
+  /// Sets the header fields of health answers; none for the right ones.
+  void setHealthFields(std::vector<HttpField> Fields);
   /// Sets whether reports include the start time of the instance.
   void setReportsStartTime(bool Included);
   /// Simulates a restart: the upstream becomes another instance with a new
@@ -77,6 +79,7 @@
   int64_t Sequence_ = 0;
   bool Shedding_ = false;
   int HealthStatus_ = 200;
+  std::vector<HttpField> HealthFields_;
   size_t RequestCount_ = 0;
   std::vector<Run> Runs_;
 };
--- a/testsuite/platform/platform_test.cpp
+++ b/testsuite/platform/platform_test.cpp
@@ -428,3 +428,94 @@
   CHECK(Site.machine(1).waitStopped() == 0);
   CHECK(Site.machine(3).call("GET", "/safe/x", "stop-3").Status_ == 200);
 }
+
+TEST_CASE("odd reports do not stop the node or replace its upstream") {
+  using namespace std::string_literals;
+  Site Site;
+  Site.startWithConfig(platformConfiguration(3, "alpha"));
+  const std::string Good =
+      R"({"service":"alpha","address":")" + Site.machine(1).ip() +
+      R"(:9","slots":8,"state":"ready","cold-remaining":"0ms","sequence":9,)"
+      R"("born":1800000000000})";
+  auto Replaced = [&](std::string_view From, std::string_view To) {
+    std::string Text = Good;
+    return Text.replace(Text.find(From), From.size(), To);
+  };
+  const std::string Address = Site.machine(1).ip() + ":9";
+  for (const std::string &Body :
+       {""s,
+        "\0\xff\xfe"s,
+        std::string(100'000, '['),
+        Good.substr(0, 40),
+        Replaced(Address, "10.0.0.1:65536"),
+        Replaced(Address, "10.0.0.1:0"),
+        Replaced(Address, "10.0.0.1:-1"),
+        Replaced(Address, "999.1.1.1:80"),
+        Replaced(Address, "[::1%9]:80"),
+        Replaced(Address, "10.0.0.1:8\\u0000"),
+        Replaced("slots\":8", "slots\":-8"),
+        Replaced("slots\":8", "slots\":1e300"),
+        Replaced("sequence\":9", "sequence\":9223372036854775808"),
+        Replaced("sequence\":9", "sequence\":1e400"),
+        Replaced("born\":18", "born\":-1e300,\"x\":18"),
+        Replaced("0ms", "1e400s"),
+        Replaced("0ms", "1e308s"),
+        Replaced("0ms", "infs"),
+        Replaced("0ms", "nanms"),
+        Replaced("0ms", "-1s")}) {
+    CAPTURE(Body.substr(0, 200));
+    CHECK(request(Site.machine(1).ip(), ReportPort, "POST",
+                  "/instances/i-odd/heartbeat", {}, Body)
+              .Status_ == 400);
+  }
+  Site.machine(1).report();
+  Site.waitForNextRun(Site.machine(1), Site.machine(3));
+}
+
+TEST_CASE("odd header fields of callers do not stop the node") {
+  Site Site;
+  Site.startWithConfig(platformConfiguration(3, "alpha"));
+  for (const char *Remaining :
+       {"nan", "-nan", "inf", "-inf", "1e308", "-1e308", "-1", "", "0", "1e400",
+        "9223372036854775808", "x"}) {
+    CAPTURE(Remaining);
+    for (const char *Target : {"/safe/x", "/once/x"}) {
+      HttpReply Reply = request(Site.machine(3).ip(), CallPort, "POST", Target,
+                                {{"Host", "shop.example"},
+                                 {"Attempt-Id", "odd"},
+                                 {"Deadline-Remaining-Ms", Remaining}},
+                                "", Millis(5000));
+      bool Expected = Reply.Status_ == 200 || Reply.Status_ == 400 ||
+                      Reply.Status_ == 503 || Reply.Status_ == 504;
+      CHECK(Expected);
+    }
+  }
+  for (const std::string &Id :
+       {std::string(3000, 'a'), std::string(3000, '.'), std::string("."),
+        std::string("\t\x01"), std::string("\xff\xfe.\xff"),
+        std::string("a\x7f.")}) {
+    CAPTURE(Id);
+    for (const char *Target : {"/safe/x", "/once/x"}) {
+      int Status = request(Site.machine(3).ip(), CallPort, "POST", Target,
+                           {{"Host", "shop.example"}, {"Attempt-Id", Id}})
+                       .Status_;
+      bool Expected = Status == 200 || Status == 400;
+      CAPTURE(Status);
+      CHECK(Expected);
+    }
+  }
+  CHECK(Site.machine(3).call("GET", "/safe/x", "after").Status_ == 200);
+}
+
+TEST_CASE("odd health answers do not stop the node") {
+  Site Site;
+  Site.startWithConfig(platformConfiguration(3, "alpha"));
+  for (const std::string &Load :
+       {std::string("1e400,-1,99999999999999999999"), std::string(",,,"),
+        std::string("0,0,-8"), std::string(60'000, '9')}) {
+    Site.machine(1).upstream().setHealthFields({{"Server-Load", Load}});
+    restartNode(Site.machine(1));
+    reportRepeatedly(Site.machine(1), 2);
+    Site.waitForNextRun(Site.machine(1), Site.machine(3));
+  }
+}
