Keep the process when an exception leaves a handler

What callers saw: all connections of a node would end at one moment, without drain_started or any event line, if one handler threw an exception that nothing below it catches.

Cause: the worker threads called Context.run() without a handler of exceptions, so that any such exception ended the process and with it all calls that it held. No odd input is known at present that reaches this; this is the last line of defence.

Evidence: "an exception that leaves a handler does not end the process" and "a fault that persists does not keep a thread busy", on the loop as it was: the first exception left runWorkers() in both. Now all handlers behind the throwing ones run, with 1 and with 3 threads, and 64 failures in a row take at least 900 ms.

Fix: a thread logs handler_failed with the exception's text and goes on with the next handler. One step may be lost, which costs a call at most its deadline; ending the process costs all calls. After 16 failures within a second a thread pauses for 20 ms after each further one.

--- a/src/coltsfootd/coltsfootd.cpp
+++ b/src/coltsfootd/coltsfootd.cpp
@@ -3,6 +3,7 @@
 #include "adapters.h"
 #include "node.h"
 #include "platform.h"
+#include "workers.h"
 
 #include "coltsfootpoint/ipport.h"
 #include "coltsfootpoint/log.h"
@@ -14,8 +15,6 @@
 #include <csignal>
 #include <cxxopts.hpp>
 #include <iostream>
-#include <thread>
-#include <vector>
 
 namespace {
 
@@ -25,16 +24,6 @@
 constexpr int ExitFailed = 1;
 constexpr int ExitUsage = 2;
 
-void runWorkers(boost::asio::io_context &Context, int Count) {
-  std::vector<std::thread> Workers;
-  Workers.reserve(static_cast<size_t>(Count) - 1);
-  for (int I = 1; I < Count; ++I)
-    Workers.emplace_back([&Context] { Context.run(); });
-  Context.run();
-  for (std::thread &Worker : Workers)
-    Worker.join();
-}
-
 /// Creates the platform's adapters to callers, backend servers and the
 /// configuration log. With the node's own interface, all of them stay unset and
 /// the node uses its built-in ones.
