--- a/testsuite/platform/platform_test.cpp
+++ b/testsuite/platform/platform_test.cpp
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr Millis WaitLimit(15000);
+/// Time within which a changed configuration is in force on all nodes.
+constexpr Millis ChangeLimit(5000);
 constexpr uint16_t CallPort = PlatformMachine::CallPort;
 constexpr uint16_t ReportPort = PlatformMachine::ReportPort;
 
@@ -87,6 +89,24 @@
         WaitLimit, "the gate's upstream runs a call");
   }
 
+  /// Waits until the calls of /safe/ that enter at any node run at one of the
+  /// machines First to Last. Label is part of the calls' ids and must be new.
+  void waitUntilMoved(const std::string &Label, int First, int Last) {
+    for (int Entry : {1, 2, 3})
+      waitUntil(
+          [&] {
+            std::string Id = Label + "-" + std::to_string(Entry) + "-";
+            machine(Entry).call("GET", "/safe/x", Id);
+            bool Ran = false;
+            for (int Number = First; Number <= Last; ++Number)
+              Ran = Ran || !machine(Number).runs(Id).empty();
+            return Ran;
+          },
+          ChangeLimit, "the node uses the new configuration");
+  }
+  void waitUntilMovedToAlpha() { waitUntilMoved("alpha", 1, 2); }
+  void waitUntilMovedToBeta() { waitUntilMoved("beta", 3, 3); }
+
   PlatformStore &store() { return Store_; }
   Machine &machine(int Number) { return *Machines_[size_t(Number) - 1]; }
 
@@ -112,6 +132,38 @@
   }
 }
 
+/// Appends records and newest items that can't be read.
+void putOddRecords(PlatformStore &Store) {
+  using namespace std::string_literals;
+  for (const std::string &Content :
+       {""s, "\x07"s, "\x07short"s, "\xff"s, "\0"s, "\0value"s})
+    Store.putRaw(Content);
+  for (const char *Json :
+       {"7", "null", "[]", "{}", R"({"key":7,"value":"YQ=="})",
+        R"({"value":"YQ==","offset":1e300})", R"({"key":"other","value":{}})"})
+    Store.addNewestItem(Json);
+}
+
+/// Appends configurations that can't be used.
+void putOddConfigurations(PlatformStore &Store, int Version) {
+  using namespace std::string_literals;
+  std::string Good = platformConfiguration(Version, "alpha");
+  auto Replaced = [&](std::string_view From, std::string_view To) {
+    std::string Text = Good;
+    return Text.replace(Text.find(From), From.size(), To);
+  };
+  std::string VersionText = ":" + std::to_string(Version);
+  for (const std::string &Text :
+       {std::string(100'000, '['), "\0\0\0"s, "\xff\xfe"s,
+        std::string(900'000, 'x'), Good.substr(0, 100),
+        Replaced(VersionText, ":9223372036854775807"),
+        Replaced(VersionText, ":1e400"), Replaced("3000ms", "0ms"),
+        Replaced("3000ms", "1e308s"), Replaced("3000ms", "-1ms"),
+        Replaced("max-attempts\":2", "max-attempts\":1000000000"),
+        Replaced("shop.example", "\\u0000")})
+    Store.put("config", Text);
+}
+
 } // namespace
 
 TEST_CASE("a caller gets the answer of the upstream unchanged") {
@@ -201,6 +253,57 @@
   CHECK(Site.machine(3).runs("kept").size() == Before + 30);
 }
 
+TEST_CASE("a node that starts passes over records that can't be read") {
+  Site Site;
+  putOddRecords(Site.store());
+  Site.startWithConfig(platformConfiguration(3, "alpha"));
+}
+
+TEST_CASE("records that can't be read do not keep nodes from the next "
+          "configuration") {
+  Site Site;
+  Site.startWithConfig(platformConfiguration(3, "alpha"));
+  putOddRecords(Site.store());
+  Site.store().put("config", platformConfiguration(5, "beta"));
+  Site.waitUntilMovedToBeta();
+  putOddRecords(Site.store());
+  putOddConfigurations(Site.store(), 6);
+  Site.store().put("config", platformConfiguration(7, "alpha"));
+  Site.waitUntilMovedToAlpha();
+}
+
+TEST_CASE("a configuration between records that can't be read is in force "
+          "after an outage") {
+  Site Site;
+  Site.startWithConfig(platformConfiguration(3, "alpha"));
+  // The records of the outage arrive in one response.
+  Site.store().setDown(true);
+  putOddConfigurations(Site.store(), 4);
+  Site.store().put("config", platformConfiguration(5, "beta"));
+  putOddConfigurations(Site.store(), 6);
+  Site.store().setDown(false);
+  Site.waitUntilMovedToBeta();
+}
+
+TEST_CASE("a configuration after the first page of newest records is found") {
+  Site Site;
+  for (char Letter : {'a', 'b', 'c', 'd', 'e'})
+    Site.store().put(std::string(1, Letter), "other");
+  Site.store().setPageSize(2);
+  Site.startWithConfig(platformConfiguration(3, "alpha"));
+}
+
+TEST_CASE("nodes follow while all records at their position are damaged") {
+  Site Site;
+  Site.startWithConfig(platformConfiguration(3, "alpha"));
+  Site.store().setCutsRecords(true);
+  Site.store().put("config", platformConfiguration(5, "beta"));
+  Site.waitUntilMovedToBeta();
+  Site.store().setCutsRecords(false);
+  Site.store().put("config", platformConfiguration(7, "alpha"));
+  Site.waitUntilMovedToAlpha();
+}
+
 TEST_CASE("while the store is down nodes keep serving, and a restarted one "
           "gets the configuration from its peers") {
   Site Site;
@@ -325,3 +428,94 @@
   CHECK(Site.machine(1).waitStopped() == 0);
   CHECK(Site.machine(3).call("GET", "/safe/x", "stop-3").Status_ == 200);
 }
+
+TEST_CASE("odd reports do not stop the node or replace its upstream") {
+  using namespace std::string_literals;
+  Site Site;
+  Site.startWithConfig(platformConfiguration(3, "alpha"));
+  const std::string Good =
+      R"({"service":"alpha","address":")" + Site.machine(1).ip() +
+      R"(:9","slots":8,"state":"ready","cold-remaining":"0ms","sequence":9,)"
+      R"("born":1800000000000})";
+  auto Replaced = [&](std::string_view From, std::string_view To) {
+    std::string Text = Good;
+    return Text.replace(Text.find(From), From.size(), To);
+  };
+  const std::string Address = Site.machine(1).ip() + ":9";
+  for (const std::string &Body :
+       {""s,
+        "\0\xff\xfe"s,
+        std::string(100'000, '['),
+        Good.substr(0, 40),
+        Replaced(Address, "10.0.0.1:65536"),
+        Replaced(Address, "10.0.0.1:0"),
+        Replaced(Address, "10.0.0.1:-1"),
+        Replaced(Address, "999.1.1.1:80"),
+        Replaced(Address, "[::1%9]:80"),
+        Replaced(Address, "10.0.0.1:8\\u0000"),
+        Replaced("slots\":8", "slots\":-8"),
+        Replaced("slots\":8", "slots\":1e300"),
+        Replaced("sequence\":9", "sequence\":9223372036854775808"),
+        Replaced("sequence\":9", "sequence\":1e400"),
+        Replaced("born\":18", "born\":-1e300,\"x\":18"),
+        Replaced("0ms", "1e400s"),
+        Replaced("0ms", "1e308s"),
+        Replaced("0ms", "infs"),
+        Replaced("0ms", "nanms"),
+        Replaced("0ms", "-1s")}) {
+    CAPTURE(Body.substr(0, 200));
+    CHECK(request(Site.machine(1).ip(), ReportPort, "POST",
+                  "/instances/i-odd/heartbeat", {}, Body)
+              .Status_ == 400);
+  }
+  Site.machine(1).report();
+  Site.waitForNextRun(Site.machine(1), Site.machine(3));
+}
+
+TEST_CASE("odd header fields of callers do not stop the node") {
+  Site Site;
+  Site.startWithConfig(platformConfiguration(3, "alpha"));
+  for (const char *Remaining :
+       {"nan", "-nan", "inf", "-inf", "1e308", "-1e308", "-1", "", "0", "1e400",
+        "9223372036854775808", "x"}) {
+    CAPTURE(Remaining);
+    for (const char *Target : {"/safe/x", "/once/x"}) {
+      HttpReply Reply = request(Site.machine(3).ip(), CallPort, "POST", Target,
+                                {{"Host", "shop.example"},
+                                 {"Attempt-Id", "odd"},
+                                 {"Deadline-Remaining-Ms", Remaining}},
+                                "", Millis(5000));
+      bool Expected = Reply.Status_ == 200 || Reply.Status_ == 400 ||
+                      Reply.Status_ == 503 || Reply.Status_ == 504;
+      CHECK(Expected);
+    }
+  }
+  for (const std::string &Id :
+       {std::string(3000, 'a'), std::string(3000, '.'), std::string("."),
+        std::string("\t\x01"), std::string("\xff\xfe.\xff"),
+        std::string("a\x7f.")}) {
+    CAPTURE(Id);
+    for (const char *Target : {"/safe/x", "/once/x"}) {
+      int Status = request(Site.machine(3).ip(), CallPort, "POST", Target,
+                           {{"Host", "shop.example"}, {"Attempt-Id", Id}})
+                       .Status_;
+      bool Expected = Status == 200 || Status == 400;
+      CAPTURE(Status);
+      CHECK(Expected);
+    }
+  }
+  CHECK(Site.machine(3).call("GET", "/safe/x", "after").Status_ == 200);
+}
+
+TEST_CASE("odd health answers do not stop the node") {
+  Site Site;
+  Site.startWithConfig(platformConfiguration(3, "alpha"));
+  for (const std::string &Load :
+       {std::string("1e400,-1,99999999999999999999"), std::string(",,,"),
+        std::string("0,0,-8"), std::string(60'000, '9')}) {
+    Site.machine(1).upstream().setHealthFields({{"Server-Load", Load}});
+    restartNode(Site.machine(1));
+    reportRepeatedly(Site.machine(1), 2);
+    Site.waitForNextRun(Site.machine(1), Site.machine(3));
+  }
+}
