Cover idle connections that are first used late in a drain

The callers of the long calls test are never idle: after SIGTERM each of their kept connections gets one answer with Connection: close and is replaced. The new case holds six connections idle since before SIGTERM and uses each once, 3.2 to 3.7 s after it, for reads and for bookings with a ticket.

--- a/testsuite/leaving/long_calls_test.cpp
+++ b/testsuite/leaving/long_calls_test.cpp
@@ -261,6 +261,57 @@
   CHECK(Answered > 3 * allKinds().size());
 }
 
+TEST_CASE("a stopping node answers connections that were idle until late") {
+  constexpr int HoldMs = 4500;
+  constexpr int LateCallers = 6;
+  constexpr Millis FirstLate(3200);
+  constexpr Millis LateInterval(100);
+  LongCalls Test;
+  TestNode &Stopped = *Test.Nodes_[1];
+  std::vector<HttpSession> Idle;
+  std::vector<std::string> Tickets;
+  for (int I = 0; I < LateCallers; ++I) {
+    Idle.emplace_back(Stopped.ip(), Stopped.httpPort());
+    HttpReply Reply = Idle.back().request(
+        "POST", "/bookings-1500", requestFields("shop", "caller", "first"));
+    REQUIRE(Reply.Status_ == 428);
+    CHECK(Reply.header("Connection").empty());
+    Tickets.push_back(Reply.header("Coltsfoot-Ticket"));
+  }
+  HttpSession Holder(Stopped.ip(), Stopped.httpPort());
+  std::vector<HttpField> HolderFields = requestFields("shop", "caller", "held");
+  HolderFields.push_back({"X-Work-Ms", std::to_string(HoldMs)});
+  Holder.send("GET", "/items-3500", HolderFields);
+  waitUntil([&] { return Test.runs("held") == 1; }, WaitLimit,
+            "a call keeps the node from ending");
+  const SystemClock Time;
+  Millis Terminated = Time.now();
+  Stopped.process().kill(SIGTERM);
+  Stopped.process().waitForLine("event=drain_started", WaitLimit);
+  for (size_t I = 0; I < Idle.size(); ++I) {
+    Millis When = FirstLate + LateInterval * static_cast<double>(I);
+    waitUntil([&] { return Time.now() - Terminated > When; }, WaitLimit,
+              "the late request is due");
+    std::string Tag = "late-" + std::to_string(I);
+    std::vector<HttpField> Fields = requestFields("shop", "caller", Tag);
+    bool Booking = I % 2 == 0;
+    if (Booking)
+      Fields.push_back({"Coltsfoot-Ticket", Tickets[I]});
+    HttpReply Reply =
+        Idle[I].request(Booking ? "POST" : "GET",
+                        Booking ? "/bookings-1500" : "/items-1500", Fields);
+    CHECK(Reply.Status_ == 503);
+    CHECK(Reply.header("Coltsfoot-Verdict") == "not-run");
+    CHECK(Reply.header("Connection") == "close");
+    CHECK(Test.runs(Tag) == 0);
+  }
+  CHECK(Holder.receive(WaitLimit).Status_ == 200);
+  std::string Line =
+      Stopped.process().waitForLine("event=drain_ended", WaitLimit);
+  CHECK(field(Line, "cut") == "false");
+  CHECK(Stopped.process().wait(WaitLimit) == 0);
+}
+
 namespace {
 
 constexpr Millis DrainTime(6000);
