--- a/testsuite/leaving/long_calls_test.cpp
+++ b/testsuite/leaving/long_calls_test.cpp
@@ -228,13 +228,16 @@
       Stopped.process().waitForLine("event=drain_ended", WaitLimit);
   CHECK(Stopped.process().wait(WaitLimit) == 0);
   size_t Answered = 0;
+  size_t TakenInDrain = 0;
   size_t Refused = 0;
   size_t Cut = 0;
   size_t RanThoughRefused = 0;
   size_t RanTwice = 0;
   std::vector<std::string> Lost;
   for (const Attempt &Each : Load.finish()) {
-    Answered += Each.Result_ == Attempt::Result::Answered ? 1 : 0;
+    bool IsAnswered = Each.Result_ == Attempt::Result::Answered;
+    Answered += IsAnswered ? 1 : 0;
+    TakenInDrain += IsAnswered && Each.Sent_ > Terminated ? 1 : 0;
     Refused += Each.Result_ == Attempt::Result::NotRun ? 1 : 0;
     size_t Runs = Test.runs(Each.Tag_);
     RanTwice += Each.Booking_ && Runs > 1 ? 1 : 0;
@@ -259,6 +262,7 @@
   CHECK(RanThoughRefused == 0);
   CHECK(RanTwice == 0);
   CHECK(Answered > 3 * allKinds().size());
+  CHECK(TakenInDrain > 0);
 }
 
 TEST_CASE("a stopping node answers connections that were idle until late") {
