Stop nodes beside long calls in the soak, whose clients ignore the notice

What callers saw: calls lost by a stopping node, which the soak did not find. Its calls took 15 ms, its clients closed a connection when an answer announced its end, and it stopped nodes beside other faults, which excuse a lost call.

Change: clients use a connection until it fails. After the random faults there is a phase with planned work alone: each node is stopped by SIGTERM, the drains overlap, and half of the calls take 1 to 3.5 s. Nodes have drain_ms and drain_notice_ms as deployed. A call of this phase that ran and got no answer, or 502 or 504, was lost, except one that was sent within 3 s of a SIGTERM and was still in progress 5 s after it.

--- a/testsuite/common/httpclient.cpp
+++ b/testsuite/common/httpclient.cpp
@@ -128,7 +128,8 @@
           "the response of " + address() +
           " is incomplete or malformed: " + Error.message());
     }
-    if (WriteFailed_ || !Parser.get().keep_alive())
+    bool CloseAnnounced = !IgnoresAnnouncedClose_ && !Parser.get().keep_alive();
+    if (WriteFailed_ || CloseAnnounced)
       close();
     HttpReply Reply;
     Reply.Status_ = static_cast<int>(Parser.get().result_int());
@@ -147,6 +148,7 @@
   beast::flat_buffer Buffer_;
   bool IsHeadRequest_ = false;
   bool WriteFailed_ = false;
+  bool IgnoresAnnouncedClose_ = false;
   std::chrono::steady_clock::time_point Deadline_;
 };
 
@@ -176,6 +178,10 @@
   return Impl_->receive();
 }
 
+void HttpSession::ignoreAnnouncedClose() {
+  Impl_->IgnoresAnnouncedClose_ = true;
+}
+
 void HttpSession::close() { Impl_->close(); }
 
 HttpReply request(const std::string &Ip, uint16_t Port, std::string_view Method,
--- a/testsuite/common/httpclient.h
+++ b/testsuite/common/httpclient.h
@@ -82,6 +82,9 @@
   /// like request().
   HttpReply receive(Millis Timeout = Millis(5000));
 
+  /// Makes the session use its connection until it fails, also after a response
+  /// that announces its end.
+  void ignoreAnnouncedClose();
   /// Closes the connection, like a caller that abandons its request.
   void close();
 
--- a/testsuite/common/platformupstream.cpp
+++ b/testsuite/common/platformupstream.cpp
@@ -8,6 +8,19 @@
 
 namespace coltsfoot {
 
+namespace {
+
+/// Returns how long the target says that its work takes, else Default.
+Millis workOf(const std::string &Target, Millis Default) {
+  constexpr std::string_view Key = "work-ms=";
+  size_t Position = Target.find(Key);
+  return Position == std::string::npos
+             ? Default
+             : Millis(std::stod(Target.substr(Position + Key.size())));
+}
+
+} // namespace
+
 PlatformUpstream::PlatformUpstream(Options UpstreamOptions)
     : Options_(std::move(UpstreamOptions)),
       Server_(
@@ -124,7 +137,7 @@
   }
   Reply.Fields_.push_back({"Server-Signature", "sig." + Id});
   auto Timer = std::make_shared<boost::asio::steady_timer>(
-      Server_.context(), toChrono(Options_.Work_));
+      Server_.context(), toChrono(workOf(Request.Target_, Options_.Work_)));
   Timer->async_wait(
       [Timer, Exchange, Reply = std::move(Reply)](
           const boost::system::error_code &) { Exchange->respond(Reply); });
--- a/testsuite/common/platformupstream.h
+++ b/testsuite/common/platformupstream.h
@@ -10,8 +10,9 @@
 
 /// A stand-in of an upstream of the platform, in the test's own process. It
 /// returns the attempt id and a signature, answers 421 when a request expects
-/// another instance, and records which requests it runs. Reports are sent
-/// only when the test calls report(). Thread-safe.
+/// another instance, and records which requests it runs. A target that ends
+/// with `work-ms=N` takes this long. Reports are sent only when the test calls
+/// report(). Thread-safe.
 class PlatformUpstream {
 public:
   struct Options {
--- a/testsuite/soak/soakledger.cpp
+++ b/testsuite/soak/soakledger.cpp
@@ -53,6 +53,12 @@
   ++CountsByStatus_[0];
 }
 
+void SoakLedger::recordUnanswered(const std::string &Id,
+                                  const std::string &Details) {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  Unanswered_[Id] = Details;
+}
+
 void SoakLedger::recordLeaving(const std::string &Instance,
                                Millis Acknowledged) {
   std::lock_guard<std::mutex> Lock(Mutex_);
@@ -81,6 +87,10 @@
                             Description);
     if (Ran > 0 && guaranteesNotRun(Call.Status_))
       Violations_.push_back("run although refused: " + Description);
+    auto Unanswered = Unanswered_.find(Id);
+    if (Ran > 0 && Unanswered != Unanswered_.end())
+      Violations_.push_back("lost beside planned work: " + Description + ", " +
+                            Unanswered->second);
     if (Ran == 0 && Call.Status_ == 200)
       Violations_.push_back("answered 200 without a run: " + Description);
   }
--- a/testsuite/soak/soakledger.h
+++ b/testsuite/soak/soakledger.h
@@ -20,6 +20,10 @@
                     const HttpReply &Reply);
   /// Records a call that got no complete answer, which guarantees nothing.
   void recordNoAnswer(const std::string &Id, bool MayRepeat);
+  /// Records a call without the answer of its upstream, sent while there was
+  /// planned work alone, such as a stop by SIGTERM. If it ran, it was lost.
+  /// Details describe it.
+  void recordUnanswered(const std::string &Id, const std::string &Details);
   /// Records when the node acknowledged that this instance of its upstream is
   /// leaving.
   void recordLeaving(const std::string &Instance, Millis Acknowledged);
@@ -28,7 +32,7 @@
 
   /// Checks all calls against the upstreams' runs: each call that may not be
   /// repeated ran at most once, a refused call never ran, a call answered 200
-  /// did run, and all repeats are within the retry budget.
+  /// did run, none was lost, and all repeats are within the retry budget.
   void check(const std::vector<PlatformUpstream::Run> &Runs);
   /// Checks that no leaving instance received a request later than DrainTime
   /// after the acknowledgement. Requests of other instances don't count,
@@ -55,7 +59,8 @@
   mutable std::mutex Mutex_; // guards the members below
   std::map<std::string, Call> Calls_;
   std::map<int, size_t> CountsByStatus_;
-  std::map<std::string, Millis> LeavingSince_; ///< By instance.
+  std::map<std::string, std::string> Unanswered_; ///< Details by call.
+  std::map<std::string, Millis> LeavingSince_;    ///< By instance.
   std::vector<std::string> Violations_;
 };
 
--- a/testsuite/soak/soakledger_test.cpp
+++ b/testsuite/soak/soakledger_test.cpp
@@ -76,6 +76,18 @@
   CHECK(Ledger.violations().size() == 1);
 }
 
+TEST_CASE("a call that ran beside planned work alone and got no answer is a "
+          "violation") {
+  SoakLedger Ledger;
+  for (const char *Id : {"ran", "not-run"}) {
+    Ledger.recordNoAnswer(Id, false);
+    Ledger.recordUnanswered(Id, "cut");
+  }
+  Ledger.recordNoAnswer("beside-a-fault", false);
+  CHECK(checkAndCountViolations(Ledger, {run("ran"), run("beside-a-fault")}) ==
+        1);
+}
+
 TEST_CASE("only calls that a leaving instance gets after the drain time are a "
           "violation") {
   const Millis Acknowledged(10000);
--- a/testsuite/soak/soakrun.cpp
+++ b/testsuite/soak/soakrun.cpp
@@ -7,6 +7,7 @@
 
 #include "coltsfootpoint/ipport.h"
 
+#include <algorithm>
 #include <atomic>
 #include <csignal>
 #include <filesystem>
@@ -32,6 +33,17 @@
 /// All nodes must serve again within this time of the last fault's end.
 constexpr Millis RecoveryTime(15000);
 constexpr int ClientsPerMachine = 3;
+/// As in the deployed settings.
+constexpr std::string_view Timeouts =
+    "drain_ms = 5600\ndrain_notice_ms = 3000\n";
+constexpr Millis LongCallDeadline(5000);
+constexpr Millis LongCallTimeout(9000);
+/// A call sent within LastSafeSend of SIGTERM may be cut if its upstream still
+/// works on it LongestWork after SIGTERM.
+constexpr Millis LastSafeSend(3000);
+constexpr Millis LongestWork(5000);
+/// After this time without a fault, none excuses a lost call.
+constexpr Millis SettleTime(3000);
 constexpr Millis UpstreamServiceTime(15);
 constexpr Millis TickInterval(20);
 
@@ -50,9 +62,9 @@
                 const std::string &Folder, const std::string &Service)
       : StoreLink_(platformAddress(Number)),
         UpstreamLink_(platformAddress(Number)),
-        Machine_(
-            {Number, StoreLink_.address(), Folder, UpstreamLink_.address()},
-            {.Service_ = Service, .Work_ = UpstreamServiceTime}) {
+        Machine_({Number, StoreLink_.address(), Folder, UpstreamLink_.address(),
+                  std::string(Timeouts)},
+                 {.Service_ = Service, .Work_ = UpstreamServiceTime}) {
     setLinkTarget(StoreLink_, Store.address());
     setLinkTarget(UpstreamLink_, Machine_.upstream().address());
   }
@@ -69,10 +81,25 @@
   std::string State_ = "ready";
   Millis NextReport_;
   int IncarnationCount_ = 1;
+  /// When the node last got SIGTERM; far in the past before the first one.
+  std::atomic<Millis> Terminated_ = Millis(-1e9);
   bool NodeFaultActive_ = false;     ///< A fault of the node is active.
   bool UpstreamFaultActive_ = false; ///< A fault of the upstream is active.
 };
 
+/// A call of a client.
+struct ClientCall {
+  std::string Id_;
+  bool MayRepeat_ = false;
+  Millis Work_; ///< How long a long call takes; zero for a short one.
+
+  std::string target() const {
+    if (Work_ > Millis())
+      return "/long/x?work-ms=" + std::to_string(Work_.whole());
+    return MayRepeat_ ? "/safe/x" : "/once/x";
+  }
+};
+
 /// An action that is due at a time.
 struct ScheduledAction {
   Millis Time_;
@@ -100,10 +127,16 @@
 
   void startAll();
   void runClient(FaultyMachine &Target, int Number, std::stop_token Stop);
-  void callOnce(HttpSession &Session, const std::string &Id, bool MayRepeat);
+  ClientCall drawCall(const std::string &Id,
+                      std::mt19937_64 &ClientRandom) const;
+  void callOnce(HttpSession &Session, const ClientCall &Call);
+  void recordUnanswered(const ClientCall &Call, Millis Sent,
+                        const std::string &Outcome);
+  bool mayBeCut(Millis Sent, Millis Ended) const;
   void injectFaults();
   void injectRandomFault();
   void endFaults();
+  void stopInSeries();
   void checkRecovery();
   void checkConfig();
   void tickUntil(Millis Until);
@@ -112,6 +145,7 @@
   void schedule(Millis Delay, std::function<void()> Action);
   void scheduleEnd(bool &Active, Millis Delay, std::function<void()> End);
   void putConfig();
+  std::string configuration() const;
   bool finish();
   void keepLogs() const;
 
@@ -147,8 +181,17 @@
   std::string InjectedFaults_;
   int Version_ = 1;
   bool StoreFaultActive_ = false;
+  std::atomic<bool> LongCalls_ = false;
+  std::atomic<bool> PlannedWorkOnly_ = false;
 };
 
+std::string SoakRun::Impl::configuration() const {
+  return platformConfiguration(
+      Version_, repeatableCallsService(Version_),
+      R"(,{"name":"r-long","path-prefix":"/long/","kind":"unsafe",)"
+      R"("timeout":"6000ms","max-attempts":2,"service":"alpha"})");
+}
+
 bool SoakRun::Impl::run() {
   startAll();
   int Number = 0;
@@ -160,6 +203,7 @@
       });
   injectFaults();
   endFaults();
+  stopInSeries();
   checkRecovery();
   checkConfig();
   for (auto &Each : Clients_)
@@ -169,8 +213,7 @@
 }
 
 void SoakRun::Impl::startAll() {
-  Store_.put("config",
-             platformConfiguration(Version_, repeatableCallsService(Version_)));
+  Store_.put("config", configuration());
   for (auto &Each : Machines_)
     Each->Machine_.start();
   for (auto &Each : Machines_)
@@ -181,34 +224,79 @@
   }
 }
 
-// A client keeps one connection open until the connection fails or the node
-// closes it.
+// A client uses one connection until it fails, also when the node announces
+// that it closes it.
 void SoakRun::Impl::runClient(FaultyMachine &Target, int Number,
                               std::stop_token Stop) {
   HttpSession Session(Target.Machine_.ip(), PlatformMachine::CallPort);
+  Session.ignoreAnnouncedClose();
   std::mt19937_64 ClientRandom(Options_.Seed_ * 1000 +
                                static_cast<uint64_t>(Number));
   std::string Prefix =
       "s" + std::to_string(Options_.Seed_) + "-" + std::to_string(Number) + "-";
   for (int I = 0; !Stop.stop_requested(); ++I) {
-    callOnce(Session, Prefix + std::to_string(I), ClientRandom() % 2 == 0);
+    callOnce(Session, drawCall(Prefix + std::to_string(I), ClientRandom));
     sleepFor(Millis(static_cast<double>(5 + ClientRandom() % 25)));
   }
 }
 
-void SoakRun::Impl::callOnce(HttpSession &Session, const std::string &Id,
-                             bool MayRepeat) {
+// Long calls are made only beside planned work, which must not cut them.
+ClientCall SoakRun::Impl::drawCall(const std::string &Id,
+                                   std::mt19937_64 &ClientRandom) const {
+  constexpr uint64_t ShortestLongCallMs = 1000;
+  constexpr uint64_t LongCallSpreadMs = 2500;
+  ClientCall Call{Id, ClientRandom() % 2 == 0, {}};
+  if (!LongCalls_ || Call.MayRepeat_)
+    return Call;
+  Call.Work_ = Millis(static_cast<double>(ShortestLongCallMs +
+                                          ClientRandom() % LongCallSpreadMs));
+  return Call;
+}
+
+void SoakRun::Impl::callOnce(HttpSession &Session, const ClientCall &Call) {
+  bool IsLong = Call.Work_ > Millis();
+  bool Planned = PlannedWorkOnly_;
+  Millis Sent = Clock_.now();
+  std::string Outcome;
   try {
-    HttpReply Reply = Session.request(
-        MayRepeat ? "GET" : "POST", MayRepeat ? "/safe/x" : "/once/x",
-        PlatformMachine::callFields(Id, CallDeadline),
-        MayRepeat ? "" : "body of " + Id, CallTimeout);
-    Ledger_.recordAnswer(Id, MayRepeat, Reply);
-    if (Reply.header("Connection") == "close")
-      Session.close();
-  } catch (const HttpError &) {
-    Ledger_.recordNoAnswer(Id, MayRepeat);
+    HttpReply Reply =
+        Session.request(Call.MayRepeat_ ? "GET" : "POST", Call.target(),
+                        PlatformMachine::callFields(
+                            Call.Id_, IsLong ? LongCallDeadline : CallDeadline),
+                        Call.MayRepeat_ ? "" : "body of " + Call.Id_,
+                        IsLong ? LongCallTimeout : CallTimeout);
+    Ledger_.recordAnswer(Call.Id_, Call.MayRepeat_, Reply);
+    if (Reply.Status_ == 502 || Reply.Status_ == 504)
+      Outcome = "status " + std::to_string(Reply.Status_);
+  } catch (const HttpError &Error) {
+    Ledger_.recordNoAnswer(Call.Id_, Call.MayRepeat_);
+    Outcome = Error.what();
   }
+  if (Planned && !Outcome.empty())
+    recordUnanswered(Call, Sent, Outcome);
+}
+
+void SoakRun::Impl::recordUnanswered(const ClientCall &Call, Millis Sent,
+                                     const std::string &Outcome) {
+  Millis Ended = Clock_.now();
+  if (mayBeCut(Sent, Ended))
+    return;
+  std::string Details = Outcome + ", work " +
+                        std::to_string(Call.Work_.whole()) + " ms, took " +
+                        std::to_string((Ended - Sent).whole()) + " ms";
+  for (const auto &Each : Machines_)
+    Details += ", sent " +
+               std::to_string((Sent - Each->Terminated_.load()).whole()) +
+               " ms after SIGTERM at " + Each->Machine_.ip();
+  Ledger_.recordUnanswered(Call.Id_, Details);
+}
+
+bool SoakRun::Impl::mayBeCut(Millis Sent, Millis Ended) const {
+  return std::any_of(Machines_.begin(), Machines_.end(), [&](const auto &Each) {
+    Millis Terminated = Each->Terminated_;
+    return Sent >= Terminated && Sent - Terminated <= LastSafeSend &&
+           Ended - Terminated >= LongestWork;
+  });
 }
 
 void SoakRun::Impl::injectFaults() {
@@ -316,6 +404,7 @@
 
 void SoakRun::Impl::stopNode(FaultyMachine &Target) {
   Target.NodeFaultActive_ = true;
+  Target.Terminated_ = Clock_.now();
   Target.Machine_.signalStop(SIGTERM);
   awaitStop(Target, Clock_.now());
 }
@@ -380,8 +469,7 @@
 
 void SoakRun::Impl::putConfig() {
   ++Version_;
-  Store_.put("config",
-             platformConfiguration(Version_, repeatableCallsService(Version_)));
+  Store_.put("config", configuration());
 }
 
 void SoakRun::Impl::disturbUpstreamLink(FaultyMachine &Target) {
@@ -446,6 +534,19 @@
     tickUntil(Clock_.now() + TickInterval);
 }
 
+// Stops overlap each other, and long calls are running meanwhile. Other faults
+// would excuse a lost call, so there are none.
+void SoakRun::Impl::stopInSeries() {
+  LongCalls_ = true;
+  tickUntil(Clock_.now() + SettleTime);
+  PlannedWorkOnly_ = true;
+  for (auto &Each : Machines_) {
+    stopNode(*Each);
+    tickUntil(Clock_.now() + drawTime(0, 4000));
+  }
+  endFaults();
+}
+
 void SoakRun::Impl::checkRecovery() {
   constexpr int RequiredSuccesses = 10;
   Millis Until = Clock_.now() + RecoveryTime;
