Let signals, restarts and changes come in series in the soak

Two new kinds of fault: a node is killed and restarted two to four times more in quick succession, and 4 to 11 configurations and as many SIGHUPs come within 1.5 s. The phase of planned work now draws ten times between a stop, a SIGHUP and such a series of changes, at a random node, 0 to 1.5 s apart, so that they overlap each other and the long calls.

--- a/testsuite/soak/soakrun.cpp
+++ b/testsuite/soak/soakrun.cpp
@@ -150,6 +150,10 @@
   void keepLogs() const;
 
   void killNode(FaultyMachine &Target);
+  void restartInSeries(FaultyMachine &Target);
+  void restart(FaultyMachine &Target, uint64_t TimesLeft);
+  void changeInSeries(FaultyMachine &Target);
+  void doPlannedWork(FaultyMachine &Target);
   void stopNode(FaultyMachine &Target);
   void awaitStop(FaultyMachine &Target, Millis Since);
   void pauseNode(FaultyMachine &Target);
@@ -316,6 +320,8 @@
   };
   static const std::vector<Kind> Kinds = {
       {"kill", &Impl::killNode, true, false, false},
+      {"restarts", &Impl::restartInSeries, true, false, false},
+      {"changes", &Impl::changeInSeries, false, false, true},
       {"stop", &Impl::stopNode, true, false, false},
       {"pause", &Impl::pauseNode, true, false, false},
       {"hup", &Impl::sendHangup, true, false, false},
@@ -402,6 +408,33 @@
               [&Target] { Target.Machine_.start(); });
 }
 
+void SoakRun::Impl::restartInSeries(FaultyMachine &Target) {
+  Target.NodeFaultActive_ = true;
+  restart(Target, 2 + draw(3));
+}
+
+void SoakRun::Impl::restart(FaultyMachine &Target, uint64_t TimesLeft) {
+  Target.Machine_.stop(SIGKILL);
+  schedule(drawTime(0, 300), [this, &Target, TimesLeft] {
+    Target.Machine_.start();
+    if (TimesLeft == 0) {
+      Target.NodeFaultActive_ = false;
+      return;
+    }
+    schedule(drawTime(0, 400),
+             [this, &Target, TimesLeft] { restart(Target, TimesLeft - 1); });
+  });
+}
+
+// Signals and configurations come in quick succession, also while the node is
+// stopped or starts.
+void SoakRun::Impl::changeInSeries(FaultyMachine &Target) {
+  for (uint64_t Left = 4 + draw(8); Left > 0; --Left) {
+    schedule(drawTime(0, 1500), [this] { putConfig(); });
+    schedule(drawTime(0, 1500), [this, &Target] { sendHangup(Target); });
+  }
+}
+
 void SoakRun::Impl::stopNode(FaultyMachine &Target) {
   Target.NodeFaultActive_ = true;
   Target.Terminated_ = Clock_.now();
@@ -534,15 +567,28 @@
     tickUntil(Clock_.now() + TickInterval);
 }
 
-// Stops overlap each other, and long calls are running meanwhile. Other faults
-// would excuse a lost call, so there are none.
+void SoakRun::Impl::doPlannedWork(FaultyMachine &Target) {
+  switch (draw(4)) {
+  case 0:
+    return sendHangup(Target);
+  case 1:
+    return changeInSeries(Target);
+  default:
+    if (!Target.NodeFaultActive_)
+      stopNode(Target);
+  }
+}
+
+// Stops, signals and changes overlap each other, and long calls are running
+// meanwhile. Other faults would excuse a lost call, so there are none.
 void SoakRun::Impl::stopInSeries() {
+  constexpr int PlannedStepCount = 10;
   LongCalls_ = true;
   tickUntil(Clock_.now() + SettleTime);
   PlannedWorkOnly_ = true;
-  for (auto &Each : Machines_) {
-    stopNode(*Each);
-    tickUntil(Clock_.now() + drawTime(0, 4000));
+  for (int I = 0; I < PlannedStepCount; ++I) {
+    doPlannedWork(*Machines_[draw(Machines_.size())]);
+    tickUntil(Clock_.now() + drawTime(0, 1500));
   }
   endFaults();
 }
