Leave odd records and reports in the soak

Two new kinds of fault. Another writer puts documents into the store, also once under the key of the configuration: nested 100,000 deep, numbers and ports out of range, wrong types, cut off, no JSON, under keys that are empty, long, like one in use or of control characters. A correct configuration follows within a second and must come into force. The same documents come as reports of an upstream to a node, as those of an unknown and of its own instance.

--- a/testsuite/soak/soakrun.cpp
+++ b/testsuite/soak/soakrun.cpp
@@ -55,6 +55,42 @@
   return Version % 2 == 0 ? "beta" : "alpha";
 }
 
+/// Returns documents such as a faulty writer leaves: very deeply nested, with
+/// numbers out of range, of wrong types, cut off or no JSON at all.
+std::vector<std::string> oddDocuments() {
+  constexpr size_t Depth = 100'000;
+  std::string Nested = std::string(Depth, '[') + std::string(Depth, ']');
+  auto WithAddress = [](const std::string &Address, const std::string &Number) {
+    return R"({"service":"alpha","address":")" + Address +
+           R"(","zone":"z","version":"v1","slots":)" + Number +
+           R"(,"state":"ready","cold-remaining":"0ms","sequence":)" + Number +
+           R"(,"born":)" + Number + "}";
+  };
+  return {"",
+          "null",
+          "\xff\xfe",
+          Nested,
+          R"({"version":)" + Nested + "}",
+          R"({"version":1e999,"services":[],"virtual-hosts":[]})",
+          R"({"version":99999999999999999999,"services":7})",
+          R"({"version":-1,"services":[{}],"virtual-hosts":[{"paths":7}]})",
+          R"({"version":)",
+          WithAddress("127.0.0.1:99999", "8"),
+          WithAddress("127.0.0.1:-1", "8"),
+          WithAddress("no address", "8"),
+          WithAddress("127.0.0.1:1", "1e400"),
+          WithAddress("127.0.0.1:1", "-99999999999999999999")};
+}
+
+/// Returns a key as a faulty writer may choose it: empty, like one in use, of
+/// control characters, or as long as keys can be.
+std::string oddKey(uint64_t Number) {
+  constexpr size_t LongestKey = 255;
+  static const std::vector<std::string> Keys = {"", "config/", "\x01\x7f",
+                                                std::string(LongestKey, 'k')};
+  return Keys[Number % Keys.size()];
+}
+
 /// A machine whose connections to its upstream and to the store pass through
 /// fault proxies, with the state of the faults at it.
 struct FaultyMachine {
@@ -162,6 +198,8 @@
   void disturbStoreLink(FaultyMachine &Target);
   void compact(FaultyMachine &Target);
   void changeConfig(FaultyMachine &Target);
+  void putOddRecords(FaultyMachine &Target);
+  void sendOddReports(FaultyMachine &Target);
   void disturbUpstreamLink(FaultyMachine &Target);
   void shedRequests(FaultyMachine &Target);
   void failHealthCheck(FaultyMachine &Target);
@@ -329,6 +367,8 @@
       {"store-link", &Impl::disturbStoreLink, false, false, false},
       {"history", &Impl::compact, false, false, false},
       {"config", &Impl::changeConfig, false, false, true},
+      {"odd-records", &Impl::putOddRecords, false, false, true},
+      {"odd-reports", &Impl::sendOddReports, true, false, false},
       {"upstream-link", &Impl::disturbUpstreamLink, false, true, false},
       {"shed", &Impl::shedRequests, false, true, false},
       {"health", &Impl::failHealthCheck, true, true, false},
@@ -505,6 +545,27 @@
   Store_.put("config", configuration());
 }
 
+// Another writer leaves odd records, also in place of the configuration. A
+// later configuration must come into force.
+void SoakRun::Impl::putOddRecords(FaultyMachine &) {
+  std::vector<std::string> Values = oddDocuments();
+  Store_.put("config", Values[draw(Values.size())]);
+  for (const std::string &Each : Values)
+    Store_.put(oddKey(Random_()), Each);
+  scheduleEnd(StoreFaultActive_, drawTime(100, 1000), [this] { putConfig(); });
+}
+
+void SoakRun::Impl::sendOddReports(FaultyMachine &Target) {
+  for (const std::string &Each : oddDocuments())
+    for (const char *Instance : {"odd", "i-1"}) {
+      try {
+        request(Target.Machine_.ip(), PlatformMachine::ReportPort, "POST",
+                "/instances/" + std::string(Instance) + "/heartbeat", {}, Each);
+      } catch (const HttpError &) {
+      }
+    }
+}
+
 void SoakRun::Impl::disturbUpstreamLink(FaultyMachine &Target) {
   switch (draw(5)) {
   case 0:
