--- a/testsuite/soak/soakrun.cpp
+++ b/testsuite/soak/soakrun.cpp
@@ -7,6 +7,7 @@
 
 #include "coltsfootpoint/ipport.h"
 
+#include <algorithm>
 #include <atomic>
 #include <csignal>
 #include <filesystem>
@@ -32,6 +33,17 @@
 /// All nodes must serve again within this time of the last fault's end.
 constexpr Millis RecoveryTime(15000);
 constexpr int ClientsPerMachine = 3;
+/// As in the deployed settings.
+constexpr std::string_view Timeouts =
+    "drain_ms = 5600\ndrain_notice_ms = 3000\n";
+constexpr Millis LongCallDeadline(5000);
+constexpr Millis LongCallTimeout(9000);
+/// A call sent within LastSafeSend of SIGTERM may be cut if its upstream still
+/// works on it LongestWork after SIGTERM.
+constexpr Millis LastSafeSend(3000);
+constexpr Millis LongestWork(5000);
+/// After this time without a fault, none excuses a lost call.
+constexpr Millis SettleTime(3000);
 constexpr Millis UpstreamServiceTime(15);
 constexpr Millis TickInterval(20);
 
@@ -43,6 +55,42 @@
   return Version % 2 == 0 ? "beta" : "alpha";
 }
 
+/// Returns documents such as a faulty writer leaves: very deeply nested, with
+/// numbers out of range, of wrong types, cut off or no JSON at all.
+std::vector<std::string> oddDocuments() {
+  constexpr size_t Depth = 100'000;
+  std::string Nested = std::string(Depth, '[') + std::string(Depth, ']');
+  auto WithAddress = [](const std::string &Address, const std::string &Number) {
+    return R"({"service":"alpha","address":")" + Address +
+           R"(","zone":"z","version":"v1","slots":)" + Number +
+           R"(,"state":"ready","cold-remaining":"0ms","sequence":)" + Number +
+           R"(,"born":)" + Number + "}";
+  };
+  return {"",
+          "null",
+          "\xff\xfe",
+          Nested,
+          R"({"version":)" + Nested + "}",
+          R"({"version":1e999,"services":[],"virtual-hosts":[]})",
+          R"({"version":99999999999999999999,"services":7})",
+          R"({"version":-1,"services":[{}],"virtual-hosts":[{"paths":7}]})",
+          R"({"version":)",
+          WithAddress("127.0.0.1:99999", "8"),
+          WithAddress("127.0.0.1:-1", "8"),
+          WithAddress("no address", "8"),
+          WithAddress("127.0.0.1:1", "1e400"),
+          WithAddress("127.0.0.1:1", "-99999999999999999999")};
+}
+
+/// Returns a key as a faulty writer may choose it: empty, like one in use, of
+/// control characters, or as long as keys can be.
+std::string oddKey(uint64_t Number) {
+  constexpr size_t LongestKey = 255;
+  static const std::vector<std::string> Keys = {"", "config/", "\x01\x7f",
+                                                std::string(LongestKey, 'k')};
+  return Keys[Number % Keys.size()];
+}
+
 /// A machine whose connections to its upstream and to the store pass through
 /// fault proxies, with the state of the faults at it.
 struct FaultyMachine {
@@ -50,9 +98,9 @@
                 const std::string &Folder, const std::string &Service)
       : StoreLink_(platformAddress(Number)),
         UpstreamLink_(platformAddress(Number)),
-        Machine_(
-            {Number, StoreLink_.address(), Folder, UpstreamLink_.address()},
-            {.Service_ = Service, .Work_ = UpstreamServiceTime}) {
+        Machine_({Number, StoreLink_.address(), Folder, UpstreamLink_.address(),
+                  std::string(Timeouts)},
+                 {.Service_ = Service, .Work_ = UpstreamServiceTime}) {
     setLinkTarget(StoreLink_, Store.address());
     setLinkTarget(UpstreamLink_, Machine_.upstream().address());
   }
@@ -69,10 +117,25 @@
   std::string State_ = "ready";
   Millis NextReport_;
   int IncarnationCount_ = 1;
+  /// When the node last got SIGTERM; far in the past before the first one.
+  std::atomic<Millis> Terminated_ = Millis(-1e9);
   bool NodeFaultActive_ = false;     ///< A fault of the node is active.
   bool UpstreamFaultActive_ = false; ///< A fault of the upstream is active.
 };
 
+/// A call of a client.
+struct ClientCall {
+  std::string Id_;
+  bool MayRepeat_ = false;
+  Millis Work_; ///< How long a long call takes; zero for a short one.
+
+  std::string target() const {
+    if (Work_ > Millis())
+      return "/long/x?work-ms=" + std::to_string(Work_.whole());
+    return MayRepeat_ ? "/safe/x" : "/once/x";
+  }
+};
+
 /// An action that is due at a time.
 struct ScheduledAction {
   Millis Time_;
@@ -100,10 +163,16 @@
 
   void startAll();
   void runClient(FaultyMachine &Target, int Number, std::stop_token Stop);
-  void callOnce(HttpSession &Session, const std::string &Id, bool MayRepeat);
+  ClientCall drawCall(const std::string &Id,
+                      std::mt19937_64 &ClientRandom) const;
+  void callOnce(HttpSession &Session, const ClientCall &Call);
+  void recordUnanswered(const ClientCall &Call, Millis Sent,
+                        const std::string &Outcome);
+  bool mayBeCut(Millis Sent, Millis Ended) const;
   void injectFaults();
   void injectRandomFault();
   void endFaults();
+  void stopInSeries();
   void checkRecovery();
   void checkConfig();
   void tickUntil(Millis Until);
@@ -112,10 +181,15 @@
   void schedule(Millis Delay, std::function<void()> Action);
   void scheduleEnd(bool &Active, Millis Delay, std::function<void()> End);
   void putConfig();
+  std::string configuration() const;
   bool finish();
   void keepLogs() const;
 
   void killNode(FaultyMachine &Target);
+  void restartInSeries(FaultyMachine &Target);
+  void restart(FaultyMachine &Target, uint64_t TimesLeft);
+  void changeInSeries(FaultyMachine &Target);
+  void doPlannedWork(FaultyMachine &Target);
   void stopNode(FaultyMachine &Target);
   void awaitStop(FaultyMachine &Target, Millis Since);
   void pauseNode(FaultyMachine &Target);
@@ -124,6 +198,8 @@
   void disturbStoreLink(FaultyMachine &Target);
   void compact(FaultyMachine &Target);
   void changeConfig(FaultyMachine &Target);
+  void putOddRecords(FaultyMachine &Target);
+  void sendOddReports(FaultyMachine &Target);
   void disturbUpstreamLink(FaultyMachine &Target);
   void shedRequests(FaultyMachine &Target);
   void failHealthCheck(FaultyMachine &Target);
@@ -147,8 +223,17 @@
   std::string InjectedFaults_;
   int Version_ = 1;
   bool StoreFaultActive_ = false;
+  std::atomic<bool> LongCalls_ = false;
+  std::atomic<bool> PlannedWorkOnly_ = false;
 };
 
+std::string SoakRun::Impl::configuration() const {
+  return platformConfiguration(
+      Version_, repeatableCallsService(Version_),
+      R"(,{"name":"r-long","path-prefix":"/long/","kind":"unsafe",)"
+      R"("timeout":"6000ms","max-attempts":2,"service":"alpha"})");
+}
+
 bool SoakRun::Impl::run() {
   startAll();
   int Number = 0;
@@ -160,6 +245,7 @@
       });
   injectFaults();
   endFaults();
+  stopInSeries();
   checkRecovery();
   checkConfig();
   for (auto &Each : Clients_)
@@ -169,8 +255,7 @@
 }
 
 void SoakRun::Impl::startAll() {
-  Store_.put("config",
-             platformConfiguration(Version_, repeatableCallsService(Version_)));
+  Store_.put("config", configuration());
   for (auto &Each : Machines_)
     Each->Machine_.start();
   for (auto &Each : Machines_)
@@ -181,34 +266,79 @@
   }
 }
 
-// A client keeps one connection open until the connection fails or the node
-// closes it.
+// A client uses one connection until it fails, also when the node announces
+// that it closes it.
 void SoakRun::Impl::runClient(FaultyMachine &Target, int Number,
                               std::stop_token Stop) {
   HttpSession Session(Target.Machine_.ip(), PlatformMachine::CallPort);
+  Session.ignoreAnnouncedClose();
   std::mt19937_64 ClientRandom(Options_.Seed_ * 1000 +
                                static_cast<uint64_t>(Number));
   std::string Prefix =
       "s" + std::to_string(Options_.Seed_) + "-" + std::to_string(Number) + "-";
   for (int I = 0; !Stop.stop_requested(); ++I) {
-    callOnce(Session, Prefix + std::to_string(I), ClientRandom() % 2 == 0);
+    callOnce(Session, drawCall(Prefix + std::to_string(I), ClientRandom));
     sleepFor(Millis(static_cast<double>(5 + ClientRandom() % 25)));
   }
 }
 
-void SoakRun::Impl::callOnce(HttpSession &Session, const std::string &Id,
-                             bool MayRepeat) {
+// Long calls are made only beside planned work, which must not cut them.
+ClientCall SoakRun::Impl::drawCall(const std::string &Id,
+                                   std::mt19937_64 &ClientRandom) const {
+  constexpr uint64_t ShortestLongCallMs = 1000;
+  constexpr uint64_t LongCallSpreadMs = 2500;
+  ClientCall Call{Id, ClientRandom() % 2 == 0, {}};
+  if (!LongCalls_ || Call.MayRepeat_)
+    return Call;
+  Call.Work_ = Millis(static_cast<double>(ShortestLongCallMs +
+                                          ClientRandom() % LongCallSpreadMs));
+  return Call;
+}
+
+void SoakRun::Impl::callOnce(HttpSession &Session, const ClientCall &Call) {
+  bool IsLong = Call.Work_ > Millis();
+  bool Planned = PlannedWorkOnly_;
+  Millis Sent = Clock_.now();
+  std::string Outcome;
   try {
-    HttpReply Reply = Session.request(
-        MayRepeat ? "GET" : "POST", MayRepeat ? "/safe/x" : "/once/x",
-        PlatformMachine::callFields(Id, CallDeadline),
-        MayRepeat ? "" : "body of " + Id, CallTimeout);
-    Ledger_.recordAnswer(Id, MayRepeat, Reply);
-    if (Reply.header("Connection") == "close")
-      Session.close();
-  } catch (const HttpError &) {
-    Ledger_.recordNoAnswer(Id, MayRepeat);
+    HttpReply Reply =
+        Session.request(Call.MayRepeat_ ? "GET" : "POST", Call.target(),
+                        PlatformMachine::callFields(
+                            Call.Id_, IsLong ? LongCallDeadline : CallDeadline),
+                        Call.MayRepeat_ ? "" : "body of " + Call.Id_,
+                        IsLong ? LongCallTimeout : CallTimeout);
+    Ledger_.recordAnswer(Call.Id_, Call.MayRepeat_, Reply);
+    if (Reply.Status_ == 502 || Reply.Status_ == 504)
+      Outcome = "status " + std::to_string(Reply.Status_);
+  } catch (const HttpError &Error) {
+    Ledger_.recordNoAnswer(Call.Id_, Call.MayRepeat_);
+    Outcome = Error.what();
   }
+  if (Planned && !Outcome.empty())
+    recordUnanswered(Call, Sent, Outcome);
+}
+
+void SoakRun::Impl::recordUnanswered(const ClientCall &Call, Millis Sent,
+                                     const std::string &Outcome) {
+  Millis Ended = Clock_.now();
+  if (mayBeCut(Sent, Ended))
+    return;
+  std::string Details = Outcome + ", work " +
+                        std::to_string(Call.Work_.whole()) + " ms, took " +
+                        std::to_string((Ended - Sent).whole()) + " ms";
+  for (const auto &Each : Machines_)
+    Details += ", sent " +
+               std::to_string((Sent - Each->Terminated_.load()).whole()) +
+               " ms after SIGTERM at " + Each->Machine_.ip();
+  Ledger_.recordUnanswered(Call.Id_, Details);
+}
+
+bool SoakRun::Impl::mayBeCut(Millis Sent, Millis Ended) const {
+  return std::any_of(Machines_.begin(), Machines_.end(), [&](const auto &Each) {
+    Millis Terminated = Each->Terminated_;
+    return Sent >= Terminated && Sent - Terminated <= LastSafeSend &&
+           Ended - Terminated >= LongestWork;
+  });
 }
 
 void SoakRun::Impl::injectFaults() {
@@ -228,6 +358,8 @@
   };
   static const std::vector<Kind> Kinds = {
       {"kill", &Impl::killNode, true, false, false},
+      {"restarts", &Impl::restartInSeries, true, false, false},
+      {"changes", &Impl::changeInSeries, false, false, true},
       {"stop", &Impl::stopNode, true, false, false},
       {"pause", &Impl::pauseNode, true, false, false},
       {"hup", &Impl::sendHangup, true, false, false},
@@ -235,6 +367,8 @@
       {"store-link", &Impl::disturbStoreLink, false, false, false},
       {"history", &Impl::compact, false, false, false},
       {"config", &Impl::changeConfig, false, false, true},
+      {"odd-records", &Impl::putOddRecords, false, false, true},
+      {"odd-reports", &Impl::sendOddReports, true, false, false},
       {"upstream-link", &Impl::disturbUpstreamLink, false, true, false},
       {"shed", &Impl::shedRequests, false, true, false},
       {"health", &Impl::failHealthCheck, true, true, false},
@@ -314,8 +448,36 @@
               [&Target] { Target.Machine_.start(); });
 }
 
+void SoakRun::Impl::restartInSeries(FaultyMachine &Target) {
+  Target.NodeFaultActive_ = true;
+  restart(Target, 2 + draw(3));
+}
+
+void SoakRun::Impl::restart(FaultyMachine &Target, uint64_t TimesLeft) {
+  Target.Machine_.stop(SIGKILL);
+  schedule(drawTime(0, 300), [this, &Target, TimesLeft] {
+    Target.Machine_.start();
+    if (TimesLeft == 0) {
+      Target.NodeFaultActive_ = false;
+      return;
+    }
+    schedule(drawTime(0, 400),
+             [this, &Target, TimesLeft] { restart(Target, TimesLeft - 1); });
+  });
+}
+
+// Signals and configurations come in quick succession, also while the node is
+// stopped or starts.
+void SoakRun::Impl::changeInSeries(FaultyMachine &Target) {
+  for (uint64_t Left = 4 + draw(8); Left > 0; --Left) {
+    schedule(drawTime(0, 1500), [this] { putConfig(); });
+    schedule(drawTime(0, 1500), [this, &Target] { sendHangup(Target); });
+  }
+}
+
 void SoakRun::Impl::stopNode(FaultyMachine &Target) {
   Target.NodeFaultActive_ = true;
+  Target.Terminated_ = Clock_.now();
   Target.Machine_.signalStop(SIGTERM);
   awaitStop(Target, Clock_.now());
 }
@@ -380,8 +542,28 @@
 
 void SoakRun::Impl::putConfig() {
   ++Version_;
-  Store_.put("config",
-             platformConfiguration(Version_, repeatableCallsService(Version_)));
+  Store_.put("config", configuration());
+}
+
+// Another writer leaves odd records, also in place of the configuration. A
+// later configuration must come into force.
+void SoakRun::Impl::putOddRecords(FaultyMachine &) {
+  std::vector<std::string> Values = oddDocuments();
+  Store_.put("config", Values[draw(Values.size())]);
+  for (const std::string &Each : Values)
+    Store_.put(oddKey(Random_()), Each);
+  scheduleEnd(StoreFaultActive_, drawTime(100, 1000), [this] { putConfig(); });
+}
+
+void SoakRun::Impl::sendOddReports(FaultyMachine &Target) {
+  for (const std::string &Each : oddDocuments())
+    for (const char *Instance : {"odd", "i-1"}) {
+      try {
+        request(Target.Machine_.ip(), PlatformMachine::ReportPort, "POST",
+                "/instances/" + std::string(Instance) + "/heartbeat", {}, Each);
+      } catch (const HttpError &) {
+      }
+    }
 }
 
 void SoakRun::Impl::disturbUpstreamLink(FaultyMachine &Target) {
@@ -446,6 +628,32 @@
     tickUntil(Clock_.now() + TickInterval);
 }
 
+void SoakRun::Impl::doPlannedWork(FaultyMachine &Target) {
+  switch (draw(4)) {
+  case 0:
+    return sendHangup(Target);
+  case 1:
+    return changeInSeries(Target);
+  default:
+    if (!Target.NodeFaultActive_)
+      stopNode(Target);
+  }
+}
+
+// Stops, signals and changes overlap each other, and long calls are running
+// meanwhile. Other faults would excuse a lost call, so there are none.
+void SoakRun::Impl::stopInSeries() {
+  constexpr int PlannedStepCount = 10;
+  LongCalls_ = true;
+  tickUntil(Clock_.now() + SettleTime);
+  PlannedWorkOnly_ = true;
+  for (int I = 0; I < PlannedStepCount; ++I) {
+    doPlannedWork(*Machines_[draw(Machines_.size())]);
+    tickUntil(Clock_.now() + drawTime(0, 1500));
+  }
+  endFaults();
+}
+
 void SoakRun::Impl::checkRecovery() {
   constexpr int RequiredSuccesses = 10;
   Millis Until = Clock_.now() + RecoveryTime;
