Keep a queued call when its peer repeats the attempt number

What callers saw: the node's process ended, and with it all calls that it held, when a peer sent two offers with the same attempt number on one connection while the first was queued.

Cause: the gate keeps the calls of a connection by their attempt number and assigned the second call to the place of the first, which released the first. The admission queue still referred to it, as it does not own its requests. In the same way, the end of a running call could remove a queued one of the same number.

Evidence: "an offer with the attempt number of a queued one does not replace it". Before, the second offer had no reply; without that check the test ended with SIGSEGV as soon as the queue started the first call.

Fix: the earlier call keeps its place; an offer whose number is in use is refused with bad-request and, if it has a ticket, closed.

--- a/src/libcoordination/gate.cpp
+++ b/src/libcoordination/gate.cpp
@@ -459,14 +459,20 @@
   enqueue(Incoming);
 }
 
+// A peer numbers its offers. If it repeats a number, the earlier call keeps its
+// place, because the queue refers to it without owning it.
 void Gate::Impl::enqueue(const CallPointer &Incoming) {
+  bool Added = false;
   Decisions NewDecisions;
   {
     std::lock_guard<std::mutex> Lock(Mutex_);
-    Calls_[Incoming->Key_] = Incoming;
-    Queue_.offer(*Incoming);
+    Added = Calls_.try_emplace(Incoming->Key_, Incoming).second;
+    if (Added)
+      Queue_.offer(*Incoming);
     NewDecisions = takeDecisions();
   }
+  if (!Added)
+    refuse(Incoming, Reason::BadRequest);
   applyDecisions(NewDecisions);
 }
 
--- a/src/libcoordination/gate_test.cpp
+++ b/src/libcoordination/gate_test.cpp
@@ -209,6 +209,23 @@
   CHECK(Fixture.Backend_.requests() == 1);
 }
 
+TEST_CASE("an offer with the attempt number of a queued one does not replace "
+          "it") {
+  Fixture Fixture;
+  Fixture.occupySlot(1);
+  Fixture.offer(2, Fixture.ticket("first"));
+  CHECK(Fixture.Replies_.empty());
+  Fixture.offer(2, Fixture.ticket("second"));
+  Fixture.checkClosed(2, Reason::BadRequest);
+  Fixture.Replies_.clear();
+  Fixture.Backend_.answerAll();
+  Fixture.runUntil([&] { return Fixture.Backend_.requests() == 2; });
+  Fixture.Backend_.answerAll();
+  Fixture.runUntil([&] { return Fixture.Replies_.size() == 2; });
+  CHECK(Fixture.Replies_[2].outcome == RanOutcome);
+  CHECK(Fixture.Gate_.idle());
+}
+
 TEST_CASE("a queued call is closed as not run when another service takes over "
           "the VM") {
   Fixture Fixture;
