Tell which answers of a backend server belong to no certain request

Each such case now leaves a line answer_not_attributed with its cause, and the metric coltsfoot_gate_answers_not_attributed counts them. What a call ends with is unchanged. The unit test covers an answer with another id, bytes after the answer, and a good answer, which must not count.

--- a/src/libcoordination/gate.cpp
+++ b/src/libcoordination/gate.cpp
@@ -563,6 +563,7 @@
   UpstreamRequest Request;
   Request.Method_ = Offered.method;
   Request.Target_ = Offered.target;
+  Request.LogId_ = Offered.request_id;
   Request.Body_ = std::move(StartedCall->Offer_.body);
   for (const wire::WireField &Field : Offered.fields)
     Request.Fields_.push_back({Field.name, Field.value});
@@ -830,8 +831,9 @@
 Gate::Figures Gate::Impl::figures() const {
   TicketTable::Figures Kept = Tickets_.figures();
   std::lock_guard<std::mutex> Lock(Mutex_);
-  return {Announced_,       Serving_,       Draining_,     Queue_.running(),
-          Queue_.waiting(), Queue_.limit(), Kept.Entries_, Kept.KeptBytes_};
+  return {Announced_,       Serving_,         Draining_,
+          Queue_.running(), Queue_.waiting(), Queue_.limit(),
+          Kept.Entries_,    Kept.KeptBytes_,  Upstream_.answersNotAttributed()};
 }
 
 Gate::Gate(asio::io_context &Context, NodeContext ThisNode,
--- a/src/libcoordination/gate.h
+++ b/src/libcoordination/gate.h
@@ -140,6 +140,8 @@
     int Limit_ = 0;
     size_t Tickets_ = 0;
     size_t KeptBytes_ = 0;
+    /// See UpstreamClient::answersNotAttributed().
+    uint64_t AnswersNotAttributed_ = 0;
   };
   Figures figures() const;
 
--- a/src/libcoordination/nodemetrics.cpp
+++ b/src/libcoordination/nodemetrics.cpp
@@ -54,6 +54,13 @@
   Add("waiting", "Calls that wait at the gate.", &Gate::Figures::Waiting_);
   Add("limit", "Maximum number of calls that may run at once.",
       &Gate::Figures::Limit_);
+  Metrics_.gauge("coltsfoot_gate_answers_not_attributed",
+                 "Answers or surplus bytes of the backend server that could "
+                 "not be attributed to a request with certainty.",
+                 {}, [&LocalGate] {
+                   return static_cast<double>(
+                       LocalGate.figures().AnswersNotAttributed_);
+                 });
   Metrics_.gauge("coltsfoot_gate_open",
                  "1 while the gate is open for new calls, otherwise 0.", {},
                  [&LocalGate] {
--- a/src/libtransport/upstreamclient.cpp
+++ b/src/libtransport/upstreamclient.cpp
@@ -4,7 +4,10 @@
 #include "timer.h"
 #include "upstreamconnections.h"
 
+#include "coltsfootpoint/log.h"
+
 #include <algorithm>
+#include <atomic>
 #include <boost/asio/bind_executor.hpp>
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
@@ -96,6 +99,7 @@
   asio::io_context &Context_;
   const Options Options_;
   const boost::intrusive_ptr<UpstreamConnectionPool> Connections_;
+  std::atomic<uint64_t> AnswersNotAttributed_ = 0;
 };
 
 /// One call. start() and cancel() may be called on any thread; everything else
@@ -132,7 +136,12 @@
   void read();
   void onResponse(const error_code &Error);
   bool isOwnResponse() const;
+  bool isIdleTimeout() const;
   bool echoesOtherRequest() const;
+  bool echoesNoRequest() const;
+  std::string_view doubtfulCause() const;
+  void noteNotAttributed(std::string_view Cause) const;
+  void noteSurplusConnections(uint64_t Count) const;
   void fail(Reason Why);
   void finish(Verdict Outcome);
   template <typename Function> auto onStrand(Function Callback) {
@@ -144,6 +153,7 @@
   asio::steady_timer Timer_;
   Handler Handler_; // empty once called
   RequestMessage Request_;
+  std::string LogId_;
   std::optional<ResponseParser> Parser_;
   beast::flat_buffer Buffer_;
   boost::intrusive_ptr<UpstreamWaiter> Waiter_;
@@ -177,6 +187,7 @@
     return fail(Reason::BadRequest);
   if (TimeLimit <= Millis(0))
     return fail(Reason::DeadlinePassed);
+  LogId_ = Request.LogId_;
   Request_ = toMessage(std::move(Request));
   Timer_.expires_after(toChrono(TimeLimit));
   Timer_.async_wait([Self = Pointer(this)](const error_code &Error) {
@@ -190,6 +201,7 @@
 
 void UpstreamClient::Shared::Exchange::onGranted(UpstreamGrant Grant) {
   Waiter_ = nullptr;
+  noteSurplusConnections(Grant.SurplusConnections_);
   // If the call ended while the grant was on its way to the strand, the grant
   // is returned unused.
   if (!Handler_)
@@ -283,6 +295,8 @@
     return read();
   // Without a length or chunks, only the end of the connection marks the end of
   // the body.
+  if (std::string_view Cause = doubtfulCause(); !Cause.empty())
+    noteNotAttributed(Cause);
   bool RefusedCloseDelimited = !Client_->Options_.AllowCloseDelimited_ &&
                                Parser_->need_eof() &&
                                Request_.method() != http::verb::head;
@@ -307,10 +321,11 @@
 // surplus response. The echoed field identifies a surplus response if the
 // backend server returns it.
 bool UpstreamClient::Shared::Exchange::isOwnResponse() const {
-  const auto &Message = Parser_->get();
-  if (Reused_ && Message.result() == http::status::request_timeout)
-    return false;
-  return !echoesOtherRequest();
+  return !isIdleTimeout() && !echoesOtherRequest();
+}
+
+bool UpstreamClient::Shared::Exchange::isIdleTimeout() const {
+  return Reused_ && Parser_->get().result() == http::status::request_timeout;
 }
 
 bool UpstreamClient::Shared::Exchange::echoesOtherRequest() const {
@@ -320,6 +335,41 @@
   return Returned != Message.end() && Returned->value() != Request_[Echo];
 }
 
+bool UpstreamClient::Shared::Exchange::echoesNoRequest() const {
+  return Parser_->get().count(Client_->Options_.EchoField_) == 0;
+}
+
+/// Returns the cause of the log line about the answer that was just read, or
+/// nothing if the answer certainly belongs to this request.
+std::string_view UpstreamClient::Shared::Exchange::doubtfulCause() const {
+  if (echoesOtherRequest())
+    return "other-id";
+  if (isIdleTimeout())
+    return "idle-timeout";
+  if (Reused_ && echoesNoRequest())
+    return "no-id";
+  return Buffer_.size() > 0 ? "surplus-bytes" : "";
+}
+
+void UpstreamClient::Shared::Exchange::noteNotAttributed(
+    std::string_view Cause) const {
+  ++Client_->AnswersNotAttributed_;
+  logRequest(LogCategory::Failure, "answer_not_attributed",
+             {{"request", LogId_},
+              {"status", static_cast<int>(Parser_->get().result_int())},
+              {"cause", Cause}});
+}
+
+/// Reports idle connections that were closed because bytes had arrived on them.
+void UpstreamClient::Shared::Exchange::noteSurplusConnections(
+    uint64_t Count) const {
+  if (Count == 0)
+    return;
+  Client_->AnswersNotAttributed_ += Count;
+  logRequest(LogCategory::Failure, "answer_not_attributed",
+             {{"cause", "idle-bytes"}, {"connections", Count}});
+}
+
 void UpstreamClient::Shared::Exchange::fail(Reason Why) {
   if (!Handler_)
     return;
@@ -364,4 +414,8 @@
   return Call;
 }
 
+uint64_t UpstreamClient::answersNotAttributed() const {
+  return Shared_->AnswersNotAttributed_;
+}
+
 } // namespace coltsfoot
--- a/src/libtransport/upstreamclient.h
+++ b/src/libtransport/upstreamclient.h
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <vector>
@@ -19,6 +20,8 @@
   std::string Target_;
   std::vector<HttpField> Fields_;
   std::string Body_;
+  /// Id of the request in log lines; empty to leave it out.
+  std::string LogId_;
 };
 
 /// HTTP/1.1 client for the backend server of this VM, with a pool of keep-alive
@@ -93,6 +96,10 @@
   /// NotRun(BadRequest).
   CallPointer call(UpstreamRequest Request, Millis TimeLimit, Handler OnEnd);
 
+  /// Returns how many answers or surplus bytes could not be attributed to a
+  /// request with certainty; each also leaves a line `answer_not_attributed`.
+  uint64_t answersNotAttributed() const;
+
 private:
   struct Shared;
   boost::intrusive_ptr<Shared> Shared_;
--- a/src/libtransport/upstreamclient_test.cpp
+++ b/src/libtransport/upstreamclient_test.cpp
@@ -260,6 +260,32 @@
   }
 }
 
+TEST_CASE("answers that no request certainly asked for are counted by cause") {
+  Fixture Test(1);
+  auto ExpectCount = [&](uint64_t Count) {
+    CHECK(Test.Client_.answersNotAttributed() == Count);
+  };
+  Outcome &First = Test.call("/1");
+  RawSocket Accepted = Test.Server_.accept();
+  Accepted.receiveUntil("\r\n\r\n");
+  SUBCASE("none") {
+    Accepted.send(OkResponse);
+    First.wait();
+    ExpectCount(0);
+  }
+  SUBCASE("another request's id") {
+    Accepted.send("HTTP/1.1 200 OK\r\nColtsfoot-Context: other\r\n"
+                  "Content-Length: 0\r\n\r\n");
+    First.wait();
+    ExpectCount(1);
+  }
+  SUBCASE("bytes after the answer") {
+    Accepted.send(std::string(OkResponse) + "more");
+    First.wait();
+    ExpectCount(1);
+  }
+}
+
 TEST_CASE("a 408 on a reused connection may refer to its idle time") {
   Fixture Test;
   const std::string TimedOut =
--- a/src/libtransport/upstreamconnections.cpp
+++ b/src/libtransport/upstreamconnections.cpp
@@ -12,14 +12,19 @@
 
 namespace {
 
+enum class IdleState { Reusable, HasUnreadBytes, Closed };
+
 /// Returns whether a request can be sent on an idle connection: the peer has
 /// neither closed it nor sent anything that is still unread.
-bool isReusable(tcp::socket &Socket) {
+IdleState idleState(tcp::socket &Socket) {
   error_code Failure;
   char Byte = 0;
   Socket.non_blocking(true, Failure);
   Socket.receive(asio::buffer(&Byte, 1), tcp::socket::message_peek, Failure);
-  return Failure == asio::error::would_block;
+  if (!Failure)
+    return IdleState::HasUnreadBytes;
+  return Failure == asio::error::would_block ? IdleState::Reusable
+                                             : IdleState::Closed;
 }
 
 } // namespace
@@ -91,12 +96,15 @@
 // idle and reach the idle time-out. Called with Mutex_ held.
 UpstreamGrant UpstreamConnectionPool::grant() {
   ++InUse_;
-  UpstreamGrant Grant{nullptr, Target_, Generation_};
+  UpstreamGrant Grant{nullptr, Target_, Generation_, 0};
   Millis Now = Clock_.now();
   while (!IdleConnections_.empty() && !Grant.Reused_) {
     IdleConnection Newest = std::move(IdleConnections_.back());
     IdleConnections_.pop_back();
-    if (Now - Newest.IdleSince_ < IdleTimeout_ && isReusable(*Newest.Socket_))
+    IdleState State = idleState(*Newest.Socket_);
+    if (State == IdleState::HasUnreadBytes)
+      ++Grant.SurplusConnections_;
+    if (Now - Newest.IdleSince_ < IdleTimeout_ && State == IdleState::Reusable)
       Grant.Reused_ = std::move(Newest.Socket_);
   }
   return Grant;
--- a/src/libtransport/upstreamconnections.h
+++ b/src/libtransport/upstreamconnections.h
@@ -24,6 +24,9 @@
   /// The number of the target that the grant was issued for. The pool ignores
   /// the release of grants for earlier targets.
   uint64_t Generation_ = 0;
+  /// How many idle connections were closed for this grant because the backend
+  /// server had sent bytes that no request waited for.
+  uint64_t SurplusConnections_ = 0;
 };
 
 /// A call that waits in the pool's queue for a connection.
