Attribute an answer on a kept connection only by the id it repeats

Callers of bookings that had run were told not-run, or got the answer of another booking, when the backend server wrote an answer that nobody had asked for on a kept connection. Answers of HTTP/1.1 have no number, and the client skipped only those that repeated another id: one without an id ended the next request, early or late, refusal or success.

An answer on a reused connection now counts only if it repeats the id of its request; one without the field ends the call as may-have-run. A connection is kept only after an answer that repeated the field, so a backend server that does not repeat it gets one connection for each request, and is told by Connection: close. The first answer on a new connection is still accepted without the field, as that request is the only one there. A request without an id gets a new connection. So no answer can be taken for that of another request by its place alone, whatever its status and time.

The stand-in backend server repeats the field, unless told otherwise, and can write surplus answers.

The raw server of the unit tests answered without the field and relied on reuse; it now repeats the field, with the same expectations. New cases cover answers without it.

--- a/src/libtransport/upstreamclient.cpp
+++ b/src/libtransport/upstreamclient.cpp
@@ -100,6 +100,9 @@
   const Options Options_;
   const boost::intrusive_ptr<UpstreamConnectionPool> Connections_;
   std::atomic<uint64_t> AnswersNotAttributed_ = 0;
+  /// UpstreamGrant::Generation_ of the target whose last attributable answer
+  /// did not repeat the id of its request; 0 for none.
+  std::atomic<uint64_t> SilentTarget_ = 0;
 };
 
 /// One call. start() and cancel() may be called on any thread; everything else
@@ -139,6 +142,9 @@
   bool isIdleTimeout() const;
   bool echoesOtherRequest() const;
   bool echoesNoRequest() const;
+  bool echoesOwnRequest() const;
+  bool hasId() const;
+  void rememberEcho();
   std::string_view doubtfulCause() const;
   void noteNotAttributed(std::string_view Cause) const;
   void noteSurplusConnections(uint64_t Count) const;
@@ -206,13 +212,17 @@
   // is returned unused.
   if (!Handler_)
     return Client_->Connections_->release(Grant, std::move(Grant.Reused_));
-  Socket_ = std::move(Grant.Reused_);
+  // Without an id, no answer on a reused connection could be attributed.
+  if (hasId())
+    Socket_ = std::move(Grant.Reused_);
   Grant_ = std::move(Grant);
   if (Request_.find(http::field::host) == Request_.end()) {
     std::ostringstream Host;
     Host << Grant_->Target_;
     Request_.set(http::field::host, Host.str());
   }
+  if (Client_->SilentTarget_ == Grant_->Generation_)
+    Request_.keep_alive(false);
   Reused_ = Socket_ != nullptr;
   if (Reused_)
     write();
@@ -308,7 +318,9 @@
   if (Status < 200 || RefusedCloseDelimited ||
       hasUnsupportedCoding(Parser_->get()) || !isOwnResponse())
     return fail(Reason::UpstreamLost);
-  if (Parser_->get().keep_alive() && Buffer_.size() == 0)
+  rememberEcho();
+  bool KeptOpen = Request_.keep_alive() && Parser_->get().keep_alive();
+  if (KeptOpen && echoesOwnRequest() && Buffer_.size() == 0)
     Client_->Connections_->release(*Grant_, std::move(Socket_));
   else
     Client_->Connections_->release(*Grant_);
@@ -316,12 +328,15 @@
   finish(Ran{toAnswer(Parser_->release())});
 }
 
-// The backend server may have sent a response on an idle connection just before
-// this request was written: a 408 because the idle time has expired, or a
-// surplus response. The echoed field identifies a surplus response if the
-// backend server returns it.
+// HTTP/1.1 responses have no number. On a reused connection, the backend server
+// may have sent a response just before this request was written or may send one
+// to an earlier request: a 408 because the idle time has expired, or a surplus
+// response. So only a response that repeats the request's id counts there. On a
+// new connection this request is the only one.
 bool UpstreamClient::Shared::Exchange::isOwnResponse() const {
-  return !isIdleTimeout() && !echoesOtherRequest();
+  if (Reused_)
+    return !isIdleTimeout() && echoesOwnRequest();
+  return !echoesOtherRequest();
 }
 
 bool UpstreamClient::Shared::Exchange::isIdleTimeout() const {
@@ -339,6 +354,21 @@
   return Parser_->get().count(Client_->Options_.EchoField_) == 0;
 }
 
+bool UpstreamClient::Shared::Exchange::echoesOwnRequest() const {
+  return hasId() && !echoesNoRequest() && !echoesOtherRequest();
+}
+
+bool UpstreamClient::Shared::Exchange::hasId() const {
+  return !Request_[Client_->Options_.EchoField_].empty();
+}
+
+// A backend server that does not repeat the id gets one request a connection.
+// It is told so in advance, as it may limit its open connections.
+void UpstreamClient::Shared::Exchange::rememberEcho() {
+  if (hasId())
+    Client_->SilentTarget_ = echoesOwnRequest() ? 0 : Grant_->Generation_;
+}
+
 /// Returns the cause of the log line about the answer that was just read, or
 /// nothing if the answer certainly belongs to this request.
 std::string_view UpstreamClient::Shared::Exchange::doubtfulCause() const {
--- a/src/libtransport/upstreamclient.h
+++ b/src/libtransport/upstreamclient.h
@@ -38,8 +38,15 @@
 ///
 /// A response in which Options::EchoField_ differs from the request belongs to
 /// another request: on a reused connection it is skipped, on a new one the call
-/// fails. A 408 on a reused connection fails the call, because the backend
-/// server may have sent it when the idle time expired.
+/// fails. A response without this field can't be attributed on a reused
+/// connection and fails the call; on a new one it is accepted. A 408 on a
+/// reused connection fails the call, because the backend server may have sent
+/// it when the idle time expired.
+///
+/// A connection is kept only after a response that repeated the field of its
+/// request. A backend server whose last response did not repeat it receives
+/// `Connection: close` with each request. A request without the field always
+/// gets a new connection.
 ///
 /// The number of connections is limited to what the backend server announced.
 /// Calls over the limit wait in order for a free connection, within their time
@@ -56,7 +63,7 @@
     size_t MaxResponseBytes_ = 8 * 1024 * 1024;
     size_t MaxHeaderBytes_ = 64 * 1024;
     size_t Connections_ = 256; ///< Limit until setTarget() sets another one.
-    /// The request field that the backend server echoes in its response.
+    /// The request field that the backend server should repeat in its response.
     std::string EchoField_ = "Coltsfoot-Context";
     /// Whether to accept responses whose end is marked by the end of the
     /// connection (close-delimited, RFC 9112, section 6.3).
--- a/src/libtransport/upstreamclient_test.cpp
+++ b/src/libtransport/upstreamclient_test.cpp
@@ -11,9 +11,37 @@
 
 namespace {
 
+/// A response that does not repeat the context of its request.
 constexpr std::string_view OkResponse =
     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
+/// Returns the context field of a request's head, with its line end.
+std::string contextField(const std::string &Head) {
+  size_t Begin = Head.find("Coltsfoot-Context: ");
+  size_t End = Head.find("\r\n", Begin);
+  return Begin == std::string::npos ? "" : Head.substr(Begin, End + 2 - Begin);
+}
+
+/// Returns a response with an empty body that repeats the context of the
+/// request.
+std::string responseTo(const std::string &Head, const std::string &Status) {
+  return "HTTP/1.1 " + Status + "\r\n" + contextField(Head) +
+         "Content-Length: 0\r\n\r\n";
+}
+
+/// Returns OkResponse with the context of the request.
+std::string okTo(const std::string &Head) {
+  return "HTTP/1.1 200 OK\r\n" + contextField(Head) +
+         "Content-Length: 2\r\n\r\nok";
+}
+
+/// Receives the head of a request and answers it by okTo(). Returns the head.
+std::string serve(RawSocket &Connection) {
+  std::string Head = Connection.receiveUntil("\r\n\r\n");
+  Connection.send(okTo(Head));
+  return Head;
+}
+
 /// The verdict of one call, once its handler has been called.
 struct Outcome {
   EventCounter Ended_;
@@ -63,11 +91,18 @@
   Outcome &call(std::string Target = "/x", Millis Limit = Millis(5000),
                 std::string Method = "GET") {
     Outcome &Out = Outcomes_.emplace_back();
-    Out.Call_ = Client_.call({std::move(Method), std::move(Target), {}, {}},
-                             Limit, [&Out](Verdict What) {
-                               Out.Verdict_ = std::move(What);
-                               Out.Ended_.increment();
-                             });
+    std::string Context = "attempt-" + std::to_string(Outcomes_.size());
+    return callWith({std::move(Method),
+                     std::move(Target),
+                     {{"Coltsfoot-Context", Context}},
+                     {}},
+                    Limit, Out);
+  }
+  Outcome &callWith(UpstreamRequest Request, Millis Limit, Outcome &Out) {
+    Out.Call_ = Client_.call(std::move(Request), Limit, [&Out](Verdict What) {
+      Out.Verdict_ = std::move(What);
+      Out.Ended_.increment();
+    });
     return Out;
   }
   /// Makes a call, sends these bytes as the response, shuts the sending
@@ -191,13 +226,11 @@
   Fixture Test;
   Outcome &First = Test.call("/1");
   RawSocket Accepted = Test.Server_.accept();
-  Accepted.receiveUntil("\r\n\r\n");
-  Accepted.send(OkResponse);
+  serve(Accepted);
   CHECK(First.text() == "ran 200 ok");
   for (int I = 0; I < 20; ++I) {
     Outcome &Next = Test.call("/2");
-    CHECK(Accepted.receiveUntil("\r\n\r\n").starts_with("GET /2 "));
-    Accepted.send(OkResponse);
+    CHECK(serve(Accepted).starts_with("GET /2 "));
     CHECK(Next.text() == "ran 200 ok");
   }
 }
@@ -267,9 +300,9 @@
   };
   Outcome &First = Test.call("/1");
   RawSocket Accepted = Test.Server_.accept();
-  Accepted.receiveUntil("\r\n\r\n");
+  std::string Head = Accepted.receiveUntil("\r\n\r\n");
   SUBCASE("none") {
-    Accepted.send(OkResponse);
+    Accepted.send(okTo(Head));
     First.wait();
     ExpectCount(0);
   }
@@ -280,33 +313,122 @@
     ExpectCount(1);
   }
   SUBCASE("bytes after the answer") {
-    Accepted.send(std::string(OkResponse) + "more");
+    Accepted.send(okTo(Head) + "more");
     First.wait();
     ExpectCount(1);
   }
+  SUBCASE("no id on a reused connection") {
+    Accepted.send(okTo(Head));
+    First.wait();
+    Outcome &Second = Test.call("/2");
+    Accepted.receiveUntil("\r\n\r\n");
+    Accepted.send(OkResponse);
+    Second.wait();
+    ExpectCount(1);
+  }
 }
 
 TEST_CASE("a 408 on a reused connection may refer to its idle time") {
   Fixture Test;
-  const std::string TimedOut =
-      "HTTP/1.1 408 Time-out\r\nContent-Length: 0\r\n\r\n";
   Outcome &First = Test.call("/1");
   RawSocket Accepted = Test.Server_.accept();
-  Accepted.receiveUntil("\r\n\r\n");
-  Accepted.send(TimedOut);
+  Accepted.send(responseTo(Accepted.receiveUntil("\r\n\r\n"), "408 Time-out"));
   CHECK(First.text() == "ran 408 ");
   Outcome &Second = Test.call("/2");
-  Accepted.receiveUntil("\r\n\r\n");
-  Accepted.send(TimedOut);
+  Accepted.send(responseTo(Accepted.receiveUntil("\r\n\r\n"), "408 Time-out"));
   CHECK(Second.text() == "may-have-run upstream-lost");
 }
 
+TEST_CASE("a response without an id on a reused connection ends the call as "
+          "may-have-run") {
+  for (std::string Status : {"200 OK", "408 Time-out", "421 Misdirected",
+                             "429 Later", "500 Failed", "503 Full"}) {
+    CAPTURE(Status);
+    Fixture Test;
+    Outcome &First = Test.call("/1");
+    RawSocket Accepted = Test.Server_.accept();
+    serve(Accepted);
+    CHECK(First.text() == "ran 200 ok");
+    Outcome &Second = Test.call("/2");
+    Accepted.receiveUntil("\r\n\r\n");
+    Accepted.send(responseTo("", Status));
+    CHECK(Second.text() == "may-have-run upstream-lost");
+    CHECK(Accepted.closesSilently());
+  }
+}
+
+TEST_CASE("a late response to an earlier request on a reused connection is "
+          "skipped") {
+  Fixture Test;
+  Outcome &First = Test.call("/1");
+  RawSocket Accepted = Test.Server_.accept();
+  std::string FirstHead = serve(Accepted);
+  CHECK(First.text() == "ran 200 ok");
+  for (std::string Status : {"503 Full", "200 OK", "408 Time-out"}) {
+    CAPTURE(Status);
+    Outcome &Next = Test.call("/next");
+    std::string Head = Accepted.receiveUntil("\r\n\r\n");
+    Accepted.send(responseTo(FirstHead, Status));
+    Accepted.send("HTTP/1.1 100 Continue\r\n\r\n");
+    Accepted.send(okTo(Head));
+    CHECK(Next.text() == "ran 200 ok");
+  }
+}
+
+TEST_CASE("a backend server that does not repeat the id gets one connection "
+          "for each request") {
+  Fixture Test(1);
+  auto CallOnNewConnection = [&](bool Repeats) {
+    Outcome &Out = Test.call();
+    RawSocket Accepted = Test.Server_.accept();
+    std::string Head = Accepted.receiveUntil("\r\n\r\n");
+    Accepted.send(Repeats ? okTo(Head) : std::string(OkResponse));
+    CHECK(Out.text() == "ran 200 ok");
+    CHECK(Accepted.closesSilently());
+    return Head.find("Connection: close\r\n") != std::string::npos;
+  };
+  CHECK_FALSE(CallOnNewConnection(false));
+  CHECK(CallOnNewConnection(false));
+  CHECK(CallOnNewConnection(true));
+  SUBCASE("kept again once it repeats the id") {
+    Outcome &First = Test.call("/1");
+    RawSocket Accepted = Test.Server_.accept();
+    CHECK(serve(Accepted).find("Connection: close") == std::string::npos);
+    CHECK(First.text() == "ran 200 ok");
+    Outcome &Second = Test.call("/2");
+    CHECK(serve(Accepted).starts_with("GET /2 "));
+    CHECK(Second.text() == "ran 200 ok");
+  }
+  SUBCASE("another target") {
+    CHECK_FALSE(CallOnNewConnection(false));
+    RawListener Other;
+    Test.Client_.setTarget(Other.endpoint(), 1);
+    Outcome &First = Test.call("/1");
+    RawSocket Accepted = Other.accept();
+    CHECK(serve(Accepted).find("Connection: close") == std::string::npos);
+    CHECK(First.text() == "ran 200 ok");
+  }
+}
+
+TEST_CASE("a request without an id gets a connection of its own") {
+  Fixture Test(1);
+  Outcome &First = Test.call("/1");
+  RawSocket Accepted = Test.Server_.accept();
+  serve(Accepted);
+  CHECK(First.text() == "ran 200 ok");
+  Outcome &Second = Test.callWith({"GET", "/2", {}, {}, {}}, Millis(5000),
+                                  Test.Outcomes_.emplace_back());
+  RawSocket Other = Test.Server_.accept();
+  CHECK(serve(Other).starts_with("GET /2 "));
+  CHECK(Second.text() == "ran 200 ok");
+  CHECK(Other.closesSilently());
+}
+
 TEST_CASE("a written request is never written again") {
   Fixture Test;
   Outcome &First = Test.call("/1");
   RawSocket Accepted = Test.Server_.accept();
-  Accepted.receiveUntil("\r\n\r\n");
-  Accepted.send(OkResponse);
+  serve(Accepted);
   First.wait();
   Outcome &Second = Test.call("/2");
   Accepted.receiveUntil("\r\n\r\n");
@@ -323,14 +445,12 @@
   Fixture Test;
   Outcome &First = Test.call("/1");
   RawSocket Accepted = Test.Server_.accept();
-  Accepted.receiveUntil("\r\n\r\n");
-  Accepted.send(std::string(OkResponse) +
+  Accepted.send(okTo(Accepted.receiveUntil("\r\n\r\n")) +
                 "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother");
   CHECK(First.text() == "ran 200 ok");
   Outcome &Second = Test.call("/2");
   RawSocket NewConnection = Test.Server_.accept();
-  NewConnection.receiveUntil("\r\n\r\n");
-  NewConnection.send(OkResponse);
+  serve(NewConnection);
   CHECK(Second.text() == "ran 200 ok");
 }
 
@@ -346,8 +466,7 @@
   Accepted.send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate");
   Outcome &Second = Test.call("/2");
   RawSocket NewConnection = Test.Server_.accept();
-  NewConnection.receiveUntil("\r\n\r\n");
-  NewConnection.send(OkResponse);
+  serve(NewConnection);
   CHECK(Second.text() == "ran 200 ok");
   CHECK(First.Ended_.count() == 1);
 }
@@ -371,8 +490,7 @@
     Outcome &Waiting = Test.call("/waiting");
     Waiting.Call_->cancel();
     CHECK(Waiting.text() == "not-run cancelled");
-    Accepted.receiveUntil("\r\n\r\n");
-    Accepted.send(OkResponse);
+    serve(Accepted);
     CHECK(Holder.text() == "ran 200 ok");
   }
   SUBCASE("immediately after the call") {
@@ -392,14 +510,12 @@
   SUBCASE("after the call has ended") {
     Outcome &Ended = Test.call();
     RawSocket Accepted = Test.Server_.accept();
-    Accepted.receiveUntil("\r\n\r\n");
-    Accepted.send(OkResponse);
+    serve(Accepted);
     CHECK(Ended.text() == "ran 200 ok");
     Ended.Call_->cancel();
     // Cancelling must not close the connection, which is back in the pool.
     Outcome &Next = Test.call("/next");
-    CHECK(Accepted.receiveUntil("\r\n\r\n").starts_with("GET /next "));
-    Accepted.send(OkResponse);
+    CHECK(serve(Accepted).starts_with("GET /next "));
     CHECK(Next.text() == "ran 200 ok");
   }
   for (Outcome &Out : Test.Outcomes_)
@@ -415,14 +531,15 @@
   RawSocket First = Test.Server_.accept();
   RawSocket Second = Test.Server_.accept();
   CHECK(!Test.Server_.hasPendingConnection(50ms));
-  First.receiveUntil("\r\n\r\n");
-  Second.receiveUntil("\r\n\r\n");
+  std::string FirstHead = First.receiveUntil("\r\n\r\n");
+  std::string SecondHead = Second.receiveUntil("\r\n\r\n");
   for (int I = 2; I < 6; ++I) {
-    First.send(OkResponse);
-    CHECK(First.receiveUntil("\r\n\r\n").starts_with("GET /"));
+    First.send(okTo(FirstHead));
+    FirstHead = First.receiveUntil("\r\n\r\n");
+    CHECK(FirstHead.starts_with("GET /"));
   }
-  First.send(OkResponse);
-  Second.send(OkResponse);
+  First.send(okTo(FirstHead));
+  Second.send(okTo(SecondHead));
   for (Outcome *Out : Calls)
     CHECK(Out->text() == "ran 200 ok");
   CHECK(!Test.Server_.hasPendingConnection(20ms));
@@ -457,8 +574,7 @@
   RawSocket Accepted = Test.Server_.accept();
   Outcome &Waiting = Test.call("/waiting", Millis(100));
   CHECK(Waiting.text() == "not-run deadline-passed");
-  Accepted.receiveUntil("\r\n\r\n");
-  Accepted.send(OkResponse);
+  serve(Accepted);
   CHECK(Holder.text() == "ran 200 ok");
   CHECK(!Test.Server_.hasPendingConnection(20ms));
 }
@@ -468,27 +584,27 @@
   RawListener Other;
   Outcome &Old = Test.call("/old");
   RawSocket Accepted = Test.Server_.accept();
-  Accepted.receiveUntil("\r\n\r\n");
+  std::string OldHead = Accepted.receiveUntil("\r\n\r\n");
   Outcome &Waiting = Test.call("/waiting");
   CHECK(Waiting.Ended_.count() == 0);
   Test.Client_.setTarget(Other.endpoint(), 1);
   RawSocket NewConnection = Other.accept();
-  CHECK(NewConnection.receiveUntil("\r\n\r\n").starts_with("GET /waiting "));
-  Accepted.send(OkResponse);
+  std::string NewHead = NewConnection.receiveUntil("\r\n\r\n");
+  CHECK(NewHead.starts_with("GET /waiting "));
+  Accepted.send(okTo(OldHead));
   CHECK(Old.text() == "ran 200 ok");
   CHECK(Accepted.closesSilently());
   Outcome &Third = Test.call("/third", Millis(100));
   CHECK(Third.text() == "not-run deadline-passed");
-  NewConnection.send(OkResponse);
+  NewConnection.send(okTo(NewHead));
   CHECK(Waiting.text() == "ran 200 ok");
   Outcome &Raised = Test.call("/a");
-  NewConnection.receiveUntil("\r\n\r\n");
+  NewHead = NewConnection.receiveUntil("\r\n\r\n");
   Outcome &Extra = Test.call("/b");
   Test.Client_.setTarget(Other.endpoint(), 2);
   RawSocket SecondConnection = Other.accept();
-  SecondConnection.receiveUntil("\r\n\r\n");
-  NewConnection.send(OkResponse);
-  SecondConnection.send(OkResponse);
+  NewConnection.send(okTo(NewHead));
+  serve(SecondConnection);
   CHECK(Raised.text() == "ran 200 ok");
   CHECK(Extra.text() == "ran 200 ok");
 }
@@ -533,9 +649,10 @@
                   Head.substr(Blank + 1, Head.find(' ', Blank + 1) - Blank - 1);
               if (Served % 7 == 3)
                 std::this_thread::sleep_for(15ms);
-              std::string Answer = "HTTP/1.1 200 OK\r\nContent-Length: " +
-                                   std::to_string(Target.size()) + "\r\n\r\n" +
-                                   Target;
+              std::string Answer =
+                  "HTTP/1.1 200 OK\r\n" + contextField(Head) +
+                  "Content-Length: " + std::to_string(Target.size()) +
+                  "\r\n\r\n" + Target;
               bool Cut = Served % 11 == 5;
               Accepted.send(std::string_view(Answer).substr(
                   0, Cut ? Answer.size() - 1 : Answer.size()));
--- a/testsuite/common/backendconnection.cpp
+++ b/testsuite/common/backendconnection.cpp
@@ -1,6 +1,7 @@
 #include "backendconnection.h"
 
 #include "backendjob.h"
+#include "timer.h"
 
 #include <boost/beast.hpp>
 #include <optional>
@@ -16,13 +17,18 @@
 
 constexpr uint64_t MaxBodyBytes = 64ULL * 1024 * 1024;
 
-std::string responseText(int Status, const std::string &Body) {
+constexpr const char *ContextField = "Coltsfoot-Context";
+
+std::string responseText(int Status, const std::string &Body,
+                         const std::string &Context = {}) {
   std::string Text = "HTTP/1.1 " + std::to_string(Status) + " ";
   Text += http::obsolete_reason(static_cast<http::status>(Status));
   Text += "\r\nContent-Type: application/json\r\nContent-Length: ";
   Text += std::to_string(Body.size());
   if (Status == 503)
     Text += "\r\nRetry-After: 1";
+  if (!Context.empty())
+    Text += std::string("\r\n") + ContextField + ": " + Context;
   Text += "\r\n\r\n";
   return Text + Body;
 }
@@ -60,6 +66,7 @@
           {std::string(Field.name_string()), std::string(Field.value())});
     Request.Body_ = std::move(Parser_->get().body());
     KeepAlive_ = Parser_->get().keep_alive();
+    Context_ = std::string(Parser_->get()[ContextField]);
     if (handleInternalEndpoint(Request))
       return;
     try {
@@ -138,7 +145,8 @@
 
   void onAnswer(int Status, const std::string &Body) {
     Job_.reset();
-    ResponseText_ = responseText(Status, Body);
+    ResponseText_ = responseText(
+        Status, Body, Server_.Options_.RepeatsContext_ ? Context_ : "");
     ResponsePending_ = true;
     error_code Ignored;
     if (WatchingForClose_)
@@ -162,6 +170,24 @@
       return close();
     }
     write(std::move(ResponseText_));
+    scheduleSurplus();
+  }
+
+  /// Writes the surplus answer after its delay, unless the connection is closed
+  /// before.
+  void scheduleSurplus() {
+    const SurplusAnswer &Surplus = Server_.Options_.Surplus_;
+    if (Surplus.Status_ == 0)
+      return;
+    auto Text = std::make_shared<std::string>(
+        responseText(Surplus.Status_, R"({"surplus":true})",
+                     Surplus.RepeatsContext_ ? Context_ : ""));
+    auto Timer = std::make_shared<asio::steady_timer>(Server_.Io_,
+                                                      toChrono(Surplus.Delay_));
+    Timer->async_wait([Self = shared_from_this(), Timer, Text](error_code) {
+      error_code Ignored;
+      asio::write(Self->Socket_, asio::buffer(*Text), Ignored);
+    });
   }
 
   void write(std::string Text) {
@@ -186,6 +212,7 @@
   /// The job in progress. Its handler owns the connection, so the connection
   /// must not own the job.
   std::weak_ptr<BackendJob> Job_;
+  std::string Context_;
   std::string ResponseText_;
   bool KeepAlive_ = true;
   bool WatchingForClose_ = false;
--- a/testsuite/common/backendserver.cpp
+++ b/testsuite/common/backendserver.cpp
@@ -266,6 +266,10 @@
   });
 }
 
+void BackendServer::setSurplus(SurplusAnswer Surplus) {
+  runIn(Impl_->Io_, [&] { Impl_->Options_.Surplus_ = Surplus; });
+}
+
 void BackendServer::closeBeforeAnswer(int Count) {
   runIn(Impl_->Io_, [&] { Impl_->CloseBeforeAnswerCount_ = Count; });
 }
--- a/testsuite/common/backendserver.h
+++ b/testsuite/common/backendserver.h
@@ -37,6 +37,18 @@
   bool operator==(const RouteBehaviour &) const = default;
 };
 
+/// A surplus answer, which no request asked for, that a stand-in backend server
+/// writes on the same connection after each of its answers.
+struct SurplusAnswer {
+  int Status_ = 0; ///< 0 writes none.
+  /// How long after the answer it is written.
+  Millis Delay_{0};
+  /// Whether it repeats the `Coltsfoot-Context` of the request that was just
+  /// answered; otherwise it has no such field.
+  bool RepeatsContext_ = false;
+  bool operator==(const SurplusAnswer &) const = default;
+};
+
 /// The configuration of a stand-in backend server. A request may override parts
 /// of it by headers: `X-Work-Ms` sets the mean service time, `X-Child: SERVICE
 /// METHOD PATH [STEP]` (repeatable) the child calls, `X-Child-Mode: parallel`
@@ -84,6 +96,9 @@
   /// Bytes of padding in each response.
   size_t PaddingBytes_ = 0;
   std::vector<RouteBehaviour> Routes_;
+  /// Whether answers repeat the request's `Coltsfoot-Context`.
+  bool RepeatsContext_ = true;
+  SurplusAnswer Surplus_;
   bool operator==(const BackendOptions &) const = default;
 };
 
@@ -159,6 +174,8 @@
   /// Closes the connection after half of the bytes at each of the next Count
   /// responses.
   void closeMidAnswer(int Count);
+  /// Sets the surplus answer that follows each of the next answers.
+  void setSurplus(SurplusAnswer Surplus);
   /// While paused, starts no runs, holds the responses of completed runs back
   /// and sends no announcements.
   void setPaused(bool Paused);
--- a/testsuite/standin_backend/standin_backend.cpp
+++ b/testsuite/standin_backend/standin_backend.cpp
@@ -33,6 +33,7 @@
       cxxopts::value<int>());
   Add("queue", "maximum number of queued requests", cxxopts::value<int>());
   Add("shed-unclear", "announce that a request refused with 503 may have run");
+  Add("no-context", "do not repeat Coltsfoot-Context in answers");
   Add("work-ms", "mean service time in milliseconds", cxxopts::value<double>());
   Add("spread",
       "distribution of service times: fixed, exponential or lognormal",
@@ -103,6 +104,7 @@
   assignIfGiven(ParsedOptions, "child-timeout-ms", Options.ChildTimeout_);
   assignIfGiven(ParsedOptions, "padding", Options.PaddingBytes_);
   Options.ShedMeansNotRun_ = ParsedOptions.count("shed-unclear") == 0;
+  Options.RepeatsContext_ = ParsedOptions.count("no-context") == 0;
   Options.Parallel_ = ParsedOptions.count("parallel") > 0;
   Options.FailOnChildFailure_ =
       ParsedOptions.count("ignore-child-failure") == 0;
