Bound what is read of a backend server's answer

An answer that never ended made the node grow until its memory limit: the parser limits heads and bodies, but neither the line of a chunk (its size and extension) nor the trailer, and the reader gave it a buffer without bound. Many answers at once, each within its limits, could take any amount of memory.

The client now reads into a buffer that holds at most a head and one read. Body and buffer of each unfinished answer are reserved in Options::Budget_, and a call whose answer does not fit ends the same way; the node passes a budget once it has a setting for it. Health checks accept a body of 64 KiB.

--- a/src/libcoordination/gate.cpp
+++ b/src/libcoordination/gate.cpp
@@ -102,6 +102,7 @@
 UpstreamClient::Options upstreamOptions(const Gate::Options &Given) {
   UpstreamClient::Options Limits;
   Limits.IdleTimeout_ = Given.IdleTimeout_;
+  Limits.Budget_ = Given.Budget_;
   if (Given.Dialect_) {
     Limits.EchoField_ = Given.Dialect_->echoField();
     Limits.AllowCloseDelimited_ = true;
--- a/src/libcoordination/gate.h
+++ b/src/libcoordination/gate.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bytebudget.h"
 #include "ticketissuer.h"
 
 #include "coltsfootpoint/verdict.h"
@@ -87,6 +88,8 @@
     /// Decides which offers are still taken during a drain; null takes all
     /// until Gate::drain() is called.
     DrainAdmission *Drain_ = nullptr;
+    /// See UpstreamClient::Options::Budget_.
+    boost::intrusive_ptr<ByteBudget> Budget_;
   };
 
   Gate(boost::asio::io_context &Context, NodeContext ThisNode,
--- a/src/libcoordination/instancemonitor.cpp
+++ b/src/libcoordination/instancemonitor.cpp
@@ -28,6 +28,7 @@
 constexpr int HealthOk = 200;
 /// So short that in practice each health check opens a new connection.
 constexpr Millis HealthIdleTimeout(1);
+constexpr size_t MaxHealthBytes = size_t{64} * 1024;
 constexpr Millis RetryInterval(250);
 /// How long discover() waits for a health path to be configured, so that it can
 /// check a backend server that is already running.
@@ -49,6 +50,7 @@
   UpstreamClient::Options Limits;
   Limits.IdleTimeout_ = HealthIdleTimeout;
   Limits.Connections_ = 1;
+  Limits.MaxResponseBytes_ = MaxHealthBytes;
   Limits.AllowCloseDelimited_ = true;
   return Limits;
 }
--- a/src/libtransport/upstreamclient.cpp
+++ b/src/libtransport/upstreamclient.cpp
@@ -14,6 +14,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http.hpp>
 #include <optional>
 #include <sstream>
@@ -29,6 +30,7 @@
 namespace {
 
 constexpr int MaxSkippedResponses = 16;
+constexpr size_t MaxReadBytes = size_t{64} * 1024;
 
 using RequestMessage = http::request<http::string_body>;
 using ResponseParser = http::response_parser<http::string_body>;
@@ -114,7 +116,9 @@
   Exchange(boost::intrusive_ptr<Shared> Client, Handler OnEnd)
       : Client_(std::move(Client)),
         Strand_(asio::make_strand(Client_->Context_)), Timer_(Strand_),
-        Handler_(std::move(OnEnd)) {}
+        Handler_(std::move(OnEnd)),
+        Buffer_(Client_->Options_.MaxHeaderBytes_ + MaxReadBytes),
+        Held_(Client_->Options_.Budget_) {}
 
   void start(UpstreamRequest Request, Millis TimeLimit) {
     asio::post(Strand_, [Self = Pointer(this), Request = std::move(Request),
@@ -137,6 +141,11 @@
   void write();
   void onWritten(const error_code &Error, size_t Size);
   void read();
+  void parse();
+  bool reserveMemory();
+  void receive();
+  void onReceived(const error_code &Error, size_t Size);
+  void onEndOfStream();
   void onResponse(const error_code &Error);
   bool isOwnResponse() const;
   bool isIdleTimeout() const;
@@ -161,7 +170,10 @@
   RequestMessage Request_;
   std::string LogId_;
   std::optional<ResponseParser> Parser_;
+  /// Holds what the parser has not consumed: at most a head, the line of a
+  /// chunk or the trailer, and what was read last.
   beast::flat_buffer Buffer_;
+  ByteBudget::Reservation Held_;
   boost::intrusive_ptr<UpstreamWaiter> Waiter_;
   std::optional<UpstreamGrant> Grant_;
   std::unique_ptr<tcp::socket> Socket_;
@@ -286,13 +298,62 @@
   Parser_->body_limit(Client_->Options_.MaxResponseBytes_);
   if (Request_.method() == http::verb::head)
     Parser_->skip(true);
-  http::async_read(
-      *Socket_, Buffer_, *Parser_,
-      onStrand([Self = Pointer(this)](const error_code &Error, size_t) {
-        Self->onResponse(Error);
+  Parser_->eager(true);
+  parse();
+}
+
+void UpstreamClient::Shared::Exchange::parse() {
+  error_code Error;
+  size_t Used = 1;
+  while (Buffer_.size() > 0 && Used > 0 && !Error && !Parser_->is_done()) {
+    Used = Parser_->put(Buffer_.data(), Error);
+    Buffer_.consume(Used);
+  }
+  if (Error && Error != http::error::need_more)
+    return onResponse(Error);
+  if (!reserveMemory())
+    return fail(Reason::TooLarge);
+  if (Parser_->is_done())
+    return onResponse({});
+  receive();
+}
+
+bool UpstreamClient::Shared::Exchange::reserveMemory() {
+  return Held_.resize(Buffer_.capacity() + Parser_->get().body().capacity());
+}
+
+// The parser consumes no unfinished line of a chunk and no unfinished trailer,
+// and does not limit them; the size of the buffer does.
+void UpstreamClient::Shared::Exchange::receive() {
+  size_t Room = beast::read_size(Buffer_, MaxReadBytes);
+  if (Room == 0)
+    return fail(Reason::TooLarge);
+  Socket_->async_read_some(
+      Buffer_.prepare(Room),
+      onStrand([Self = Pointer(this)](const error_code &Error, size_t Size) {
+        Self->onReceived(Error, Size);
       }));
 }
 
+void UpstreamClient::Shared::Exchange::onReceived(const error_code &Error,
+                                                  size_t Size) {
+  if (!Handler_)
+    return;
+  Buffer_.commit(Size);
+  if (Error == asio::error::eof)
+    return onEndOfStream();
+  if (Error)
+    return onResponse(Error);
+  parse();
+}
+
+void UpstreamClient::Shared::Exchange::onEndOfStream() {
+  error_code Error = http::error::end_of_stream;
+  if (Parser_->got_some())
+    Parser_->put_eof(Error);
+  onResponse(Error);
+}
+
 void UpstreamClient::Shared::Exchange::onResponse(const error_code &Error) {
   if (!Handler_)
     return;
@@ -410,7 +471,8 @@
 }
 
 // Closes the connection before the grant is released, so that the next call
-// does not exceed the connection limit.
+// does not exceed the connection limit. The buffer stays, as a read into it may
+// still be pending.
 void UpstreamClient::Shared::Exchange::finish(Verdict Outcome) {
   Handler Callback = std::exchange(Handler_, nullptr);
   Timer_.cancel();
@@ -423,6 +485,8 @@
   if (Grant_)
     Client_->Connections_->release(*Grant_);
   Grant_.reset();
+  Parser_.reset();
+  Held_.resize(0);
   Callback(std::move(Outcome));
 }
 
--- a/src/libtransport/upstreamclient.h
+++ b/src/libtransport/upstreamclient.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "bytebudget.h"
+
 #include "coltsfootpoint/time.h"
 #include "coltsfootpoint/verdict.h"
 
@@ -48,6 +50,10 @@
 /// `Connection: close` with each request. A request without the field always
 /// gets a new connection.
 ///
+/// What a call holds of an unfinished response is limited by
+/// Options::MaxResponseBytes_ and MaxHeaderBytes_, whatever the backend server
+/// sends; beyond that, the call ends with Reason::TooLarge.
+///
 /// The number of connections is limited to what the backend server announced.
 /// Calls over the limit wait in order for a free connection, within their time
 /// limit.
@@ -68,6 +74,9 @@
     /// Whether to accept responses whose end is marked by the end of the
     /// connection (close-delimited, RFC 9112, section 6.3).
     bool AllowCloseDelimited_ = false;
+    /// Bounds the memory of all responses that are being read; null for no
+    /// bound. A call whose response would exceed it ends with Reason::TooLarge.
+    boost::intrusive_ptr<ByteBudget> Budget_;
   };
   using Handler = std::function<void(Verdict)>;
 
--- a/src/libtransport/upstreamclient_test.cpp
+++ b/src/libtransport/upstreamclient_test.cpp
@@ -183,6 +183,111 @@
         "may-have-run too-large");
 }
 
+namespace {
+
+/// A response that never ends: its first bytes, those that follow again and
+/// again, and the verdict of its call.
+struct EndlessResponse {
+  std::string Begin_;
+  std::string Repeated_;
+  std::string Verdict_;
+};
+
+std::vector<EndlessResponse> endlessResponses() {
+  const std::string Lost = "may-have-run upstream-lost";
+  const std::string TooLarge = "may-have-run too-large";
+  const std::string Filler(1000, 'x');
+  const std::string Field = "X: " + Filler + "\r\n";
+  const std::string Ok = "HTTP/1.1 200 OK\r\n";
+  const std::string Chunked = Ok + "Transfer-Encoding: chunked\r\n\r\n";
+  return {{Ok + "X: ", Filler, TooLarge},
+          {Ok, Field, TooLarge},
+          {"", "HTTP/1.1 102 Processing\r\n" + Field + "\r\n", Lost},
+          {"", Filler, Lost},
+          {Ok + "\r\n", Filler, TooLarge},
+          {Chunked, "3e8\r\n" + Filler + "\r\n", TooLarge},
+          {Chunked + "7fffffff\r\n", Filler, TooLarge},
+          {Chunked + "1;", Filler, TooLarge},
+          {Chunked + "1", "0", TooLarge},
+          {Chunked + "0\r\nX: ", Filler, TooLarge},
+          {Chunked + "0\r\n", Field, TooLarge}};
+}
+
+/// Sends the response until the other side closes the connection, at most
+/// MaxBytes. Returns how many bytes were sent.
+size_t sendEndless(RawSocket &Connection, const EndlessResponse &Response,
+                   size_t MaxBytes) {
+  std::string Block;
+  while (Block.size() < 32000)
+    Block += Response.Repeated_;
+  if (!Connection.send(Response.Begin_))
+    return 0;
+  size_t Sent = Response.Begin_.size();
+  while (Sent < MaxBytes && Connection.send(Block))
+    Sent += Block.size();
+  return Sent;
+}
+
+/// More than the limits of a call and the buffers of two sockets hold.
+constexpr size_t MaxEndlessBytes = size_t{16} * 1024 * 1024;
+
+} // namespace
+
+TEST_CASE("an answer without end ends its call and its connection") {
+  UpstreamClient::Options Limits = smallLimits();
+  Limits.AllowCloseDelimited_ = true;
+  for (const EndlessResponse &Response : endlessResponses()) {
+    CAPTURE(Response.Begin_);
+    CAPTURE(Response.Repeated_.substr(0, 8));
+    Fixture Test(1, Limits);
+    Outcome &Endless = Test.call("/endless", Millis(8000));
+    RawSocket Accepted = Test.Server_.accept();
+    Accepted.receiveUntil("\r\n\r\n");
+    size_t Sent = sendEndless(Accepted, Response, MaxEndlessBytes);
+    CHECK(Sent < MaxEndlessBytes);
+    CHECK(Endless.text() == Response.Verdict_);
+    Outcome &Next = Test.call("/next");
+    RawSocket Fresh = Test.Server_.accept();
+    CHECK(serve(Fresh).starts_with("GET /next "));
+    CHECK(Next.text() == "ran 200 ok");
+  }
+}
+
+TEST_CASE("several unfinished answers stay within the budget together") {
+  constexpr size_t BudgetBytes = size_t{300} * 1024;
+  constexpr size_t Calls = 6;
+  UpstreamClient::Options Limits;
+  Limits.Budget_ = new ByteBudget(BudgetBytes);
+  Fixture Test(Calls + 1, Limits);
+  std::vector<RawSocket> Accepted;
+  std::string Half = "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" +
+                     std::string(50000, 'x');
+  for (size_t I = 0; I < Calls; ++I) {
+    Test.call("/" + std::to_string(I), Millis(60000));
+    Accepted.push_back(Test.Server_.accept());
+    Accepted.back().receiveUntil("\r\n\r\n");
+    Accepted.back().send(Half);
+  }
+  auto Ended = [&] {
+    return std::count_if(Test.Outcomes_.begin(), Test.Outcomes_.end(),
+                         [](Outcome &Out) { return Out.Ended_.count() > 0; });
+  };
+  // Each call holds at least its body, so that at most three fit.
+  REQUIRE(waitUntil([&] { return Ended() >= 3; }));
+  CHECK(Limits.Budget_->usedBytes() <= BudgetBytes);
+  for (Outcome &Out : Test.Outcomes_)
+    if (Out.Ended_.count() > 0)
+      CHECK(Out.text() == "may-have-run too-large");
+  Accepted.clear();
+  for (Outcome &Out : Test.Outcomes_)
+    Out.wait();
+  CHECK(Limits.Budget_->usedBytes() == 0);
+  Outcome &Next = Test.call("/next");
+  RawSocket Fresh = Test.Server_.accept();
+  serve(Fresh);
+  CHECK(Next.text() == "ran 200 ok");
+}
+
 TEST_CASE("a refused connection and an invalid request give not-run") {
   Fixture Test;
   Test.Server_.close();
