Close a kept connection that its request can't use

A request without an id gets a new connection, but the kept one granted to it stayed open until the call had ended, so that the node held one connection more than the backend server announced. The pool's limit counted both as one.

The test saw the kept connection open: its call ended at its deadline, as the server waited for the close before it took the new connection. It is now closed before the new one is opened.

--- a/src/libtransport/upstreamclient.cpp
+++ b/src/libtransport/upstreamclient.cpp
@@ -227,6 +227,7 @@
   // Without an id, no answer on a reused connection could be attributed.
   if (hasId())
     Socket_ = std::move(Grant.Reused_);
+  Grant.Reused_.reset();
   Grant_ = std::move(Grant);
   if (Request_.find(http::field::host) == Request_.end()) {
     std::ostringstream Host;
--- a/src/libtransport/upstreamclient_test.cpp
+++ b/src/libtransport/upstreamclient_test.cpp
@@ -523,6 +523,7 @@
   CHECK(First.text() == "ran 200 ok");
   Outcome &Second = Test.callWith({"GET", "/2", {}, {}, {}}, Millis(5000),
                                   Test.Outcomes_.emplace_back());
+  CHECK(Accepted.closesSilently());
   RawSocket Other = Test.Server_.accept();
   CHECK(serve(Other).starts_with("GET /2 "));
   CHECK(Second.text() == "ran 200 ok");
