--- a/src/libcoordination/gate.cpp
+++ b/src/libcoordination/gate.cpp
@@ -102,6 +102,7 @@
 UpstreamClient::Options upstreamOptions(const Gate::Options &Given) {
   UpstreamClient::Options Limits;
   Limits.IdleTimeout_ = Given.IdleTimeout_;
+  Limits.Budget_ = Given.Budget_;
   if (Given.Dialect_) {
     Limits.EchoField_ = Given.Dialect_->echoField();
     Limits.AllowCloseDelimited_ = true;
@@ -598,6 +599,7 @@
   UpstreamRequest Request;
   Request.Method_ = Offered.method;
   Request.Target_ = Offered.target;
+  Request.LogId_ = Offered.request_id;
   Request.Body_ = std::move(StartedCall->Offer_.body);
   for (const wire::WireField &Field : Offered.fields)
     Request.Fields_.push_back({Field.name, Field.value});
@@ -866,8 +868,9 @@
 Gate::Figures Gate::Impl::figures() const {
   TicketTable::Figures Kept = Tickets_.figures();
   std::lock_guard<std::mutex> Lock(Mutex_);
-  return {Announced_,       Serving_,       Draining_,     Queue_.running(),
-          Queue_.waiting(), Queue_.limit(), Kept.Entries_, Kept.KeptBytes_};
+  return {Announced_,       Serving_,         Draining_,
+          Queue_.running(), Queue_.waiting(), Queue_.limit(),
+          Kept.Entries_,    Kept.KeptBytes_,  Upstream_.answersNotAttributed()};
 }
 
 Gate::Gate(asio::io_context &Context, NodeContext ThisNode,
--- a/src/libcoordination/gate.h
+++ b/src/libcoordination/gate.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bytebudget.h"
 #include "ticketissuer.h"
 
 #include "coltsfootpoint/verdict.h"
@@ -87,6 +88,8 @@
     /// Decides which offers are still taken during a drain; null takes all
     /// until Gate::drain() is called.
     DrainAdmission *Drain_ = nullptr;
+    /// See UpstreamClient::Options::Budget_.
+    boost::intrusive_ptr<ByteBudget> Budget_;
   };
 
   Gate(boost::asio::io_context &Context, NodeContext ThisNode,
@@ -140,6 +143,8 @@
     int Limit_ = 0;
     size_t Tickets_ = 0;
     size_t KeptBytes_ = 0;
+    /// See UpstreamClient::answersNotAttributed().
+    uint64_t AnswersNotAttributed_ = 0;
   };
   Figures figures() const;
 
--- a/src/libtransport/upstreamclient.cpp
+++ b/src/libtransport/upstreamclient.cpp
@@ -4,13 +4,17 @@
 #include "timer.h"
 #include "upstreamconnections.h"
 
+#include "coltsfootpoint/log.h"
+
 #include <algorithm>
+#include <atomic>
 #include <boost/asio/bind_executor.hpp>
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http.hpp>
 #include <optional>
 #include <sstream>
@@ -26,6 +30,7 @@
 namespace {
 
 constexpr int MaxSkippedResponses = 16;
+constexpr size_t MaxReadBytes = size_t{64} * 1024;
 
 using RequestMessage = http::request<http::string_body>;
 using ResponseParser = http::response_parser<http::string_body>;
@@ -96,6 +101,10 @@
   asio::io_context &Context_;
   const Options Options_;
   const boost::intrusive_ptr<UpstreamConnectionPool> Connections_;
+  std::atomic<uint64_t> AnswersNotAttributed_ = 0;
+  /// UpstreamGrant::Generation_ of the target whose last attributable answer
+  /// did not repeat the id of its request; 0 for none.
+  std::atomic<uint64_t> SilentTarget_ = 0;
 };
 
 /// One call. start() and cancel() may be called on any thread; everything else
@@ -107,7 +116,9 @@
   Exchange(boost::intrusive_ptr<Shared> Client, Handler OnEnd)
       : Client_(std::move(Client)),
         Strand_(asio::make_strand(Client_->Context_)), Timer_(Strand_),
-        Handler_(std::move(OnEnd)) {}
+        Handler_(std::move(OnEnd)),
+        Buffer_(Client_->Options_.MaxHeaderBytes_ + MaxReadBytes),
+        Held_(Client_->Options_.Budget_) {}
 
   void start(UpstreamRequest Request, Millis TimeLimit) {
     asio::post(Strand_, [Self = Pointer(this), Request = std::move(Request),
@@ -130,9 +141,22 @@
   void write();
   void onWritten(const error_code &Error, size_t Size);
   void read();
+  void parse();
+  bool reserveMemory();
+  void receive();
+  void onReceived(const error_code &Error, size_t Size);
+  void onEndOfStream();
   void onResponse(const error_code &Error);
   bool isOwnResponse() const;
+  bool isIdleTimeout() const;
   bool echoesOtherRequest() const;
+  bool echoesNoRequest() const;
+  bool echoesOwnRequest() const;
+  bool hasId() const;
+  void rememberEcho();
+  std::string_view doubtfulCause() const;
+  void noteNotAttributed(std::string_view Cause) const;
+  void noteSurplusConnections(uint64_t Count) const;
   void fail(Reason Why);
   void finish(Verdict Outcome);
   template <typename Function> auto onStrand(Function Callback) {
@@ -144,8 +168,12 @@
   asio::steady_timer Timer_;
   Handler Handler_; // empty once called
   RequestMessage Request_;
+  std::string LogId_;
   std::optional<ResponseParser> Parser_;
+  /// Holds what the parser has not consumed: at most a head, the line of a
+  /// chunk or the trailer, and what was read last.
   beast::flat_buffer Buffer_;
+  ByteBudget::Reservation Held_;
   boost::intrusive_ptr<UpstreamWaiter> Waiter_;
   std::optional<UpstreamGrant> Grant_;
   std::unique_ptr<tcp::socket> Socket_;
@@ -177,6 +205,7 @@
     return fail(Reason::BadRequest);
   if (TimeLimit <= Millis(0))
     return fail(Reason::DeadlinePassed);
+  LogId_ = Request.LogId_;
   Request_ = toMessage(std::move(Request));
   Timer_.expires_after(toChrono(TimeLimit));
   Timer_.async_wait([Self = Pointer(this)](const error_code &Error) {
@@ -190,17 +219,23 @@
 
 void UpstreamClient::Shared::Exchange::onGranted(UpstreamGrant Grant) {
   Waiter_ = nullptr;
+  noteSurplusConnections(Grant.SurplusConnections_);
   // If the call ended while the grant was on its way to the strand, the grant
   // is returned unused.
   if (!Handler_)
     return Client_->Connections_->release(Grant, std::move(Grant.Reused_));
-  Socket_ = std::move(Grant.Reused_);
+  // Without an id, no answer on a reused connection could be attributed.
+  if (hasId())
+    Socket_ = std::move(Grant.Reused_);
+  Grant.Reused_.reset();
   Grant_ = std::move(Grant);
   if (Request_.find(http::field::host) == Request_.end()) {
     std::ostringstream Host;
     Host << Grant_->Target_;
     Request_.set(http::field::host, Host.str());
   }
+  if (Client_->SilentTarget_ == Grant_->Generation_)
+    Request_.keep_alive(false);
   Reused_ = Socket_ != nullptr;
   if (Reused_)
     write();
@@ -264,13 +299,62 @@
   Parser_->body_limit(Client_->Options_.MaxResponseBytes_);
   if (Request_.method() == http::verb::head)
     Parser_->skip(true);
-  http::async_read(
-      *Socket_, Buffer_, *Parser_,
-      onStrand([Self = Pointer(this)](const error_code &Error, size_t) {
-        Self->onResponse(Error);
+  Parser_->eager(true);
+  parse();
+}
+
+void UpstreamClient::Shared::Exchange::parse() {
+  error_code Error;
+  size_t Used = 1;
+  while (Buffer_.size() > 0 && Used > 0 && !Error && !Parser_->is_done()) {
+    Used = Parser_->put(Buffer_.data(), Error);
+    Buffer_.consume(Used);
+  }
+  if (Error && Error != http::error::need_more)
+    return onResponse(Error);
+  if (!reserveMemory())
+    return fail(Reason::TooLarge);
+  if (Parser_->is_done())
+    return onResponse({});
+  receive();
+}
+
+bool UpstreamClient::Shared::Exchange::reserveMemory() {
+  return Held_.resize(Buffer_.capacity() + Parser_->get().body().capacity());
+}
+
+// The parser consumes no unfinished line of a chunk and no unfinished trailer,
+// and does not limit them; the size of the buffer does.
+void UpstreamClient::Shared::Exchange::receive() {
+  size_t Room = beast::read_size(Buffer_, MaxReadBytes);
+  if (Room == 0)
+    return fail(Reason::TooLarge);
+  Socket_->async_read_some(
+      Buffer_.prepare(Room),
+      onStrand([Self = Pointer(this)](const error_code &Error, size_t Size) {
+        Self->onReceived(Error, Size);
       }));
 }
 
+void UpstreamClient::Shared::Exchange::onReceived(const error_code &Error,
+                                                  size_t Size) {
+  if (!Handler_)
+    return;
+  Buffer_.commit(Size);
+  if (Error == asio::error::eof)
+    return onEndOfStream();
+  if (Error)
+    return onResponse(Error);
+  parse();
+}
+
+void UpstreamClient::Shared::Exchange::onEndOfStream() {
+  error_code Error = http::error::end_of_stream;
+  if (Parser_->got_some())
+    Parser_->put_eof(Error);
+  onResponse(Error);
+}
+
 void UpstreamClient::Shared::Exchange::onResponse(const error_code &Error) {
   if (!Handler_)
     return;
@@ -283,6 +367,8 @@
     return read();
   // Without a length or chunks, only the end of the connection marks the end of
   // the body.
+  if (std::string_view Cause = doubtfulCause(); !Cause.empty())
+    noteNotAttributed(Cause);
   bool RefusedCloseDelimited = !Client_->Options_.AllowCloseDelimited_ &&
                                Parser_->need_eof() &&
                                Request_.method() != http::verb::head;
@@ -294,7 +380,9 @@
   if (Status < 200 || RefusedCloseDelimited ||
       hasUnsupportedCoding(Parser_->get()) || !isOwnResponse())
     return fail(Reason::UpstreamLost);
-  if (Parser_->get().keep_alive() && Buffer_.size() == 0)
+  rememberEcho();
+  bool KeptOpen = Request_.keep_alive() && Parser_->get().keep_alive();
+  if (KeptOpen && echoesOwnRequest() && Buffer_.size() == 0)
     Client_->Connections_->release(*Grant_, std::move(Socket_));
   else
     Client_->Connections_->release(*Grant_);
@@ -302,17 +390,21 @@
   finish(Ran{toAnswer(Parser_->release())});
 }
 
-// The backend server may have sent a response on an idle connection just before
-// this request was written: a 408 because the idle time has expired, or a
-// surplus response. The echoed field identifies a surplus response if the
-// backend server returns it.
+// HTTP/1.1 responses have no number. On a reused connection, the backend server
+// may have sent a response just before this request was written or may send one
+// to an earlier request: a 408 because the idle time has expired, or a surplus
+// response. So only a response that repeats the request's id counts there. On a
+// new connection this request is the only one.
 bool UpstreamClient::Shared::Exchange::isOwnResponse() const {
-  const auto &Message = Parser_->get();
-  if (Reused_ && Message.result() == http::status::request_timeout)
-    return false;
+  if (Reused_)
+    return !isIdleTimeout() && echoesOwnRequest();
   return !echoesOtherRequest();
 }
 
+bool UpstreamClient::Shared::Exchange::isIdleTimeout() const {
+  return Reused_ && Parser_->get().result() == http::status::request_timeout;
+}
+
 bool UpstreamClient::Shared::Exchange::echoesOtherRequest() const {
   const std::string &Echo = Client_->Options_.EchoField_;
   const auto &Message = Parser_->get();
@@ -320,6 +412,56 @@
   return Returned != Message.end() && Returned->value() != Request_[Echo];
 }
 
+bool UpstreamClient::Shared::Exchange::echoesNoRequest() const {
+  return Parser_->get().count(Client_->Options_.EchoField_) == 0;
+}
+
+bool UpstreamClient::Shared::Exchange::echoesOwnRequest() const {
+  return hasId() && !echoesNoRequest() && !echoesOtherRequest();
+}
+
+bool UpstreamClient::Shared::Exchange::hasId() const {
+  return !Request_[Client_->Options_.EchoField_].empty();
+}
+
+// A backend server that does not repeat the id gets one request a connection.
+// It is told so in advance, as it may limit its open connections.
+void UpstreamClient::Shared::Exchange::rememberEcho() {
+  if (hasId())
+    Client_->SilentTarget_ = echoesOwnRequest() ? 0 : Grant_->Generation_;
+}
+
+/// Returns the cause of the log line about the answer that was just read, or
+/// nothing if the answer certainly belongs to this request.
+std::string_view UpstreamClient::Shared::Exchange::doubtfulCause() const {
+  if (echoesOtherRequest())
+    return "other-id";
+  if (isIdleTimeout())
+    return "idle-timeout";
+  if (Reused_ && echoesNoRequest())
+    return "no-id";
+  return Buffer_.size() > 0 ? "surplus-bytes" : "";
+}
+
+void UpstreamClient::Shared::Exchange::noteNotAttributed(
+    std::string_view Cause) const {
+  ++Client_->AnswersNotAttributed_;
+  logRequest(LogCategory::Failure, "answer_not_attributed",
+             {{"request", LogId_},
+              {"status", static_cast<int>(Parser_->get().result_int())},
+              {"cause", Cause}});
+}
+
+/// Reports idle connections that were closed because bytes had arrived on them.
+void UpstreamClient::Shared::Exchange::noteSurplusConnections(
+    uint64_t Count) const {
+  if (Count == 0)
+    return;
+  Client_->AnswersNotAttributed_ += Count;
+  logRequest(LogCategory::Failure, "answer_not_attributed",
+             {{"cause", "idle-bytes"}, {"connections", Count}});
+}
+
 void UpstreamClient::Shared::Exchange::fail(Reason Why) {
   if (!Handler_)
     return;
@@ -330,7 +472,8 @@
 }
 
 // Closes the connection before the grant is released, so that the next call
-// does not exceed the connection limit.
+// does not exceed the connection limit. The buffer stays, as a read into it may
+// still be pending.
 void UpstreamClient::Shared::Exchange::finish(Verdict Outcome) {
   Handler Callback = std::exchange(Handler_, nullptr);
   Timer_.cancel();
@@ -343,6 +486,8 @@
   if (Grant_)
     Client_->Connections_->release(*Grant_);
   Grant_.reset();
+  Parser_.reset();
+  Held_.resize(0);
   Callback(std::move(Outcome));
 }
 
@@ -364,4 +509,8 @@
   return Call;
 }
 
+uint64_t UpstreamClient::answersNotAttributed() const {
+  return Shared_->AnswersNotAttributed_;
+}
+
 } // namespace coltsfoot
--- a/src/libtransport/upstreamclient.h
+++ b/src/libtransport/upstreamclient.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "bytebudget.h"
+
 #include "coltsfootpoint/time.h"
 #include "coltsfootpoint/verdict.h"
 
@@ -7,6 +9,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <vector>
@@ -19,6 +22,8 @@
   std::string Target_;
   std::vector<HttpField> Fields_;
   std::string Body_;
+  /// Id of the request in log lines; empty to leave it out.
+  std::string LogId_;
 };
 
 /// HTTP/1.1 client for the backend server of this VM, with a pool of keep-alive
@@ -35,8 +40,19 @@
 ///
 /// A response in which Options::EchoField_ differs from the request belongs to
 /// another request: on a reused connection it is skipped, on a new one the call
-/// fails. A 408 on a reused connection fails the call, because the backend
-/// server may have sent it when the idle time expired.
+/// fails. A response without this field can't be attributed on a reused
+/// connection and fails the call; on a new one it is accepted. A 408 on a
+/// reused connection fails the call, because the backend server may have sent
+/// it when the idle time expired.
+///
+/// A connection is kept only after a response that repeated the field of its
+/// request. A backend server whose last response did not repeat it receives
+/// `Connection: close` with each request. A request without the field always
+/// gets a new connection.
+///
+/// What a call holds of an unfinished response is limited by
+/// Options::MaxResponseBytes_ and MaxHeaderBytes_, whatever the backend server
+/// sends; beyond that, the call ends with Reason::TooLarge.
 ///
 /// The number of connections is limited to what the backend server announced.
 /// Calls over the limit wait in order for a free connection, within their time
@@ -53,11 +69,14 @@
     size_t MaxResponseBytes_ = 8 * 1024 * 1024;
     size_t MaxHeaderBytes_ = 64 * 1024;
     size_t Connections_ = 256; ///< Limit until setTarget() sets another one.
-    /// The request field that the backend server echoes in its response.
+    /// The request field that the backend server should repeat in its response.
     std::string EchoField_ = "Coltsfoot-Context";
     /// Whether to accept responses whose end is marked by the end of the
     /// connection (close-delimited, RFC 9112, section 6.3).
     bool AllowCloseDelimited_ = false;
+    /// Bounds the memory of all responses that are being read; null for no
+    /// bound. A call whose response would exceed it ends with Reason::TooLarge.
+    boost::intrusive_ptr<ByteBudget> Budget_;
   };
   using Handler = std::function<void(Verdict)>;
 
@@ -93,6 +112,10 @@
   /// NotRun(BadRequest).
   CallPointer call(UpstreamRequest Request, Millis TimeLimit, Handler OnEnd);
 
+  /// Returns how many answers or surplus bytes could not be attributed to a
+  /// request with certainty; each also leaves a line `answer_not_attributed`.
+  uint64_t answersNotAttributed() const;
+
 private:
   struct Shared;
   boost::intrusive_ptr<Shared> Shared_;
--- a/src/libtransport/upstreamclient_test.cpp
+++ b/src/libtransport/upstreamclient_test.cpp
@@ -11,9 +11,37 @@
 
 namespace {
 
+/// A response that does not repeat the context of its request.
 constexpr std::string_view OkResponse =
     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
+/// Returns the context field of a request's head, with its line end.
+std::string contextField(const std::string &Head) {
+  size_t Begin = Head.find("Coltsfoot-Context: ");
+  size_t End = Head.find("\r\n", Begin);
+  return Begin == std::string::npos ? "" : Head.substr(Begin, End + 2 - Begin);
+}
+
+/// Returns a response with an empty body that repeats the context of the
+/// request.
+std::string responseTo(const std::string &Head, const std::string &Status) {
+  return "HTTP/1.1 " + Status + "\r\n" + contextField(Head) +
+         "Content-Length: 0\r\n\r\n";
+}
+
+/// Returns OkResponse with the context of the request.
+std::string okTo(const std::string &Head) {
+  return "HTTP/1.1 200 OK\r\n" + contextField(Head) +
+         "Content-Length: 2\r\n\r\nok";
+}
+
+/// Receives the head of a request and answers it by okTo(). Returns the head.
+std::string serve(RawSocket &Connection) {
+  std::string Head = Connection.receiveUntil("\r\n\r\n");
+  Connection.send(okTo(Head));
+  return Head;
+}
+
 /// The verdict of one call, once its handler has been called.
 struct Outcome {
   EventCounter Ended_;
@@ -63,11 +91,18 @@
   Outcome &call(std::string Target = "/x", Millis Limit = Millis(5000),
                 std::string Method = "GET") {
     Outcome &Out = Outcomes_.emplace_back();
-    Out.Call_ = Client_.call({std::move(Method), std::move(Target), {}, {}},
-                             Limit, [&Out](Verdict What) {
-                               Out.Verdict_ = std::move(What);
-                               Out.Ended_.increment();
-                             });
+    std::string Context = "attempt-" + std::to_string(Outcomes_.size());
+    return callWith({std::move(Method),
+                     std::move(Target),
+                     {{"Coltsfoot-Context", Context}},
+                     {}},
+                    Limit, Out);
+  }
+  Outcome &callWith(UpstreamRequest Request, Millis Limit, Outcome &Out) {
+    Out.Call_ = Client_.call(std::move(Request), Limit, [&Out](Verdict What) {
+      Out.Verdict_ = std::move(What);
+      Out.Ended_.increment();
+    });
     return Out;
   }
   /// Makes a call, sends these bytes as the response, shuts the sending
@@ -148,6 +183,111 @@
         "may-have-run too-large");
 }
 
+namespace {
+
+/// A response that never ends: its first bytes, those that follow again and
+/// again, and the verdict of its call.
+struct EndlessResponse {
+  std::string Begin_;
+  std::string Repeated_;
+  std::string Verdict_;
+};
+
+std::vector<EndlessResponse> endlessResponses() {
+  const std::string Lost = "may-have-run upstream-lost";
+  const std::string TooLarge = "may-have-run too-large";
+  const std::string Filler(1000, 'x');
+  const std::string Field = "X: " + Filler + "\r\n";
+  const std::string Ok = "HTTP/1.1 200 OK\r\n";
+  const std::string Chunked = Ok + "Transfer-Encoding: chunked\r\n\r\n";
+  return {{Ok + "X: ", Filler, TooLarge},
+          {Ok, Field, TooLarge},
+          {"", "HTTP/1.1 102 Processing\r\n" + Field + "\r\n", Lost},
+          {"", Filler, Lost},
+          {Ok + "\r\n", Filler, TooLarge},
+          {Chunked, "3e8\r\n" + Filler + "\r\n", TooLarge},
+          {Chunked + "7fffffff\r\n", Filler, TooLarge},
+          {Chunked + "1;", Filler, TooLarge},
+          {Chunked + "1", "0", TooLarge},
+          {Chunked + "0\r\nX: ", Filler, TooLarge},
+          {Chunked + "0\r\n", Field, TooLarge}};
+}
+
+/// Sends the response until the other side closes the connection, at most
+/// MaxBytes. Returns how many bytes were sent.
+size_t sendEndless(RawSocket &Connection, const EndlessResponse &Response,
+                   size_t MaxBytes) {
+  std::string Block;
+  while (Block.size() < 32000)
+    Block += Response.Repeated_;
+  if (!Connection.send(Response.Begin_))
+    return 0;
+  size_t Sent = Response.Begin_.size();
+  while (Sent < MaxBytes && Connection.send(Block))
+    Sent += Block.size();
+  return Sent;
+}
+
+/// More than the limits of a call and the buffers of two sockets hold.
+constexpr size_t MaxEndlessBytes = size_t{16} * 1024 * 1024;
+
+} // namespace
+
+TEST_CASE("an answer without end ends its call and its connection") {
+  UpstreamClient::Options Limits = smallLimits();
+  Limits.AllowCloseDelimited_ = true;
+  for (const EndlessResponse &Response : endlessResponses()) {
+    CAPTURE(Response.Begin_);
+    CAPTURE(Response.Repeated_.substr(0, 8));
+    Fixture Test(1, Limits);
+    Outcome &Endless = Test.call("/endless", Millis(8000));
+    RawSocket Accepted = Test.Server_.accept();
+    Accepted.receiveUntil("\r\n\r\n");
+    size_t Sent = sendEndless(Accepted, Response, MaxEndlessBytes);
+    CHECK(Sent < MaxEndlessBytes);
+    CHECK(Endless.text() == Response.Verdict_);
+    Outcome &Next = Test.call("/next");
+    RawSocket Fresh = Test.Server_.accept();
+    CHECK(serve(Fresh).starts_with("GET /next "));
+    CHECK(Next.text() == "ran 200 ok");
+  }
+}
+
+TEST_CASE("several unfinished answers stay within the budget together") {
+  constexpr size_t BudgetBytes = size_t{300} * 1024;
+  constexpr size_t Calls = 6;
+  UpstreamClient::Options Limits;
+  Limits.Budget_ = new ByteBudget(BudgetBytes);
+  Fixture Test(Calls + 1, Limits);
+  std::vector<RawSocket> Accepted;
+  std::string Half = "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" +
+                     std::string(50000, 'x');
+  for (size_t I = 0; I < Calls; ++I) {
+    Test.call("/" + std::to_string(I), Millis(60000));
+    Accepted.push_back(Test.Server_.accept());
+    Accepted.back().receiveUntil("\r\n\r\n");
+    Accepted.back().send(Half);
+  }
+  auto Ended = [&] {
+    return std::count_if(Test.Outcomes_.begin(), Test.Outcomes_.end(),
+                         [](Outcome &Out) { return Out.Ended_.count() > 0; });
+  };
+  // Each call holds at least its body, so that at most three fit.
+  REQUIRE(waitUntil([&] { return Ended() >= 3; }));
+  CHECK(Limits.Budget_->usedBytes() <= BudgetBytes);
+  for (Outcome &Out : Test.Outcomes_)
+    if (Out.Ended_.count() > 0)
+      CHECK(Out.text() == "may-have-run too-large");
+  Accepted.clear();
+  for (Outcome &Out : Test.Outcomes_)
+    Out.wait();
+  CHECK(Limits.Budget_->usedBytes() == 0);
+  Outcome &Next = Test.call("/next");
+  RawSocket Fresh = Test.Server_.accept();
+  serve(Fresh);
+  CHECK(Next.text() == "ran 200 ok");
+}
+
 TEST_CASE("a refused connection and an invalid request give not-run") {
   Fixture Test;
   Test.Server_.close();
@@ -191,13 +331,11 @@
   Fixture Test;
   Outcome &First = Test.call("/1");
   RawSocket Accepted = Test.Server_.accept();
-  Accepted.receiveUntil("\r\n\r\n");
-  Accepted.send(OkResponse);
+  serve(Accepted);
   CHECK(First.text() == "ran 200 ok");
   for (int I = 0; I < 20; ++I) {
     Outcome &Next = Test.call("/2");
-    CHECK(Accepted.receiveUntil("\r\n\r\n").starts_with("GET /2 "));
-    Accepted.send(OkResponse);
+    CHECK(serve(Accepted).starts_with("GET /2 "));
     CHECK(Next.text() == "ran 200 ok");
   }
 }
@@ -260,27 +398,143 @@
   }
 }
 
+TEST_CASE("answers that no request certainly asked for are counted by cause") {
+  Fixture Test(1);
+  auto ExpectCount = [&](uint64_t Count) {
+    CHECK(Test.Client_.answersNotAttributed() == Count);
+  };
+  Outcome &First = Test.call("/1");
+  RawSocket Accepted = Test.Server_.accept();
+  std::string Head = Accepted.receiveUntil("\r\n\r\n");
+  SUBCASE("none") {
+    Accepted.send(okTo(Head));
+    First.wait();
+    ExpectCount(0);
+  }
+  SUBCASE("another request's id") {
+    Accepted.send("HTTP/1.1 200 OK\r\nColtsfoot-Context: other\r\n"
+                  "Content-Length: 0\r\n\r\n");
+    First.wait();
+    ExpectCount(1);
+  }
+  SUBCASE("bytes after the answer") {
+    Accepted.send(okTo(Head) + "more");
+    First.wait();
+    ExpectCount(1);
+  }
+  SUBCASE("no id on a reused connection") {
+    Accepted.send(okTo(Head));
+    First.wait();
+    Outcome &Second = Test.call("/2");
+    Accepted.receiveUntil("\r\n\r\n");
+    Accepted.send(OkResponse);
+    Second.wait();
+    ExpectCount(1);
+  }
+}
+
 TEST_CASE("a 408 on a reused connection may refer to its idle time") {
   Fixture Test;
-  const std::string TimedOut =
-      "HTTP/1.1 408 Time-out\r\nContent-Length: 0\r\n\r\n";
   Outcome &First = Test.call("/1");
   RawSocket Accepted = Test.Server_.accept();
-  Accepted.receiveUntil("\r\n\r\n");
-  Accepted.send(TimedOut);
+  Accepted.send(responseTo(Accepted.receiveUntil("\r\n\r\n"), "408 Time-out"));
   CHECK(First.text() == "ran 408 ");
   Outcome &Second = Test.call("/2");
-  Accepted.receiveUntil("\r\n\r\n");
-  Accepted.send(TimedOut);
+  Accepted.send(responseTo(Accepted.receiveUntil("\r\n\r\n"), "408 Time-out"));
   CHECK(Second.text() == "may-have-run upstream-lost");
 }
 
+TEST_CASE("a response without an id on a reused connection ends the call as "
+          "may-have-run") {
+  for (std::string Status : {"200 OK", "408 Time-out", "421 Misdirected",
+                             "429 Later", "500 Failed", "503 Full"}) {
+    CAPTURE(Status);
+    Fixture Test;
+    Outcome &First = Test.call("/1");
+    RawSocket Accepted = Test.Server_.accept();
+    serve(Accepted);
+    CHECK(First.text() == "ran 200 ok");
+    Outcome &Second = Test.call("/2");
+    Accepted.receiveUntil("\r\n\r\n");
+    Accepted.send(responseTo("", Status));
+    CHECK(Second.text() == "may-have-run upstream-lost");
+    CHECK(Accepted.closesSilently());
+  }
+}
+
+TEST_CASE("a late response to an earlier request on a reused connection is "
+          "skipped") {
+  Fixture Test;
+  Outcome &First = Test.call("/1");
+  RawSocket Accepted = Test.Server_.accept();
+  std::string FirstHead = serve(Accepted);
+  CHECK(First.text() == "ran 200 ok");
+  for (std::string Status : {"503 Full", "200 OK", "408 Time-out"}) {
+    CAPTURE(Status);
+    Outcome &Next = Test.call("/next");
+    std::string Head = Accepted.receiveUntil("\r\n\r\n");
+    Accepted.send(responseTo(FirstHead, Status));
+    Accepted.send("HTTP/1.1 100 Continue\r\n\r\n");
+    Accepted.send(okTo(Head));
+    CHECK(Next.text() == "ran 200 ok");
+  }
+}
+
+TEST_CASE("a backend server that does not repeat the id gets one connection "
+          "for each request") {
+  Fixture Test(1);
+  auto CallOnNewConnection = [&](bool Repeats) {
+    Outcome &Out = Test.call();
+    RawSocket Accepted = Test.Server_.accept();
+    std::string Head = Accepted.receiveUntil("\r\n\r\n");
+    Accepted.send(Repeats ? okTo(Head) : std::string(OkResponse));
+    CHECK(Out.text() == "ran 200 ok");
+    CHECK(Accepted.closesSilently());
+    return Head.find("Connection: close\r\n") != std::string::npos;
+  };
+  CHECK_FALSE(CallOnNewConnection(false));
+  CHECK(CallOnNewConnection(false));
+  CHECK(CallOnNewConnection(true));
+  SUBCASE("kept again once it repeats the id") {
+    Outcome &First = Test.call("/1");
+    RawSocket Accepted = Test.Server_.accept();
+    CHECK(serve(Accepted).find("Connection: close") == std::string::npos);
+    CHECK(First.text() == "ran 200 ok");
+    Outcome &Second = Test.call("/2");
+    CHECK(serve(Accepted).starts_with("GET /2 "));
+    CHECK(Second.text() == "ran 200 ok");
+  }
+  SUBCASE("another target") {
+    CHECK_FALSE(CallOnNewConnection(false));
+    RawListener Other;
+    Test.Client_.setTarget(Other.endpoint(), 1);
+    Outcome &First = Test.call("/1");
+    RawSocket Accepted = Other.accept();
+    CHECK(serve(Accepted).find("Connection: close") == std::string::npos);
+    CHECK(First.text() == "ran 200 ok");
+  }
+}
+
+TEST_CASE("a request without an id gets a connection of its own") {
+  Fixture Test(1);
+  Outcome &First = Test.call("/1");
+  RawSocket Accepted = Test.Server_.accept();
+  serve(Accepted);
+  CHECK(First.text() == "ran 200 ok");
+  Outcome &Second = Test.callWith({"GET", "/2", {}, {}, {}}, Millis(5000),
+                                  Test.Outcomes_.emplace_back());
+  CHECK(Accepted.closesSilently());
+  RawSocket Other = Test.Server_.accept();
+  CHECK(serve(Other).starts_with("GET /2 "));
+  CHECK(Second.text() == "ran 200 ok");
+  CHECK(Other.closesSilently());
+}
+
 TEST_CASE("a written request is never written again") {
   Fixture Test;
   Outcome &First = Test.call("/1");
   RawSocket Accepted = Test.Server_.accept();
-  Accepted.receiveUntil("\r\n\r\n");
-  Accepted.send(OkResponse);
+  serve(Accepted);
   First.wait();
   Outcome &Second = Test.call("/2");
   Accepted.receiveUntil("\r\n\r\n");
@@ -297,14 +551,12 @@
   Fixture Test;
   Outcome &First = Test.call("/1");
   RawSocket Accepted = Test.Server_.accept();
-  Accepted.receiveUntil("\r\n\r\n");
-  Accepted.send(std::string(OkResponse) +
+  Accepted.send(okTo(Accepted.receiveUntil("\r\n\r\n")) +
                 "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother");
   CHECK(First.text() == "ran 200 ok");
   Outcome &Second = Test.call("/2");
   RawSocket NewConnection = Test.Server_.accept();
-  NewConnection.receiveUntil("\r\n\r\n");
-  NewConnection.send(OkResponse);
+  serve(NewConnection);
   CHECK(Second.text() == "ran 200 ok");
 }
 
@@ -320,8 +572,7 @@
   Accepted.send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate");
   Outcome &Second = Test.call("/2");
   RawSocket NewConnection = Test.Server_.accept();
-  NewConnection.receiveUntil("\r\n\r\n");
-  NewConnection.send(OkResponse);
+  serve(NewConnection);
   CHECK(Second.text() == "ran 200 ok");
   CHECK(First.Ended_.count() == 1);
 }
@@ -345,8 +596,7 @@
     Outcome &Waiting = Test.call("/waiting");
     Waiting.Call_->cancel();
     CHECK(Waiting.text() == "not-run cancelled");
-    Accepted.receiveUntil("\r\n\r\n");
-    Accepted.send(OkResponse);
+    serve(Accepted);
     CHECK(Holder.text() == "ran 200 ok");
   }
   SUBCASE("immediately after the call") {
@@ -366,14 +616,12 @@
   SUBCASE("after the call has ended") {
     Outcome &Ended = Test.call();
     RawSocket Accepted = Test.Server_.accept();
-    Accepted.receiveUntil("\r\n\r\n");
-    Accepted.send(OkResponse);
+    serve(Accepted);
     CHECK(Ended.text() == "ran 200 ok");
     Ended.Call_->cancel();
     // Cancelling must not close the connection, which is back in the pool.
     Outcome &Next = Test.call("/next");
-    CHECK(Accepted.receiveUntil("\r\n\r\n").starts_with("GET /next "));
-    Accepted.send(OkResponse);
+    CHECK(serve(Accepted).starts_with("GET /next "));
     CHECK(Next.text() == "ran 200 ok");
   }
   for (Outcome &Out : Test.Outcomes_)
@@ -389,14 +637,15 @@
   RawSocket First = Test.Server_.accept();
   RawSocket Second = Test.Server_.accept();
   CHECK(!Test.Server_.hasPendingConnection(50ms));
-  First.receiveUntil("\r\n\r\n");
-  Second.receiveUntil("\r\n\r\n");
+  std::string FirstHead = First.receiveUntil("\r\n\r\n");
+  std::string SecondHead = Second.receiveUntil("\r\n\r\n");
   for (int I = 2; I < 6; ++I) {
-    First.send(OkResponse);
-    CHECK(First.receiveUntil("\r\n\r\n").starts_with("GET /"));
+    First.send(okTo(FirstHead));
+    FirstHead = First.receiveUntil("\r\n\r\n");
+    CHECK(FirstHead.starts_with("GET /"));
   }
-  First.send(OkResponse);
-  Second.send(OkResponse);
+  First.send(okTo(FirstHead));
+  Second.send(okTo(SecondHead));
   for (Outcome *Out : Calls)
     CHECK(Out->text() == "ran 200 ok");
   CHECK(!Test.Server_.hasPendingConnection(20ms));
@@ -431,8 +680,7 @@
   RawSocket Accepted = Test.Server_.accept();
   Outcome &Waiting = Test.call("/waiting", Millis(100));
   CHECK(Waiting.text() == "not-run deadline-passed");
-  Accepted.receiveUntil("\r\n\r\n");
-  Accepted.send(OkResponse);
+  serve(Accepted);
   CHECK(Holder.text() == "ran 200 ok");
   CHECK(!Test.Server_.hasPendingConnection(20ms));
 }
@@ -442,27 +690,27 @@
   RawListener Other;
   Outcome &Old = Test.call("/old");
   RawSocket Accepted = Test.Server_.accept();
-  Accepted.receiveUntil("\r\n\r\n");
+  std::string OldHead = Accepted.receiveUntil("\r\n\r\n");
   Outcome &Waiting = Test.call("/waiting");
   CHECK(Waiting.Ended_.count() == 0);
   Test.Client_.setTarget(Other.endpoint(), 1);
   RawSocket NewConnection = Other.accept();
-  CHECK(NewConnection.receiveUntil("\r\n\r\n").starts_with("GET /waiting "));
-  Accepted.send(OkResponse);
+  std::string NewHead = NewConnection.receiveUntil("\r\n\r\n");
+  CHECK(NewHead.starts_with("GET /waiting "));
+  Accepted.send(okTo(OldHead));
   CHECK(Old.text() == "ran 200 ok");
   CHECK(Accepted.closesSilently());
   Outcome &Third = Test.call("/third", Millis(100));
   CHECK(Third.text() == "not-run deadline-passed");
-  NewConnection.send(OkResponse);
+  NewConnection.send(okTo(NewHead));
   CHECK(Waiting.text() == "ran 200 ok");
   Outcome &Raised = Test.call("/a");
-  NewConnection.receiveUntil("\r\n\r\n");
+  NewHead = NewConnection.receiveUntil("\r\n\r\n");
   Outcome &Extra = Test.call("/b");
   Test.Client_.setTarget(Other.endpoint(), 2);
   RawSocket SecondConnection = Other.accept();
-  SecondConnection.receiveUntil("\r\n\r\n");
-  NewConnection.send(OkResponse);
-  SecondConnection.send(OkResponse);
+  NewConnection.send(okTo(NewHead));
+  serve(SecondConnection);
   CHECK(Raised.text() == "ran 200 ok");
   CHECK(Extra.text() == "ran 200 ok");
 }
@@ -507,9 +755,10 @@
                   Head.substr(Blank + 1, Head.find(' ', Blank + 1) - Blank - 1);
               if (Served % 7 == 3)
                 std::this_thread::sleep_for(15ms);
-              std::string Answer = "HTTP/1.1 200 OK\r\nContent-Length: " +
-                                   std::to_string(Target.size()) + "\r\n\r\n" +
-                                   Target;
+              std::string Answer =
+                  "HTTP/1.1 200 OK\r\n" + contextField(Head) +
+                  "Content-Length: " + std::to_string(Target.size()) +
+                  "\r\n\r\n" + Target;
               bool Cut = Served % 11 == 5;
               Accepted.send(std::string_view(Answer).substr(
                   0, Cut ? Answer.size() - 1 : Answer.size()));
