Refuse in a drain's notice only what takes too long on average

The estimate that few calls exceed is far above the usual duration where the calls of a route differ: with half of them at 10 ms and half at 2,000 ms it is 5,184 ms, so that entry and gate of a stopping node refused that route from 0.3 s after SIGTERM on, and nodes stopped together could leave it without an open gate. A call taken within the notice may be cut if its backend server still works on it at the end, so the mean decides until then, and the careful estimate after it.

--- a/src/libstate/callduration.h
+++ b/src/libstate/callduration.h
@@ -13,6 +13,7 @@
   explicit CallDuration(Millis First) : Mean_(First) {}
 
   void record(Millis Duration);
+  Millis mean() const { return Mean_; }
   /// Returns a duration that few calls exceed.
   Millis expected() const;
   bool operator==(const CallDuration &) const = default;
--- a/src/libstate/drainadmission.cpp
+++ b/src/libstate/drainadmission.cpp
@@ -34,7 +34,7 @@
   Candidate.Nested_ = Nested;
   auto Known = Durations_.find(RouteKey);
   if (Known != Durations_.end())
-    Candidate.Expected_ = Known->second.expected();
+    Candidate.Duration_ = Known->second;
   return Schedule_->takes(Candidate, Clock_.now());
 }
 
--- a/src/libstate/drainschedule.cpp
+++ b/src/libstate/drainschedule.cpp
@@ -13,9 +13,10 @@
   Millis LatestEnd = End_ - AnswerReserve;
   if (Candidate.Deadline_ <= LatestEnd)
     return true;
-  if (Now + Candidate.Expected_.value_or(Millis()) > LatestEnd)
-    return false;
-  return Candidate.Nested_ || !noticePassed(Now);
+  CallDuration Duration = Candidate.Duration_.value_or(CallDuration(Millis()));
+  if (!noticePassed(Now))
+    return Now + Duration.mean() <= LatestEnd;
+  return Candidate.Nested_ && Now + Duration.expected() <= LatestEnd;
 }
 
 } // namespace coltsfoot
--- a/src/libstate/drainschedule.h
+++ b/src/libstate/drainschedule.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "callduration.h"
+
 #include "coltsfootpoint/time.h"
 
 #include <optional>
@@ -11,7 +13,7 @@
   /// When the caller stops waiting.
   Millis Deadline_;
   /// How long calls of its route take; nothing if that is not known.
-  std::optional<Millis> Expected_;
+  std::optional<CallDuration> Duration_;
   /// Whether the backend server of this VM makes it while it runs another call,
   /// whose work a refusal would waste.
   bool Nested_ = false;
@@ -32,10 +34,12 @@
   bool noticePassed(Millis Now) const { return Now > NoticeEnd_; }
 
   /// Returns whether the node takes a call now. It takes one whose deadline
-  /// lies within the drain, and no other one that is expected to take longer
-  /// than the drain still does; a call of an unknown duration is expected to
-  /// take no time. Once the notice has passed, it takes no other root calls at
-  /// all, since nothing ensures that they end in time.
+  /// lies within the drain. Until the notice has passed it refuses another one
+  /// only if calls of its route take longer on average than the drain still
+  /// does: one that takes longer than usual may be cut then. After the notice
+  /// it takes no other root calls, since nothing ensures that they end in time,
+  /// and nested ones only if few calls of their route would take too long. A
+  /// call of an unknown duration is expected to take no time.
   bool takes(const DrainCandidate &Candidate, Millis Now) const;
 
   bool operator==(const DrainSchedule &) const = default;
