Bound what is received from the store, and drop what follows an answer

What nodes saw: a store in trouble that answers with a chunk extension or a trailer without end held its connection until the time-out while the node's buffer grew with each byte. A second answer in the same segment as the first was taken for that of the next request, and so was the final answer after an interim one (100).

Cause: SerialHttpClient read into a buffer without a maximum. Beast keeps there what its parser can't consume yet, which a chunk extension or trailer need not ever allow. Bytes left in the buffer after an answer were kept for the next request, as only the socket was checked for unread bytes.

Head, status line, body and chunks of one byte were bounded before; their tests show that.

Fix: the buffer has a maximum of 64 KiB, which head, chunk header and trailer must fit in; beyond it the request ends as unknown and the connection is closed. An interim answer ends the request as unknown, and bytes after an answer close the connection. Not covered: an answer that arrives between the check for unread bytes and the next request can't be told from its answer by HTTP.

--- a/src/libtransport/serialhttpclient.cpp
+++ b/src/libtransport/serialhttpclient.cpp
@@ -19,6 +19,10 @@
 using Steady = std::chrono::steady_clock;
 
 constexpr int HttpVersion11 = 11;
+constexpr int FirstFinalStatus = 200;
+/// Limit of received bytes that the parser has not consumed: a response head,
+/// chunk header or trailer must fit in it.
+constexpr size_t MaxUnparsedBytes = size_t{64} * 1024;
 
 Steady::duration toDuration(Millis Span) {
   return std::chrono::duration_cast<Steady::duration>(
@@ -169,10 +173,15 @@
     Stream_.expires_never();
     LastUse_ = Steady::now();
     http::response<http::string_body> Message = Parser_->release();
-    if (!Message.keep_alive())
+    int Status = static_cast<int>(Message.result_int());
+    // The final response that follows an interim one would be taken for that of
+    // the next request.
+    if (Status < FirstFinalStatus)
+      return finishUnknown("received an interim response");
+    // Bytes after the response belong to no request.
+    if (!Message.keep_alive() || Buffer_.size() > 0)
       disconnect();
-    finish(HttpResponse{static_cast<int>(Message.result_int()),
-                        std::move(Message.body())});
+    finish(HttpResponse{Status, std::move(Message.body())});
   }
 
   void finishUnknown(std::string Why) {
@@ -199,7 +208,7 @@
                            std::to_string(Settings_.Server_.port());
   asio::strand<asio::io_context::executor_type> Strand_;
   beast::tcp_stream Stream_;
-  beast::flat_buffer Buffer_;
+  beast::flat_buffer Buffer_{MaxUnparsedBytes};
   http::request<http::string_body> Message_;
   std::optional<http::response_parser<http::string_body>> Parser_;
   std::deque<QueuedRequest> Queue_;
--- a/src/libtransport/serialhttpclient.h
+++ b/src/libtransport/serialhttpclient.h
@@ -46,8 +46,11 @@
 /// HTTP/1.1 client with one keep-alive connection to one server. It sends one
 /// request at a time, without pipelining, and queues the others. It connects on
 /// the first request, and again when the connection has failed, was closed or
-/// has been idle too long. No request is ever sent twice. Thread-safe; handlers
-/// are called on the io_context, one at a time.
+/// has been idle too long. No request is ever sent twice. A response that
+/// exceeds a size limit in its head, chunk headers, trailer or body, and an
+/// interim (1xx) response, give HttpOutcomeUnknown and close the connection.
+/// Bytes after a response close it as well. Thread-safe; handlers are called on
+/// the io_context, one at a time.
 class SerialHttpClient {
 public:
   using Handler = std::function<void(const HttpResult &)>;
