Bound what coltsfootctl reads from a node

What an operator saw: coltsfootctl reading from a node in trouble that sends a chunk extension, a trailer or a line of a stream without end grew until its time-out. An interim answer (100) was taken for the final one.

Cause: as in SerialHttpClient, the buffer of unparsed bytes had no maximum; the text of an unfinished line had none either, and the status was not checked.

Head and body were bounded before; their tests show that.

Fix: a maximum of 64 KiB for unparsed bytes and of 4 MiB, the backlog that a node keeps for a stream, for a line; an interim answer throws NodeResponseLost. The program's tests may use the scaffolding of testsuite/common, as those of the libraries do.

--- a/src/cmake/Targets.cmake
+++ b/src/cmake/Targets.cmake
@@ -55,6 +55,8 @@
   endforeach()
   if(TESTS AND COLTSFOOT_TESTS)
     add_executable(${NAME}_test ${TESTS})
+    target_include_directories(${NAME}_test PRIVATE
+                               ${CMAKE_SOURCE_DIR}/testsuite/common)
     target_link_libraries(${NAME}_test PRIVATE ${NAME}_parts doctest_main)
     add_test(NAME unit.${NAME} COMMAND ${NAME}_test)
   endif()
--- a/src/coltsfootctl/nodehttp.cpp
+++ b/src/coltsfootctl/nodehttp.cpp
@@ -15,6 +15,11 @@
 
 constexpr uint64_t MaxBodyBytes = 64ULL * 1024 * 1024;
 constexpr size_t ReadBufferBytes = 16 * 1024;
+/// Limit of received bytes that the parser has not consumed: a response head,
+/// chunk header or trailer must fit in it.
+constexpr size_t MaxUnparsedBytes = size_t{64} * 1024;
+constexpr size_t MaxLineBytes = size_t{4} * 1024 * 1024;
+constexpr int FirstFinalStatus = 200;
 
 std::chrono::steady_clock::duration duration(Millis Time) {
   return std::chrono::duration_cast<std::chrono::steady_clock::duration>(
@@ -87,7 +92,7 @@
   const IpPort &Node_;
   asio::io_context Io_;
   beast::tcp_stream Stream_{Io_};
-  beast::flat_buffer Buffer_;
+  beast::flat_buffer Buffer_{MaxUnparsedBytes};
 };
 
 template <typename Message> Answer copyStatusAndFields(const Message &From) {
@@ -128,6 +133,8 @@
   if (Error)
     Conn.throwResponseLost(Error);
   Answer Result = copyStatusAndFields(Parser.get());
+  if (Result.Status_ < FirstFinalStatus)
+    throw NodeResponseLost(Node.text() + ": received an interim response");
   Result.Body_ = std::move(Parser.get().body());
   return Result;
 }
@@ -158,7 +165,7 @@
     Text.append(Bytes.data(), Bytes.size() - Parser.get().body().size);
     if (Succeeded)
       deliverLines(Text, OnLine);
-    else if (Text.size() > MaxBodyBytes)
+    if (Text.size() > (Succeeded ? MaxLineBytes : MaxBodyBytes))
       break;
   }
   if (!Succeeded)
--- a/src/coltsfootctl/nodehttp.h
+++ b/src/coltsfootctl/nodehttp.h
@@ -33,15 +33,18 @@
 };
 
 /// Sends a request on a new connection and returns the complete response.
-/// Throws NodeUnreachable or NodeResponseLost.
+/// Throws NodeUnreachable, or NodeResponseLost also when the response exceeds a
+/// size limit in its head, chunk headers, trailer or body, or is an interim
+/// one.
 Answer sendToNode(const IpPort &Node, const NodeRequest &Request,
                   Millis Timeout);
 
 /// Sends a request and passes each complete line of its response to the
 /// callback as it arrives, until the response ends, the connection breaks, or
-/// nothing arrives for the idle time. Returns the response's status, and its
-/// body when the status isn't 200. Throws NodeUnreachable, or NodeResponseLost
-/// when not even the header arrived.
+/// nothing arrives for the idle time, or a line, chunk header or trailer
+/// exceeds its size limit. Returns the response's status, and its body when the
+/// status isn't 200. Throws NodeUnreachable, or NodeResponseLost when not even
+/// the header arrived.
 Answer streamFromNode(const IpPort &Node, const NodeRequest &Request,
                       Millis HeaderTimeout, Millis IdleTime,
                       const std::function<void(std::string_view)> &OnLine);
