Close a connection between nodes whose unfinished frames hold too much

The cause of the end was the same as for bytes that are no frame.

Cause: frames of each connection were bounded, but not those of all together.

Change: the bytes of unfinished frames are reserved in a common ByteBudget, which counts what it refuses.

--- a/src/libcoordination/peerserver.cpp
+++ b/src/libcoordination/peerserver.cpp
@@ -97,7 +97,10 @@
 }
 
 void PeerServer::Shared::onClosed(uint64_t Number, CloseCause Cause) {
-  if (Cause == CloseCause::Garbage || Cause == CloseCause::Handshake)
+  bool Refused =
+      Cause == CloseCause::Garbage || Cause == CloseCause::Handshake ||
+      Cause == CloseCause::TooLarge || Cause == CloseCause::ReceiveLimit;
+  if (Refused)
     logEvent(LogLevel::Warning, "peer_refused",
              {{"cause", closeCauseName(Cause)}});
   {
--- a/src/libtransport/bytebudget.cpp
+++ b/src/libtransport/bytebudget.cpp
@@ -7,8 +7,10 @@
 bool ByteBudget::take(size_t Bytes) {
   size_t Used = UsedBytes_;
   do {
-    if (Bytes > LimitBytes_ - Used)
+    if (Bytes > LimitBytes_ - Used) {
+      ++Refusals_;
       return false;
+    }
   } while (!UsedBytes_.compare_exchange_weak(Used, Used + Bytes));
   return true;
 }
--- a/src/libtransport/bytebudget.h
+++ b/src/libtransport/bytebudget.h
@@ -4,6 +4,7 @@
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 #include <cstddef>
+#include <cstdint>
 
 namespace coltsfoot {
 
@@ -20,6 +21,10 @@
 
   /// Returns how many bytes all reservations hold.
   size_t usedBytes() const { return UsedBytes_; }
+  /// Returns how many bytes they can hold at most.
+  size_t limitBytes() const { return LimitBytes_; }
+  /// Returns how often a reservation did not get additional bytes.
+  uint64_t refusals() const { return Refusals_; }
 
   /// The bytes that one message holds; they are free again when it is
   /// destroyed. Not thread-safe.
@@ -46,6 +51,7 @@
 
   const size_t LimitBytes_;
   std::atomic<size_t> UsedBytes_ = 0;
+  std::atomic<uint64_t> Refusals_ = 0;
 };
 
 } // namespace coltsfoot
--- a/src/libtransport/frameconnection.cpp
+++ b/src/libtransport/frameconnection.cpp
@@ -58,6 +58,10 @@
     return "handshake";
   case CloseCause::Overflow:
     return "overflow";
+  case CloseCause::TooLarge:
+    return "too-large";
+  case CloseCause::ReceiveLimit:
+    return "receive-limit";
   }
   return "unknown";
 }
@@ -74,7 +78,8 @@
     : Socket_(std::move(Peer)), Timer_(Socket_.get_executor()),
       Options_(Limits),
       LocalHello_(std::make_unique<LocalHello>(LocalHello{std::move(Self)})),
-      Handlers_(std::move(Callbacks)), ReadChunk_(MinReadBytes) {}
+      Handlers_(std::move(Callbacks)), Received_(Options_.Budget_),
+      ReadChunk_(MinReadBytes) {}
 
 FrameConnection::~FrameConnection() = default;
 
@@ -218,8 +223,11 @@
   if (Size >= ReadChunk_)
     ReadChunk_ = std::min(ReadChunk_ * 2, MaxReadBytes);
   ReadBufferUsed_ += Size;
-  if (processReceivedFrames())
-    read();
+  if (!processReceivedFrames())
+    return;
+  if (!Received_.resize(ReadBufferUsed_))
+    return finish(CloseCause::ReceiveLimit);
+  read();
 }
 
 bool FrameConnection::processReceivedFrames() {
@@ -229,7 +237,7 @@
     bool HandshakeDone =
         StateMachine_.state() == ConnectionLifecycle::State::Open;
     if (Length > (HandshakeDone ? Options_.MaxFrameBytes_ : MaxHelloBytes)) {
-      finish(CloseCause::Garbage);
+      finish(HandshakeDone ? CloseCause::TooLarge : CloseCause::Garbage);
       return false;
     }
     if (ReadBufferUsed_ - Start - LengthBytes < Length)
--- a/src/libtransport/frameconnection.h
+++ b/src/libtransport/frameconnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bytebudget.h"
 #include "connectionlifecycle.h"
 
 #include "coltsfootpoint/time.h"
@@ -23,14 +24,16 @@
 
 /// Why a connection between two nodes ended.
 enum class CloseCause {
-  Local,      ///< This side closed it.
-  Refused,    ///< The remote host refused the TCP connection.
-  Unanswered, ///< Connecting failed otherwise, or no Hello arrived in time.
-  Lost,       ///< The other side closed it, or a read or write failed.
-  Silent,     ///< Nothing was received within the silence limit.
-  Garbage,    ///< The received bytes are not a valid frame.
-  Handshake,  ///< The Hello had another version, was not first or came twice.
-  Overflow    ///< Options::MaxQueuedBytes_ was exceeded.
+  Local,       ///< This side closed it.
+  Refused,     ///< The remote host refused the TCP connection.
+  Unanswered,  ///< Connecting failed otherwise, or no Hello arrived in time.
+  Lost,        ///< The other side closed it, or a read or write failed.
+  Silent,      ///< Nothing was received within the silence limit.
+  Garbage,     ///< The received bytes are not a valid frame.
+  Handshake,   ///< The Hello had another version, was not first or came twice.
+  Overflow,    ///< Options::MaxQueuedBytes_ was exceeded.
+  TooLarge,    ///< A frame after the Hello exceeds Options::MaxFrameBytes_.
+  ReceiveLimit ///< The bytes of an unfinished frame exceed Options::Budget_.
 };
 
 /// Returns the cause's name for logs.
@@ -66,6 +69,9 @@
     Millis IdleHeartbeat_{10000};
     size_t MaxFrameBytes_ = 8 * 1024 * 1024;
     size_t MaxQueuedBytes_ = 32 * 1024 * 1024;
+    /// Bounds the received bytes of the unfinished frames of all connections
+    /// that share it; null for no bound.
+    boost::intrusive_ptr<ByteBudget> Budget_ = nullptr;
   };
 
   struct Handlers {
@@ -129,6 +135,7 @@
   ConnectionLifecycle StateMachine_;
   std::string ReadBuffer_;
   size_t ReadBufferUsed_ = 0;
+  ByteBudget::Reservation Received_; ///< ReadBufferUsed_ bytes.
   size_t ReadChunk_;
   std::string WriteBuffer_;
   Millis StartTime_;
