Bound the bytes of requests that a node is receiving

What callers could do: hold the memory of a node with many half-sent bodies, each within limits.body_bytes, until the process ended for lack of it and all that it had taken was lost.

Cause: a request was bounded by its head and body, a server by the number of its connections, but not their product.

Head, chunk extension, trailer and chunks of one byte without end were cut before as well; a test shows it now.

Change: setting limits.receive_bytes, 64 MiB by default and at least a body and a head, which a node shares among its servers and the connections of its peers. A request that does not fit is refused with 503, not-run and Connection: close, logged as receive_refused, and its bytes are free at once. A request that has arrived completely holds none. /metrics tells the bytes held (coltsfoot_receive_bytes) and how often a message got none (coltsfoot_receive_refused).

--- a/src/include/coltsfootpoint/settings.h
+++ b/src/include/coltsfootpoint/settings.h
@@ -99,6 +99,7 @@
 struct LimitSettings {
   size_t HeaderBytes_ = 0;
   size_t BodyBytes_ = 0;
+  size_t ReceiveBytes_ = 0;
   Millis CallerIdle_;
   Millis HeaderTimeout_;
   int Callers_ = 0;
--- a/src/libcoordination/api.cpp
+++ b/src/libcoordination/api.cpp
@@ -126,6 +126,7 @@
         Resources_(Parts_.Config_, [this] { return Parts_.Gossip_.view(); }) {
     Metrics_.addDrainGauges("entry", Parts_.EntryDrain_);
     Metrics_.addDrainGauges("gate", Parts_.GateDrain_);
+    Metrics_.addReceiveGauges(Parts_.ReceiveBudget_);
   }
 
   void handle(const HttpExchange::Pointer &Exchange);
--- a/src/libcoordination/api.h
+++ b/src/libcoordination/api.h
@@ -33,6 +33,7 @@
   GossipService &Gossip_;
   const DrainAdmission &EntryDrain_;
   const DrainAdmission &GateDrain_;
+  const ByteBudget &ReceiveBudget_;
   std::string Node_;
   Secret OperatorToken_;
   std::function<std::string()> State_;
--- a/src/libcoordination/node.cpp
+++ b/src/libcoordination/node.cpp
@@ -3,6 +3,7 @@
 #include "adapters.h"
 #include "api.h"
 #include "attempttable.h"
+#include "bytebudget.h"
 #include "coltsfoot_types.h"
 #include "configfollower.h"
 #include "configservice.h"
@@ -154,6 +155,7 @@
   const PolicyKind Policy_;
   std::unique_ptr<LogClient> LogClient_;
   MonitoredLog Log_;
+  const boost::intrusive_ptr<ByteBudget> ReceiveBudget_;
   PeerSockets Sockets_;
   PeerPool Peers_;
   ConfigService Config_;
@@ -194,7 +196,9 @@
       Adapters_(std::move(InterfaceAdapters)), Incarnation_(randomBits()),
       Policy_(parsePolicy(policyName(AllSettings.Node_.Policy_))),
       LogClient_(makeLogClient(Context, AllSettings)),
-      Log_(LogClient_.get(), Clock_), Sockets_(bindPeerSockets(AllSettings)),
+      Log_(LogClient_.get(), Clock_),
+      ReceiveBudget_(new ByteBudget(AllSettings.Limits_.ReceiveBytes_)),
+      Sockets_(bindPeerSockets(AllSettings)),
       Peers_(Context, connectionOptions(),
              asio::ip::make_address(AllSettings.Node_.Address_), hello()),
       Config_(Context, Log_, Clock_,
@@ -276,6 +280,7 @@
   Limits.Callers_ = static_cast<size_t>(ConfiguredLimits.Callers_);
   Limits.IdleTimeout_ = ConfiguredLimits.CallerIdle_;
   Limits.ReceiveTimeout_ = ConfiguredLimits.HeaderTimeout_;
+  Limits.Budget_ = ReceiveBudget_;
   return std::make_unique<HttpServer>(Context_, Address, Limits,
                                       std::move(OnRequest));
 }
@@ -366,6 +371,7 @@
   Options.MaxFrameBytes_ =
       2 * (Settings_.Limits_.BodyBytes_ + Settings_.Limits_.HeaderBytes_) +
       size_t{8} * 1024 * 1024;
+  Options.Budget_ = ReceiveBudget_;
   return Options;
 }
 
@@ -391,10 +397,22 @@
 }
 
 ApiParts Node::Impl::apiParts() {
-  ApiParts Parts{Context_,    Clock_,     Config_, Peers_,
-                 Gate_,       Entry_,     Ledger_, *Sockets_.Udp_,
-                 EntryDrain_, GateDrain_, {},      {},
-                 {},          {},         {}};
+  ApiParts Parts{Context_,
+                 Clock_,
+                 Config_,
+                 Peers_,
+                 Gate_,
+                 Entry_,
+                 Ledger_,
+                 *Sockets_.Udp_,
+                 EntryDrain_,
+                 GateDrain_,
+                 *ReceiveBudget_,
+                 {},
+                 {},
+                 {},
+                 {},
+                 {}};
   Parts.Node_ = Sockets_.Name_;
   // Where an external source supplies the configuration, the token is optional;
   // without it no request is accepted as an operator's.
--- a/src/libcoordination/nodemetrics.cpp
+++ b/src/libcoordination/nodemetrics.cpp
@@ -1,5 +1,6 @@
 #include "nodemetrics.h"
 
+#include "bytebudget.h"
 #include "configservice.h"
 #include "configstate.h"
 #include "drainadmission.h"
@@ -92,6 +93,15 @@
   Add("cut", &DrainAdmission::Figures::Cut_);
 }
 
+void NodeMetrics::addReceiveGauges(const ByteBudget &Budget) {
+  Metrics_.gauge("coltsfoot_receive_bytes",
+                 "Bytes that unfinished messages hold.", {},
+                 [&Budget] { return static_cast<double>(Budget.usedBytes()); });
+  Metrics_.gauge("coltsfoot_receive_refused",
+                 "Messages refused or cut for the limit of received bytes.", {},
+                 [&Budget] { return static_cast<double>(Budget.refusals()); });
+}
+
 LatencyHistogram &NodeMetrics::addCallHistogram(std::string_view Verdict) {
   return Metrics_.histogram(
       "coltsfoot_call_seconds",
--- a/src/libcoordination/nodemetrics.h
+++ b/src/libcoordination/nodemetrics.h
@@ -9,6 +9,7 @@
 
 namespace coltsfoot {
 
+class ByteBudget;
 class ConfigService;
 class DrainAdmission;
 class Gate;
@@ -30,6 +31,10 @@
   /// took, refused and cut during a drain.
   void addDrainGauges(std::string_view Part, const DrainAdmission &Drain);
 
+  /// Adds the bytes that the reservations of the budget hold, and how many of
+  /// them were refused.
+  void addReceiveGauges(const ByteBudget &Budget);
+
   /// Counts a call that has ended and, for a root call, records its latency.
   void record(const CallRecord &Ended);
 
--- a/src/libtransport/httpserver.h
+++ b/src/libtransport/httpserver.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "bytebudget.h"
+
 #include "coltsfootpoint/time.h"
 #include "coltsfootpoint/verdict.h"
 
@@ -64,7 +66,8 @@
 /// its bytes slowly is refused; until then it occupies a buffer but no worker
 /// thread. Malformed, ambiguous, late and oversized requests are refused with
 /// 400, 408, 413, 431 or 505 and never reach the handler. A connection over the
-/// connection limit is refused with 503.
+/// connection limit, and a request that does not fit in Options::Budget_, is
+/// refused with 503.
 ///
 /// A caller abandons its request by closing the connection. A caller that shuts
 /// down only its sending direction is treated the same way: the server can't
@@ -82,6 +85,8 @@
     size_t Callers_ = 4096; ///< Maximum number of connections.
     Millis IdleTimeout_{60000};
     Millis ReceiveTimeout_{5000};
+    /// Bounds the received bytes of all unfinished requests; null for no bound.
+    boost::intrusive_ptr<ByteBudget> Budget_ = nullptr;
   };
   using Handler = std::function<void(HttpExchange::Pointer)>;
 
--- a/src/libtransport/httpserver_test.cpp
+++ b/src/libtransport/httpserver_test.cpp
@@ -700,3 +700,109 @@
   CHECK(Test.isServing());
   CHECK(waitUntil([&] { return Test.Server_.pending() == 0; }));
 }
+
+TEST_CASE("half-sent bodies of many callers stay within the common budget") {
+  HttpServer::Options Limits = smallLimits();
+  Limits.BodyBytes_ = size_t{1024} * 1024;
+  Limits.ReceiveTimeout_ = Millis(60000);
+  Limits.Budget_ = new ByteBudget(2 * Limits.BodyBytes_);
+  Fixture Test(Limits);
+  std::string HalfSent = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+                         std::to_string(Limits.BodyBytes_) + "\r\n\r\n" +
+                         std::string(Limits.BodyBytes_ / 2, 'x');
+  std::vector<RawSocket> Callers;
+  std::string Refusal;
+  constexpr size_t MaxCallers = 40;
+  while (Callers.size() < MaxCallers && Refusal.empty()) {
+    size_t Held = Limits.Budget_->usedBytes();
+    Callers.push_back(Test.caller());
+    Callers.back().send(HalfSent);
+    waitUntil([&] {
+      return Limits.Budget_->refusals() > 0 ||
+             Limits.Budget_->usedBytes() >= Held + Limits.BodyBytes_ / 2;
+    });
+    if (Limits.Budget_->refusals() > 0)
+      Refusal = Callers.back().receiveAll();
+  }
+  CHECK(Callers.size() == 5);
+  CHECK(hasStatus(Refusal, 503));
+  CHECK(contains(Refusal, "Coltsfoot-Verdict: not-run"));
+  CHECK(contains(Refusal, "Connection: close"));
+  CHECK(Limits.Budget_->usedBytes() <= Limits.Budget_->limitBytes());
+  CHECK(Test.Handled_ == 0);
+  Callers.clear();
+  CHECK(waitUntil([&] { return Limits.Budget_->usedBytes() == 0; }));
+  CHECK(Test.isServing());
+}
+
+TEST_CASE("a request that is complete holds no bytes of the budget") {
+  HttpServer::Options Limits = smallLimits();
+  Limits.Budget_ = new ByteBudget(Limits.BodyBytes_ + Limits.HeaderBytes_);
+  Fixture Test(Limits);
+  std::string Request = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2000"
+                        "\r\n\r\n" +
+                        std::string(2000, 'x');
+  RawSocket Caller = Test.caller();
+  for (int I = 0; I < 20; ++I) {
+    Caller.send(Request);
+    CHECK(hasStatus(Caller.receiveAnswer(), 200));
+  }
+  CHECK(waitUntil([&] { return Limits.Budget_->usedBytes() == 0; }));
+  CHECK(Limits.Budget_->refusals() == 0);
+}
+
+TEST_CASE("input without end is cut at the size limits") {
+  HttpServer::Options Limits = smallLimits();
+  Limits.ReceiveTimeout_ = Millis(60000);
+  Limits.Budget_ = new ByteBudget(size_t{256} * 1024);
+  Fixture Test(Limits);
+  std::string Head = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  std::string Endless = "x";
+  SUBCASE("head") { Head = "GET / HTTP/1.1\r\nX: "; }
+  SUBCASE("header fields") {
+    Head = "GET / HTTP/1.1\r\n";
+    Endless = "X: y\r\n";
+  }
+  SUBCASE("chunk extension") { Head += "1;"; }
+  SUBCASE("trailer field") { Head += "0\r\nX: "; }
+  SUBCASE("trailer fields") {
+    Head += "0\r\n";
+    Endless = "X: y\r\n";
+  }
+  SUBCASE("chunks of one byte with extensions") { Endless = "1;x\r\ny\r\n"; }
+  std::string Piece;
+  while (Piece.size() < size_t{64} * 1024)
+    Piece += Endless;
+  constexpr size_t EndlessBytes = size_t{64} * 1024 * 1024;
+  RawSocket Caller = Test.caller();
+  Caller.send(Head);
+  size_t Sent = 0;
+  while (Sent < EndlessBytes && Caller.send(Piece))
+    Sent += Piece.size();
+  CHECK(Sent < EndlessBytes);
+  CHECK(Test.Handled_ == 0);
+  CHECK(waitUntil([&] { return Limits.Budget_->usedBytes() == 0; }));
+  CHECK(Test.isServing());
+}
+
+TEST_CASE("pipelined input without end is not read beyond the budget") {
+  HttpServer::Options Limits = smallLimits();
+  Limits.Budget_ = new ByteBudget(size_t{16} * 1024);
+  Fixture Test(Limits);
+  std::vector<HttpExchange::Pointer> Kept;
+  EventCounter Arrived;
+  Test.OnRequest_ = [&](HttpExchange::Pointer Exchange) {
+    Kept.push_back(std::move(Exchange));
+    Arrived.increment();
+  };
+  Fixture::StopGuard Guard(Test);
+  RawSocket Caller = Test.caller();
+  std::string Requests;
+  while (Requests.size() < size_t{32} * 1024)
+    Requests += ValidRequest;
+  Caller.send(Requests);
+  REQUIRE(Arrived.wait());
+  CHECK(waitUntil([&] { return Limits.Budget_->refusals() > 0; }));
+  CHECK(Limits.Budget_->usedBytes() <= Limits.Budget_->limitBytes());
+  CHECK(Test.Handled_ == 1);
+}
--- a/src/libtransport/httpserversession.cpp
+++ b/src/libtransport/httpserversession.cpp
@@ -48,6 +48,8 @@
 }
 
 std::string_view reasonOfStatus(int Status) {
+  if (Status == 503)
+    return "overload";
   return Status == 413 || Status == 431 ? "too-large" : "bad-request";
 }
 
@@ -290,7 +292,7 @@
 HttpServerSession::HttpServerSession(
     tcp::socket Socket, boost::intrusive_ptr<HttpServerState> Server)
     : Socket_(std::move(Socket)), Timer_(Socket_.get_executor()),
-      Server_(std::move(Server)) {
+      Server_(std::move(Server)), Received_(Server_->Options_.Budget_) {
   error_code Ignored;
   RemoteAddress_ = Socket_.remote_endpoint(Ignored).address().to_string();
   Socket_.set_option(tcp::no_delay(true), Ignored);
@@ -330,6 +332,7 @@
     return parse();
   }
   Input_.shrink_to_fit();
+  Received_.resize(0);
   startTimer(Server_->Options_.IdleTimeout_);
   read();
 }
@@ -363,7 +366,7 @@
   }
   if (Phase_ == Phase::Receiving)
     return parse();
-  if (Input_.size() < MaxPipelinedBytes)
+  if (Input_.size() < MaxPipelinedBytes && reserveReceived())
     read();
 }
 
@@ -388,11 +391,30 @@
 }
 
 void HttpServerSession::parse() {
+  if (!reserveReceived()) {
+    logEvent(LogLevel::Warning, "receive_refused",
+             {{"cause", "receive-limit"},
+              {"limit_bytes",
+               static_cast<int64_t>(Server_->Options_.Budget_->limitBytes())}});
+    return refuse(503, "the received requests exceed the memory limit");
+  }
   if (!Message_->HeadParsed_ && !parseHead())
     return;
   parseBody();
 }
 
+bool HttpServerSession::reserveReceived() {
+  return Received_.resize(Input_.size() +
+                          Message_->Parser_.get().body().size());
+}
+
+void HttpServerSession::releaseReceived() {
+  Input_ = {};
+  if (Message_)
+    Message_->Parser_.get().body() = {};
+  Received_.resize(0);
+}
+
 // Checks the unparsed head, because Beast joins folded lines and accepts
 // several Content-Length fields with equal values. The fields are copied before
 // the body is parsed, because Beast adds the fields of a trailer to them.
@@ -479,7 +501,8 @@
   Phase_ = Phase::Working;
   ++Server_->Pending_;
   HttpRequest Request = std::move(Message_->Request_);
-  Request.Body_ = std::move(Message_->Parser_.get().body());
+  Request.Body_ = std::exchange(Message_->Parser_.get().body(), {});
+  Received_.resize(Input_.size());
   PendingResponse_ = new PendingResponse(Pointer(this));
   HttpExchange::Pointer Current(
       new Exchange(PendingResponse_, std::move(Request)));
@@ -494,6 +517,7 @@
 
 void HttpServerSession::refuse(int Status, std::string_view Detail) {
   Message_->KeepAlive_ = false;
+  releaseReceived();
   ++Server_->Pending_;
   Phase_ = Phase::Working;
   std::string Body = R"({"verdict":"not-run","reason":")";
@@ -610,7 +634,7 @@
   if (InputEnded_)
     return close();
   Phase_ = Phase::Lingering;
-  Input_ = {};
+  releaseReceived();
   startTimer(LingerTimeout);
   read();
 }
@@ -621,6 +645,7 @@
   cancelTimer();
   error_code Ignored;
   Socket_.close(Ignored);
+  releaseReceived();
   Server_->remove(*this);
 }
 
--- a/src/libtransport/httpserversession.h
+++ b/src/libtransport/httpserversession.h
@@ -68,6 +68,8 @@
   void onRead(size_t Size);
   void onInputEnd();
   void parse();
+  bool reserveReceived();
+  void releaseReceived();
   bool parseHead();
   void copyHead();
   void parseBody();
@@ -94,6 +96,7 @@
   bool InputEnded_ = false;
   std::array<char, ReadBufferBytes> ReadBuffer_;
   std::string Input_;
+  ByteBudget::Reservation Received_; ///< Input_ and the body in Message_.
   std::unique_ptr<Message> Message_;
   boost::intrusive_ptr<PendingResponse> PendingResponse_;
   size_t LingeredBytes_ = 0;
--- a/src/libutil/settings.cpp
+++ b/src/libutil/settings.cpp
@@ -200,6 +200,13 @@
                    S.Membership_.ProbeInterval_);
     requireAtLeast("timeouts.attempt_ms", S.Timeouts_.Attempt_,
                    "timeouts.connect_ms", S.Timeouts_.Connect_);
+    size_t MaxRequestBytes = S.Limits_.BodyBytes_ + S.Limits_.HeaderBytes_;
+    if (S.Limits_.ReceiveBytes_ < MaxRequestBytes)
+      reportConflict("limits.receive_bytes",
+                     "at least limits.body_bytes + limits.header_bytes, which "
+                     "is " +
+                         std::to_string(MaxRequestBytes),
+                     std::to_string(S.Limits_.ReceiveBytes_));
     if (S.Node_.Interface_ != Interface::Own && S.LogService_.Address_.empty())
       report(0, "log_service.address",
              "an address, which node.interface = \"platform\" requires",
--- a/src/libutil/settings_test.cpp
+++ b/src/libutil/settings_test.cpp
@@ -166,6 +166,10 @@
                "membership.isolation_ms", "1000", "500");
   checkProblem(MinimalFile + "[timeouts]\nattempt_ms = 500\n", 4,
                "timeouts.attempt_ms", "timeouts.connect_ms", "500");
+  checkProblem(MinimalFile + "[limits]\nreceive_bytes = 1064959\n", 4,
+               "limits.receive_bytes", "which is 1064960", "1064959");
+  checkProblem(MinimalFile + "[limits]\nbody_bytes = 67108864\n", 0,
+               "limits.receive_bytes", "which is 67125248", "67108864");
   checkProblem(MinimalFile + "[security]\nprevious_ticket_key_file = \"k\"\n",
                4, "security.previous_ticket_key_file", "ticket_key_file", "no");
 }
--- a/src/libutil/settingstable.cpp
+++ b/src/libutil/settingstable.cpp
@@ -210,6 +210,11 @@
     SettingEntry{"limits", "body_bytes", "bytes",
                  "maximum body size of a request",
                  number<Limits, &I::BodyBytes_>(Mib, Kib, 256 * Mib)},
+    SettingEntry{
+        "limits", "receive_bytes", "bytes",
+        "maximum total size of messages being received from callers, "
+        "backend servers and other nodes",
+        number<Limits, &I::ReceiveBytes_>(64 * Mib, 2 * Kib, 4096 * Mib)},
     SettingEntry{"limits", "caller_idle_ms", "ms",
                  "time after which an idle connection of a caller is closed",
                  number<Limits, &I::CallerIdle_>(MinuteMs, 100, HourMs)},
