Free the memory of a refused request when it is refused

What operators saw: a node whose callers' half-sent bodies were refused went on holding them until each connection was closed, up to a second later, although its budget counted them as free.

Cause: assigning an empty value to a std::string keeps its allocation.

Change: the strings are swapped with empty ones.

--- a/src/libtransport/httpserversession.cpp
+++ b/src/libtransport/httpserversession.cpp
@@ -408,10 +408,11 @@
                           Message_->Parser_.get().body().size());
 }
 
+// Swapped, because assigning an empty string frees no memory.
 void HttpServerSession::releaseReceived() {
-  Input_ = {};
+  std::string().swap(Input_);
   if (Message_)
-    Message_->Parser_.get().body() = {};
+    std::string().swap(Message_->Parser_.get().body());
   Received_.resize(0);
 }
 
