Check the metrics of received bytes end to end

The test of half-sent bodies reads coltsfoot_receive_bytes, 0 once the callers have gone, and coltsfoot_receive_refused, above 0 then.

--- a/testsuite/receive_limits/receive_limits_test.cpp
+++ b/testsuite/receive_limits/receive_limits_test.cpp
@@ -59,6 +59,14 @@
   CHECK(Peak > 0);
   CHECK(Peak < NodeMemoryKib);
   Open.clear();
-  waitUntil([&] { return Node->call("GET", "/metrics").Status_ == 200; },
-            Millis(10000), "the node answers after its callers have gone");
+  waitUntil(
+      [&] {
+        return Node->call("GET", "/metrics")
+                   .Body_.find("\ncoltsfoot_receive_bytes 0\n") !=
+               std::string::npos;
+      },
+      Millis(10000), "no bytes are held after the callers have gone");
+  std::string Metrics = Node->call("GET", "/metrics").Body_;
+  CHECK(Metrics.find("\ncoltsfoot_receive_refused ") != std::string::npos);
+  CHECK(Metrics.find("\ncoltsfoot_receive_refused 0\n") == std::string::npos);
 }
