Keep calling text on a connection between nodes garbage

A length of 1 GiB or more, which no settings allow, is garbage again. The test of a frame without end uses a length below that.

--- a/src/libtransport/frameconnection.cpp
+++ b/src/libtransport/frameconnection.cpp
@@ -26,6 +26,9 @@
 constexpr size_t MaxRetainedBufferBytes = size_t{64} * 1024;
 constexpr Millis MinCheckDelay{1};
 constexpr size_t LengthBytes = 4;
+/// No settings allow a frame of this size, so such a length is text or the
+/// like.
+constexpr size_t ImplausibleFrameBytes = size_t{1024} * 1024 * 1024;
 
 uint32_t readLength(const char *Bytes) {
   uint32_t Length = 0;
@@ -237,7 +240,8 @@
     bool HandshakeDone =
         StateMachine_.state() == ConnectionLifecycle::State::Open;
     if (Length > (HandshakeDone ? Options_.MaxFrameBytes_ : MaxHelloBytes)) {
-      finish(HandshakeDone ? CloseCause::TooLarge : CloseCause::Garbage);
+      bool IsFrame = HandshakeDone && Length < ImplausibleFrameBytes;
+      finish(IsFrame ? CloseCause::TooLarge : CloseCause::Garbage);
       return false;
     }
     if (ReadBufferUsed_ - Start - LengthBytes < Length)
--- a/src/libtransport/frameconnection_test.cpp
+++ b/src/libtransport/frameconnection_test.cpp
@@ -354,7 +354,7 @@
   RawSocket Peer = Setup.open();
   size_t Sent = 0;
   constexpr size_t EndlessBytes = size_t{32} * 1024 * 1024;
-  std::string Piece(size_t{64} * 1024, '\x7f');
+  std::string Piece(size_t{64} * 1024, '\x01');
   while (Sent < EndlessBytes && Peer.send(Piece))
     Sent += Piece.size();
   CHECK(Sent < EndlessBytes);
