Merge the bounds of what a node receives

Callers, the backend server and other nodes get a budget each, so that no sender uses up what another needs: bodies that a caller leaves half sent would else end answers of calls that ran and connections between nodes.

--- a/src/libcoordination/api.cpp
+++ b/src/libcoordination/api.cpp
@@ -126,6 +126,9 @@
         Resources_(Parts_.Config_, [this] { return Parts_.Gossip_.view(); }) {
     Metrics_.addDrainGauges("entry", Parts_.EntryDrain_);
     Metrics_.addDrainGauges("gate", Parts_.GateDrain_);
+    Metrics_.addReceiveGauges("caller", Parts_.CallerBudget_);
+    Metrics_.addReceiveGauges("backend", Parts_.BackendBudget_);
+    Metrics_.addReceiveGauges("peer", Parts_.PeerBudget_);
   }
 
   void handle(const HttpExchange::Pointer &Exchange);
--- a/src/libcoordination/api.h
+++ b/src/libcoordination/api.h
@@ -33,6 +33,9 @@
   GossipService &Gossip_;
   const DrainAdmission &EntryDrain_;
   const DrainAdmission &GateDrain_;
+  const ByteBudget &CallerBudget_;
+  const ByteBudget &BackendBudget_;
+  const ByteBudget &PeerBudget_;
   std::string Node_;
   Secret OperatorToken_;
   std::function<std::string()> State_;
--- a/src/libcoordination/nodemetrics.cpp
+++ b/src/libcoordination/nodemetrics.cpp
@@ -1,5 +1,6 @@
 #include "nodemetrics.h"
 
+#include "bytebudget.h"
 #include "configservice.h"
 #include "configstate.h"
 #include "drainadmission.h"
@@ -99,6 +100,18 @@
   Add("cut", &DrainAdmission::Figures::Cut_);
 }
 
+void NodeMetrics::addReceiveGauges(std::string_view Sender,
+                                   const ByteBudget &Budget) {
+  const MetricLabels Labels{{"sender", std::string(Sender)}};
+  Metrics_.gauge("coltsfoot_receive_bytes",
+                 "Bytes that unfinished messages hold.", Labels,
+                 [&Budget] { return static_cast<double>(Budget.usedBytes()); });
+  Metrics_.gauge("coltsfoot_receive_refused",
+                 "Messages refused or cut for the limit of received bytes.",
+                 Labels,
+                 [&Budget] { return static_cast<double>(Budget.refusals()); });
+}
+
 LatencyHistogram &NodeMetrics::addCallHistogram(std::string_view Verdict) {
   return Metrics_.histogram(
       "coltsfoot_call_seconds",
--- a/src/libtransport/frameconnection.cpp
+++ b/src/libtransport/frameconnection.cpp
@@ -26,6 +26,9 @@
 constexpr size_t MaxRetainedBufferBytes = size_t{64} * 1024;
 constexpr Millis MinCheckDelay{1};
 constexpr size_t LengthBytes = 4;
+/// No settings allow a frame of this size, so such a length is text or the
+/// like.
+constexpr size_t ImplausibleFrameBytes = size_t{1024} * 1024 * 1024;
 
 uint32_t readLength(const char *Bytes) {
   uint32_t Length = 0;
@@ -58,6 +61,10 @@
     return "handshake";
   case CloseCause::Overflow:
     return "overflow";
+  case CloseCause::TooLarge:
+    return "too-large";
+  case CloseCause::ReceiveLimit:
+    return "receive-limit";
   }
   return "unknown";
 }
@@ -74,7 +81,8 @@
     : Socket_(std::move(Peer)), Timer_(Socket_.get_executor()),
       Options_(Limits),
       LocalHello_(std::make_unique<LocalHello>(LocalHello{std::move(Self)})),
-      Handlers_(std::move(Callbacks)), ReadChunk_(MinReadBytes) {}
+      Handlers_(std::move(Callbacks)), Received_(Options_.Budget_),
+      ReadChunk_(MinReadBytes) {}
 
 FrameConnection::~FrameConnection() = default;
 
@@ -218,8 +226,11 @@
   if (Size >= ReadChunk_)
     ReadChunk_ = std::min(ReadChunk_ * 2, MaxReadBytes);
   ReadBufferUsed_ += Size;
-  if (processReceivedFrames())
-    read();
+  if (!processReceivedFrames())
+    return;
+  if (!Received_.resize(ReadBufferUsed_))
+    return finish(CloseCause::ReceiveLimit);
+  read();
 }
 
 bool FrameConnection::processReceivedFrames() {
@@ -229,7 +240,8 @@
     bool HandshakeDone =
         StateMachine_.state() == ConnectionLifecycle::State::Open;
     if (Length > (HandshakeDone ? Options_.MaxFrameBytes_ : MaxHelloBytes)) {
-      finish(CloseCause::Garbage);
+      bool IsFrame = HandshakeDone && Length < ImplausibleFrameBytes;
+      finish(IsFrame ? CloseCause::TooLarge : CloseCause::Garbage);
       return false;
     }
     if (ReadBufferUsed_ - Start - LengthBytes < Length)
--- a/src/libtransport/serialhttpclient_test.cpp
+++ b/src/libtransport/serialhttpclient_test.cpp
@@ -1,94 +1,143 @@
-/// Tests SerialHttpClient against a server that writes arbitrary bytes.
-
 #include "serialhttpclient.h"
 
 #include "rawsocket.h"
 
-#include <atomic>
-#include <boost/asio/buffer.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
-#include <thread>
+#include <future>
 
 using namespace coltsfoot;
 
 namespace {
 
-constexpr size_t MaxBytes = 4096;
-constexpr Millis Timeout(2000);
+constexpr std::string_view OkResponse =
+    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+constexpr std::string_view ChunkedHead =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+/// More than the client's limits and the socket buffers of both sides.
+constexpr size_t EndlessBytes = size_t{32} * 1024 * 1024;
+constexpr size_t PieceBytes = size_t{64} * 1024;
 
-std::string response(const std::string &Body) {
-  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(Body.size()) +
-         "\r\n\r\n" + Body;
+SerialHttpClient::Options smallLimits(const RawListener &Server) {
+  SerialHttpClient::Options Limits;
+  Limits.Server_ = Server.endpoint();
+  Limits.ConnectTimeout_ = Millis(5000);
+  Limits.IdleTimeout_ = Millis(60000);
+  Limits.MaxQueued_ = 8;
+  Limits.MaxResponseBytes_ = 4096;
+  return Limits;
 }
 
-/// Writes the same prepared bytes for the requests of each connection and
-/// counts the connections. Stops when it is destroyed.
-class WritingServer {
-public:
-  /// Bytes[I] answers request number I of all connections.
-  explicit WritingServer(std::vector<std::string> Bytes)
-      : Bytes_(std::move(Bytes)),
-        Acceptor_(Context_, {boost::asio::ip::address_v4::loopback(), 0}),
-        Thread_([this] { serve(); }) {}
-  ~WritingServer() { Thread_.join(); }
-  boost::asio::ip::tcp::endpoint endpoint() const {
-    return Acceptor_.local_endpoint();
-  }
-  int connections() const { return Connections_; }
+std::string textOf(const HttpResult &Result) {
+  if (const auto *Response = std::get_if<HttpResponse>(&Result))
+    return std::to_string(Response->Status_) + " " + Response->Body_;
+  return std::holds_alternative<HttpNotSent>(Result) ? "not sent" : "unknown";
+}
 
-private:
-  void serve() {
-    namespace asio = boost::asio;
-    size_t Next = 0;
-    while (Next < Bytes_.size()) {
-      asio::ip::tcp::socket Socket(Context_);
-      Acceptor_.accept(Socket);
-      ++Connections_;
-      std::string Request;
-      boost::system::error_code Error;
-      while (Next < Bytes_.size()) {
-        Request.clear();
-        asio::read_until(Socket, asio::dynamic_buffer(Request), "\r\n\r\n",
-                         Error);
-        if (Error)
-          break;
-        asio::write(Socket, asio::buffer(Bytes_[Next++]), Error);
-      }
-    }
+struct Fixture {
+  ~Fixture() { Workers_.stop(); }
+
+  std::future<std::string> request(std::string Target = "/x") {
+    auto Outcome = std::make_shared<std::promise<std::string>>();
+    SerialHttpRequest Request;
+    Request.Method_ = "GET";
+    Request.Target_ = std::move(Target);
+    Request.Timeout_ = Request.QueueTimeout_ = Millis(60000);
+    Client_.send(std::move(Request), [Outcome](const HttpResult &Result) {
+      Outcome->set_value(textOf(Result));
+    });
+    return Outcome->get_future();
+  }
+  /// Answers the request on the connection and returns the outcome.
+  std::string outcomeOf(std::future<std::string> Outcome, RawSocket &Server,
+                        std::string_view Bytes) {
+    Server.receiveUntil("\r\n\r\n");
+    Server.send(Bytes);
+    return textAfter(std::move(Outcome));
+  }
+  static std::string textAfter(std::future<std::string> Outcome) {
+    if (Outcome.wait_for(TestTimeout) != std::future_status::ready)
+      return "none in time";
+    return Outcome.get();
+  }
+  void checkUsesNewConnection() {
+    auto Outcome = request("/next");
+    RawSocket Next = Listener_.accept();
+    CHECK(outcomeOf(std::move(Outcome), Next, OkResponse) == "200 ok");
   }
 
-  const std::vector<std::string> Bytes_;
-  std::atomic<int> Connections_ = 0;
-  boost::asio::io_context Context_;
-  boost::asio::ip::tcp::acceptor Acceptor_;
-  std::thread Thread_;
+  RawListener Listener_;
+  Workers Workers_;
+  SerialHttpClient Client_{Workers_.context(), smallLimits(Listener_)};
 };
 
+/// Repeats the piece until the other side has closed the connection or
+/// EndlessBytes are sent. Returns the number of sent bytes.
+size_t sendEndlessly(RawSocket &Server, std::string_view Piece) {
+  std::string Bytes;
+  while (Bytes.size() < PieceBytes)
+    Bytes += Piece;
+  size_t Sent = 0;
+  while (Sent < EndlessBytes && Server.send(Bytes))
+    Sent += Bytes.size();
+  return Sent;
+}
+
 } // namespace
 
-TEST_CASE("a repeated response is not taken for that of the next request") {
-  WritingServer Server(
-      {response("first") + response("first"), response("second")});
-  Workers Threads;
-  SerialHttpClient Client(Threads.context(),
-                          {Server.endpoint(), Timeout, Timeout, 4, MaxBytes});
-  std::vector<std::string> Bodies;
-  for (int I = 0; I < 2; ++I) {
-    EventCounter Answered;
-    std::string Body;
-    Client.send({"GET", "/", "", Timeout, Timeout},
-                [&](const HttpResult &Result) {
-                  if (const auto *Response = std::get_if<HttpResponse>(&Result))
-                    Body = Response->Body_;
-                  Answered.increment();
-                });
-    REQUIRE(Answered.wait());
-    Bodies.push_back(Body);
+TEST_CASE("a response without end is cut at the size limits") {
+  Fixture Test;
+  std::string Head(ChunkedHead);
+  std::string Endless = "x";
+  SUBCASE("chunk extension") { Head += "1;"; }
+  SUBCASE("trailer field") { Head += "0\r\nX: "; }
+  SUBCASE("trailer fields") {
+    Head += "0\r\n";
+    Endless = "X: y\r\n";
   }
-  CHECK(Bodies[0] == "first");
-  CHECK(Bodies[1] == "second");
-  CHECK(Server.connections() == 2);
+  SUBCASE("chunks with extensions") { Endless = "1;x\r\ny\r\n"; }
+  SUBCASE("body up to the end of the connection") {
+    Head = "HTTP/1.1 200 OK\r\n\r\n";
+  }
+  SUBCASE("header fields") {
+    Head = "HTTP/1.1 200 OK\r\n";
+    Endless = "X: y\r\n";
+  }
+  SUBCASE("status line") { Head = "HTTP/1.1 200 "; }
+  SUBCASE("interim responses") {
+    Head = "";
+    Endless = "HTTP/1.1 100 Continue\r\n\r\n";
+  }
+  SUBCASE("no response") { Head = ""; }
+  auto Outcome = Test.request();
+  RawSocket Server = Test.Listener_.accept();
+  Server.receiveUntil("\r\n\r\n");
+  Server.send(Head);
+  CHECK(sendEndlessly(Server, Endless) < EndlessBytes);
+  CHECK(Fixture::textAfter(std::move(Outcome)) == "unknown");
+  Test.checkUsesNewConnection();
+}
+
+TEST_CASE("a second response is not taken for that of the next request") {
+  Fixture Test;
+  auto First = Test.request();
+  RawSocket Server = Test.Listener_.accept();
+  std::string Both(OkResponse);
+  std::string Expected = "200 ok";
+  SUBCASE("in one segment with the first") {
+    Both += "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale";
+  }
+  SUBCASE("after an interim response") {
+    Both.insert(0, "HTTP/1.1 100 Continue\r\n\r\n");
+    Expected = "unknown";
+  }
+  CHECK(Test.outcomeOf(std::move(First), Server, Both) == Expected);
+  Test.checkUsesNewConnection();
+}
+
+TEST_CASE("a connection without unread bytes is kept") {
+  Fixture Test;
+  auto First = Test.request();
+  RawSocket Server = Test.Listener_.accept();
+  CHECK(Test.outcomeOf(std::move(First), Server, OkResponse) == "200 ok");
+  CHECK(Test.outcomeOf(Test.request(), Server, OkResponse) == "200 ok");
 }
