Send no request where an earlier one of the same id went

A refusal written once more on a kept connection ended a later request with the same id, whether or not that request ran: the id alone does not tell the two apart. On the node's own interface the field is random for each attempt; on the interface of a call dialect it is the caller's id, which a caller can use again.

--- a/src/libtransport/upstreamclient.cpp
+++ b/src/libtransport/upstreamclient.cpp
@@ -153,6 +153,8 @@
   bool echoesNoRequest() const;
   bool echoesOwnRequest() const;
   bool hasId() const;
+  std::string_view id() const;
+  bool canReuse(const UpstreamSocket &Candidate) const;
   void rememberEcho();
   std::string_view doubtfulCause() const;
   void noteNotAttributed(std::string_view Cause) const;
@@ -176,7 +178,7 @@
   ByteBudget::Reservation Held_;
   boost::intrusive_ptr<UpstreamWaiter> Waiter_;
   std::optional<UpstreamGrant> Grant_;
-  std::unique_ptr<tcp::socket> Socket_;
+  std::unique_ptr<UpstreamSocket> Socket_;
   bool Reused_ = false;
   bool Written_ = false;
   int SkippedResponses_ = 0;
@@ -224,8 +226,7 @@
   // is returned unused.
   if (!Handler_)
     return Client_->Connections_->release(Grant, std::move(Grant.Reused_));
-  // Without an id, no answer on a reused connection could be attributed.
-  if (hasId())
+  if (Grant.Reused_ && canReuse(*Grant.Reused_))
     Socket_ = std::move(Grant.Reused_);
   Grant.Reused_.reset();
   Grant_ = std::move(Grant);
@@ -245,7 +246,7 @@
 
 void UpstreamClient::Shared::Exchange::connect() {
   Reused_ = false;
-  Socket_ = std::make_unique<tcp::socket>(Client_->Context_);
+  Socket_ = std::make_unique<UpstreamSocket>(Client_->Context_);
   auto ConnectTimer = std::make_shared<asio::steady_timer>(
       Strand_, toChrono(Client_->Options_.ConnectTimeout_));
   ConnectTimer->async_wait([Self = Pointer(this)](const error_code &Error) {
@@ -271,6 +272,7 @@
 void UpstreamClient::Shared::Exchange::write() {
   // From now on the backend server may receive bytes of the request.
   Written_ = true;
+  Socket_->addRequest(id());
   http::async_write(
       *Socket_, Request_,
       onStrand([Self = Pointer(this)](const error_code &Error, size_t Size) {
@@ -381,7 +383,8 @@
       hasUnsupportedCoding(Parser_->get()) || !isOwnResponse())
     return fail(Reason::UpstreamLost);
   rememberEcho();
-  bool KeptOpen = Request_.keep_alive() && Parser_->get().keep_alive();
+  bool KeptOpen = Request_.keep_alive() && Parser_->get().keep_alive() &&
+                  Socket_->hasRoom();
   if (KeptOpen && echoesOwnRequest() && Buffer_.size() == 0)
     Client_->Connections_->release(*Grant_, std::move(Socket_));
   else
@@ -420,8 +423,18 @@
   return hasId() && !echoesNoRequest() && !echoesOtherRequest();
 }
 
-bool UpstreamClient::Shared::Exchange::hasId() const {
-  return !Request_[Client_->Options_.EchoField_].empty();
+bool UpstreamClient::Shared::Exchange::hasId() const { return !id().empty(); }
+
+std::string_view UpstreamClient::Shared::Exchange::id() const {
+  beast::string_view Id = Request_[Client_->Options_.EchoField_];
+  return {Id.data(), Id.size()};
+}
+
+// Without an id, or with that of an earlier request on the connection, an
+// answer there could belong to another request.
+bool UpstreamClient::Shared::Exchange::canReuse(
+    const UpstreamSocket &Candidate) const {
+  return hasId() && !Candidate.hasCarried(id());
 }
 
 // A backend server that does not repeat the id gets one request a connection.
--- a/src/libtransport/upstreamclient.h
+++ b/src/libtransport/upstreamclient.h
@@ -47,8 +47,8 @@
 ///
 /// A connection is kept only after a response that repeated the field of its
 /// request. A backend server whose last response did not repeat it receives
-/// `Connection: close` with each request. A request without the field always
-/// gets a new connection.
+/// `Connection: close` with each request. A request without the field, or with
+/// the value of an earlier request on the connection, gets a new one.
 ///
 /// What a call holds of an unfinished response is limited by
 /// Options::MaxResponseBytes_ and MaxHeaderBytes_, whatever the backend server
--- a/src/libtransport/upstreamclient_test.cpp
+++ b/src/libtransport/upstreamclient_test.cpp
@@ -351,7 +351,7 @@
   IgnoringWaiter Waiter;
   auto Grant = Connections->acquire(Waiter);
   REQUIRE(Grant);
-  auto Socket = std::make_unique<boost::asio::ip::tcp::socket>(Context);
+  auto Socket = std::make_unique<UpstreamSocket>(Context);
   Socket->connect(Server.endpoint());
   int Descriptor = Socket->native_handle();
   RawSocket Other = Server.accept();
@@ -480,6 +480,27 @@
   }
 }
 
+TEST_CASE("an earlier refusal of the same id written once more does not end "
+          "its later request") {
+  Fixture Test(1);
+  const UpstreamRequest Request{
+      "POST", "/x", {{"Coltsfoot-Context", "same"}}, {}, {}};
+  Outcome &First =
+      Test.callWith(Request, Millis(5000), Test.Outcomes_.emplace_back());
+  RawSocket Accepted = Test.Server_.accept();
+  std::string Refusal =
+      responseTo(Accepted.receiveUntil("\r\n\r\n"), "503 Full");
+  Accepted.send(Refusal);
+  CHECK(First.text() == "ran 503 ");
+  Outcome &Second =
+      Test.callWith(Request, Millis(5000), Test.Outcomes_.emplace_back());
+  Accepted.receiveUntil("\r\n\r\n");
+  Accepted.send(Refusal);
+  RawSocket Other = Test.Server_.accept();
+  serve(Other);
+  CHECK(Second.text() == "ran 200 ok");
+}
+
 TEST_CASE("a backend server that does not repeat the id gets one connection "
           "for each request") {
   Fixture Test(1);
@@ -794,3 +815,16 @@
   Test.Client_.setTarget({}, 1);
   BackendServer.join();
 }
+
+TEST_CASE("the record of the requests on a connection is limited") {
+  boost::asio::io_context Context;
+  UpstreamSocket Connection(Context);
+  constexpr int TooMany = 100'000;
+  int Last = 0;
+  while (Connection.hasRoom() && Last < TooMany)
+    Connection.addRequest(std::to_string(++Last));
+  CHECK(Last < TooMany);
+  CHECK(Connection.hasCarried("1"));
+  CHECK(Connection.hasCarried(std::to_string(Last)));
+  CHECK_FALSE(Connection.hasCarried("other"));
+}
--- a/src/libtransport/upstreamconnections.cpp
+++ b/src/libtransport/upstreamconnections.cpp
@@ -76,7 +76,7 @@
 }
 
 void UpstreamConnectionPool::release(const UpstreamGrant &Grant,
-                                     std::unique_ptr<tcp::socket> Reusable) {
+                                     std::unique_ptr<UpstreamSocket> Reusable) {
   {
     std::lock_guard<std::mutex> Lock(Mutex_);
     if (Grant.Generation_ != Generation_)
--- a/src/libtransport/upstreamconnections.h
+++ b/src/libtransport/upstreamconnections.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "upstreamsocket.h"
+
 #include "coltsfootpoint/time.h"
 
 #include <boost/asio/io_context.hpp>
@@ -19,7 +21,7 @@
 /// in the pool until it is passed to UpstreamConnectionPool::release().
 struct UpstreamGrant {
   /// An idle connection to reuse, or null if the holder must open a new one.
-  std::unique_ptr<boost::asio::ip::tcp::socket> Reused_;
+  std::unique_ptr<UpstreamSocket> Reused_;
   boost::asio::ip::tcp::endpoint Target_;
   /// The number of the target that the grant was issued for. The pool ignores
   /// the release of grants for earlier targets.
@@ -68,13 +70,12 @@
   void close();
   /// Ends the use of a grant. The caller may pass a connection that can be
   /// reused for another request.
-  void
-  release(const UpstreamGrant &Grant,
-          std::unique_ptr<boost::asio::ip::tcp::socket> Reusable = nullptr);
+  void release(const UpstreamGrant &Grant,
+               std::unique_ptr<UpstreamSocket> Reusable = nullptr);
 
 private:
   struct IdleConnection {
-    std::unique_ptr<boost::asio::ip::tcp::socket> Socket_;
+    std::unique_ptr<UpstreamSocket> Socket_;
     Millis IdleSince_;
   };
 
