Refuse a header field that is too long to be written

What callers saw: one offer of a peer with a header field of 64 KB or more ended the gate's process, and with it all calls that it held.

Cause: Beast throws when a field of this size is added to a message. The server leaves such fields out of its responses, but the client of backend servers checked only the characters of a field, and peers are not bound by the limit of callers' headers.

Evidence: "a refused connection and an invalid request give not-run" with a long name and a long value: before, SIGABRT; now both are refused as not run with bad-request.

Fix: the server's limit of a field's size moves to httpframing.h, and the client refuses requests with longer fields. The existing check of a field that would split the request stays, in the same loop.

--- a/src/libtransport/httpframing.h
+++ b/src/libtransport/httpframing.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string_view>
 
 namespace coltsfoot {
@@ -9,6 +10,10 @@
 /// different messages in the same bytes (request smuggling), so everything
 /// ambiguous is rejected. All functions are thread-safe.
 
+/// Limit of the name and the value of one header field together; Beast throws
+/// an exception at 64 KB.
+inline constexpr size_t MaxFieldLineBytes = size_t{60} * 1024;
+
 /// Returns whether the name is a token (RFC 9110, section 5.6.2), as methods
 /// and field names must be.
 bool isHttpToken(std::string_view Name);
--- a/src/libtransport/httpserversession.cpp
+++ b/src/libtransport/httpserversession.cpp
@@ -24,8 +24,6 @@
 constexpr size_t MaxStreamBacklogBytes = size_t{4} * 1024 * 1024;
 constexpr size_t MaxPipelinedBytes = size_t{64} * 1024;
 constexpr size_t MaxChunkHeaderBytes = size_t{4} * 1024;
-/// Limit of one header field; Beast throws an exception at 64 KB.
-constexpr size_t MaxFieldLineBytes = size_t{60} * 1024;
 constexpr size_t MaxLingerBytes = size_t{8} * 1024 * 1024;
 constexpr Millis LingerTimeout{1000};
 constexpr std::string_view HeadEnd = "\r\n\r\n";
--- a/src/libtransport/upstreamclient.cpp
+++ b/src/libtransport/upstreamclient.cpp
@@ -35,7 +35,8 @@
 }
 
 bool isValidField(const HttpField &Field) {
-  return isHttpToken(Field.Name_) && isHttpFieldValue(Field.Value_);
+  return isHttpToken(Field.Name_) && isHttpFieldValue(Field.Value_) &&
+         Field.Name_.size() + Field.Value_.size() <= MaxFieldLineBytes;
 }
 
 bool isValidRequest(const UpstreamRequest &Request) {
--- a/src/libtransport/upstreamclient_test.cpp
+++ b/src/libtransport/upstreamclient_test.cpp
@@ -156,13 +156,17 @@
   CHECK(Test.call("/a\r\nX: y").text() == "not-run bad-request");
   CHECK(Test.call("/", Millis(5000), "G T").text() == "not-run bad-request");
   CHECK(Test.call("/", Millis(0)).text() == "not-run deadline-passed");
-  Outcome Out;
-  Test.Client_.call({"GET", "/", {{"X", "a\r\nY: b"}}, ""}, Millis(1000),
-                    [&](Verdict What) {
-                      Out.Verdict_ = std::move(What);
-                      Out.Ended_.increment();
-                    });
-  CHECK(Out.text() == "not-run bad-request");
+  const std::string Long(70'000, 'x');
+  for (const HttpField &Field : {HttpField{"X", "a\r\nY: b"},
+                                 HttpField{"X", Long}, HttpField{Long, ""}}) {
+    Outcome Out;
+    Test.Client_.call({"GET", "/", {Field}, ""}, Millis(1000),
+                      [&](Verdict What) {
+                        Out.Verdict_ = std::move(What);
+                        Out.Ended_.increment();
+                      });
+    CHECK(Out.text() == "not-run bad-request");
+  }
 }
 
 TEST_CASE("framing fields of the request are replaced by the client's own") {
