Pass over odd hops in the answers of explain

What callers saw: an operator's request for the hops of a call ended the node's process when one peer answered with hops that it could not read, such as those of another version.

Cause: the hops of all nodes are sorted by their time, which was read with calls that throw for a hop that is no object or has no integer time, on a thread of the event loop.

Evidence: "an odd status of a peer does not leave explain unanswered" has a peer answer with four odd texts. Before: the process ended, and the operator had no response; with the handler of exceptions in the worker threads, two of the four requests were not answered with 200 or 404. Now all four are, and no handler fails.

Fix: a hop that is no object is left out, and one without an integer time counts as the earliest.

--- a/src/libcoordination/api.cpp
+++ b/src/libcoordination/api.cpp
@@ -38,6 +38,14 @@
   return Segments;
 }
 
+/// Returns the time of a hop as another node wrote it, or 0 when it has none.
+int64_t hopTime(const json::value &Hop) {
+  const json::value *Time = Hop.as_object().if_contains("time_ms");
+  boost::system::error_code Failure;
+  int64_t TimeMs = Time ? Time->to_number<int64_t>(Failure) : 0;
+  return Failure ? 0 : TimeMs;
+}
+
 /// Thrown for a field of a JSON object that is not as expected.
 struct FieldError : std::invalid_argument {
   FieldError(std::string Field, const std::string &Expected)
@@ -317,13 +325,13 @@
                  if (Failure || !Parsed.is_array())
                    continue;
                  for (json::value &Hop : Parsed.as_array())
-                   Hops.push_back(std::move(Hop));
+                   if (Hop.is_object())
+                     Hops.push_back(std::move(Hop));
                }
                std::stable_sort(
                    Hops.begin(), Hops.end(),
                    [](const json::value &Left, const json::value &Right) {
-                     return Left.at("time_ms").to_number<int64_t>() <
-                            Right.at("time_ms").to_number<int64_t>();
+                     return hopTime(Left) < hopTime(Right);
                    });
                json::object Out;
                Out["request_id"] = Id;
