Write surplus answers to nodes in the soak

A new kind of fault: for 0.3 to 2.5 s, 40 times, the upstream writes an earlier refusal (503 with Request-Not-Executed) on all its open connections, between and during requests, in half of the cases without the id of its call. FaultProxy gets sendToPeers() for this, with a test.

--- a/testsuite/common/faultproxy.cpp
+++ b/testsuite/common/faultproxy.cpp
@@ -201,13 +201,17 @@
     }
     if (Error && Error != asio::error::eof)
       return disconnect();
-    std::string Bytes(State.Buffer_.data(), Size);
-    State.QueuedBytes_ += Size;
-    State.Queue_.push_back({after(ActiveFaults.DelayMs_), std::move(Bytes)});
-    writeNext(Index);
+    queue(Index, std::string(State.Buffer_.data(), Size));
     readNext(Index);
   }
 
+  void queue(DirectionIndex Index, std::string Bytes) {
+    DirectionState &State = Directions_[Index];
+    State.QueuedBytes_ += Bytes.size();
+    State.Queue_.push_back({after(faults(Index).DelayMs_), std::move(Bytes)});
+    writeNext(Index);
+  }
+
   void writeNext(DirectionIndex Index) {
     DirectionState &State = Directions_[Index];
     if (Disconnected_ || State.Writing_ || State.Queue_.empty())
@@ -508,6 +512,15 @@
   Impl_->run([&] { Impl_->RefuseNew_ = Refuse; });
 }
 
+void FaultProxy::sendToPeers(const std::string &Bytes) {
+  Impl_->run([&] {
+    auto Open = Impl_->Connections_;
+    for (const auto &Each : Open)
+      if (Impl_->affects(Each->SourceIp_))
+        Each->queue(FromTargetIndex, Bytes);
+  });
+}
+
 void FaultProxy::limitToSources(std::set<std::string> SourceIps) {
   Impl_->run([&] { Impl_->AffectedSources_ = std::move(SourceIps); });
 }
--- a/testsuite/common/faultproxy.h
+++ b/testsuite/common/faultproxy.h
@@ -60,6 +60,9 @@
                             ConnectionSet Set = ConnectionSet::All);
   /// Resets new connections as soon as they are accepted.
   void refuseNew(bool Refuse);
+  /// Sends bytes of the proxy's own to the peers of all open connections, as a
+  /// target does that writes what nobody asked for.
+  void sendToPeers(const std::string &Bytes);
   /// Restricts all faults to connections and datagrams from these source
   /// addresses; an empty set removes the restriction.
   void limitToSources(std::set<std::string> SourceIps);
--- a/testsuite/scaffolding/scaffolding_test.cpp
+++ b/testsuite/scaffolding/scaffolding_test.cpp
@@ -193,6 +193,14 @@
             "the server sees the end of the connection");
 }
 
+TEST_CASE_FIXTURE(Fixture, "the proxy sends bytes of its own to its peers") {
+  TcpClient Peer(Proxy_);
+  Peer.write("asked");
+  CHECK(Peer.readAll(5) == "asked");
+  Proxy_.sendToPeers("unasked");
+  CHECK(Peer.readAll(12) == "askedunasked");
+}
+
 TEST_CASE("a proxy without a target resets connections") {
   FaultProxy Proxy;
   TcpClient Untargeted(Proxy);
--- a/testsuite/soak/soakrun.cpp
+++ b/testsuite/soak/soakrun.cpp
@@ -201,6 +201,7 @@
   void putOddRecords(FaultyMachine &Target);
   void sendOddReports(FaultyMachine &Target);
   void disturbUpstreamLink(FaultyMachine &Target);
+  void sendSurplusAnswers(FaultyMachine &Target);
   void shedRequests(FaultyMachine &Target);
   void failHealthCheck(FaultyMachine &Target);
   void drainUpstream(FaultyMachine &Target);
@@ -370,6 +371,7 @@
       {"odd-records", &Impl::putOddRecords, false, false, true},
       {"odd-reports", &Impl::sendOddReports, true, false, false},
       {"upstream-link", &Impl::disturbUpstreamLink, false, true, false},
+      {"surplus-answers", &Impl::sendSurplusAnswers, false, true, false},
       {"shed", &Impl::shedRequests, false, true, false},
       {"health", &Impl::failHealthCheck, true, true, false},
       {"leave", &Impl::drainUpstream, false, true, false}};
@@ -589,6 +591,23 @@
               [&Target] { Target.UpstreamLink_.heal(); });
 }
 
+// The upstream writes an earlier refusal again and again on its connections,
+// between and during other requests, with or without the id of its call.
+void SoakRun::Impl::sendSurplusAnswers(FaultyMachine &Target) {
+  constexpr int Times = 40;
+  const std::string EarlierId = draw(2) == 0 ? "Attempt-Id: earlier\r\n" : "";
+  const std::string Refusal =
+      "HTTP/1.1 503 Service Unavailable\r\n" + EarlierId +
+      "Instance-Id: " + Target.Machine_.upstream().instance() +
+      "\r\nServer-Load: 0,0,8\r\nRequest-Not-Executed: 1\r\n"
+      "Content-Length: 0\r\n\r\n";
+  Millis Duration = drawTime(300, 2500);
+  for (int I = 0; I < Times; ++I)
+    schedule(Duration * (static_cast<double>(I) / Times),
+             [&Target, Refusal] { Target.UpstreamLink_.sendToPeers(Refusal); });
+  scheduleEnd(Target.UpstreamFaultActive_, Duration, [] {});
+}
+
 void SoakRun::Impl::shedRequests(FaultyMachine &Target) {
   Target.Machine_.upstream().setShedding(true);
   scheduleEnd(Target.UpstreamFaultActive_, drawTime(500, 2500),
