Keep the oldest spent token and the last configured peer

SpentTokens dropped its oldest entry before it looked for a duplicate, so that the oldest token of a full set was accepted twice. With 64 peers or more in the settings, a further one erased end() of the list, which in practice replaced the last configured peer. Both tests fail without the change.

--- a/src/libcoordination/gossip_test.cpp
+++ b/src/libcoordination/gossip_test.cpp
@@ -331,6 +331,22 @@
         Millis(0));
 }
 
+TEST_CASE("a further peer does not replace one of many in the settings") {
+  constexpr int UnreachablePeers = 70;
+  GossipFleet Fleet(options(), 19);
+  int Reachable = Fleet.add("r", "z");
+  std::vector<std::string> Peers;
+  Peers.reserve(UnreachablePeers + 1);
+  for (int I = 0; I < UnreachablePeers; ++I)
+    Peers.push_back("10.250.0." + std::to_string(I) + ":1");
+  Peers.push_back(Fleet.address(Reachable));
+  int Joining = Fleet.add("r", "z", Peers);
+  std::vector<std::string> Further = {"10.250.1.1:1"};
+  Fleet.gossip(Joining).addPeers(Further);
+  CHECK(Fleet.runUntil([&] { return Fleet.converged(); }, Millis(5000)) >=
+        Millis(0));
+}
+
 TEST_CASE("configuration records reach every node once within five seconds") {
   GossipFleet Fleet(options(), 19);
   Fleet.LossProbability_ = 0.05;
--- a/src/libcoordination/gossipsync.cpp
+++ b/src/libcoordination/gossipsync.cpp
@@ -65,8 +65,9 @@
                     [&](const SeedPeer &Peer) { return Peer.Node_ == Node; });
     if (AlreadyListed || Node.empty() || Node == Table_.self().Node_)
       continue;
-    // The peers from the settings are first in the list and are never evicted.
-    if (SeedPeers_.size() >= std::max(MaxSeedPeers, Options_.Peers_.size()))
+    // The peers from the settings are first in the list and are never evicted;
+    // beside them there is room for at least one other.
+    if (SeedPeers_.size() >= std::max(MaxSeedPeers, Options_.Peers_.size() + 1))
       SeedPeers_.erase(SeedPeers_.begin() +
                        std::ptrdiff_t(Options_.Peers_.size()));
     SeedPeers_.push_back({Node, Time_.now(), FirstSeedBackoff});
--- a/src/libstate/spenttokens.cpp
+++ b/src/libstate/spenttokens.cpp
@@ -7,13 +7,15 @@
   std::string Key = Token.RequestId_ + ' ' + std::to_string(Token.Credits_) +
                     ' ' + std::to_string(Token.ExpiryWall_.whole());
   std::lock_guard Lock(Mutex_);
+  // Looked up before the set is reduced, which may drop this very token.
+  if (Keys_.contains(Key))
+    return false;
   while (!Uses_.empty() &&
          (Uses_.size() >= MaxEntries_ || Uses_.front().Expiry_ <= Now)) {
     Keys_.erase(Uses_.front().Key_);
     Uses_.pop_front();
   }
-  if (!Keys_.insert(Key).second)
-    return false;
+  Keys_.insert(Key);
   Uses_.push_back({std::move(Key), Token.ExpiryWall_});
   return true;
 }
--- a/src/libstate/spenttokens_test.cpp
+++ b/src/libstate/spenttokens_test.cpp
@@ -25,3 +25,13 @@
   Token.Credits_ = 6;
   CHECK_FALSE(Spent.spend(Token, Millis(1)));
 }
+
+TEST_CASE("the oldest token of a full set is not accepted again") {
+  SpentTokens Spent(2);
+  RetryToken First{"r", "c", "s", "t", 2, Millis(1000)};
+  RetryToken Second = First;
+  Second.Credits_ = 1;
+  CHECK(Spent.spend(First, Millis(1)));
+  CHECK(Spent.spend(Second, Millis(2)));
+  CHECK_FALSE(Spent.spend(First, Millis(3)));
+}
