Keep node, gate and readers going after one failed step

Found by the review of the handler of exceptions, which lets the process live on: - The ticks of node, gate and log reader, and the accepting of connections, were armed again only after their work, so that one exception ended them for good; a drain would then never end. They are armed first now.

--- a/src/libcoordination/configfollower.cpp
+++ b/src/libcoordination/configfollower.cpp
@@ -60,6 +60,8 @@
   /// Whether Position_ is valid: the newest configuration has been read since
   /// the start, or since the source last answered ConfigHistoryLost.
   bool HasPosition_ = false;
+  /// Whether Position_ was ever valid.
+  bool HadPosition_ = false;
   int64_t Position_ = 0;
   bool SourceDown_ = false;
   /// Damaged answers since a request with fetchAfter() last succeeded.
@@ -101,6 +103,7 @@
   }
   bool Unchanged = std::holds_alternative<NoNewConfig>(Answer.Result_);
   bool HadPosition = std::exchange(HasPosition_, true);
+  HadPosition_ = true;
   Position_ = Answer.Position_;
   for (const PassedOverRecord &Each : Answer.PassedOver_)
     logEvent(LogLevel::Warning, "config_passed_over",
@@ -126,6 +129,10 @@
     logEvent(LogLevel::Warning, "config_history_lost",
              {{"position", Position_}, {"why", Why}});
     HasPosition_ = false;
+  } else if (!HasPosition_ && HadPosition_) {
+    // The newest can't be read either, so the last position is tried again.
+    HasPosition_ = true;
+    DamagedAnswers_ = 0;
   }
   scheduleRetry();
 }
@@ -155,7 +162,7 @@
     Config_.adopt(
         ConfigState::fromResources(NewConfig.Version_, NewConfig.Resources_));
     return true;
-  } catch (const ResourceError &Error) {
+  } catch (const std::exception &Error) {
     logEvent(LogLevel::Warning, "config_passed_over",
              {{"version", NewConfig.Version_}, {"why", Error.what()}});
     return false;
--- a/src/libcoordination/configsync.cpp
+++ b/src/libcoordination/configsync.cpp
@@ -62,8 +62,9 @@
   Timer_.async_wait([this](const boost::system::error_code &Error) {
     if (Error)
       return;
-    tick();
+    // First, so that an exception in tick() does not end the ticks.
     arm();
+    tick();
   });
 }
 
--- a/src/libcoordination/gate.cpp
+++ b/src/libcoordination/gate.cpp
@@ -254,8 +254,9 @@
   Timer_.async_wait([this](const boost::system::error_code &Error) {
     if (Error)
       return;
-    tick();
+    // First, so that an exception in tick() does not end the ticks.
     armTimer();
+    tick();
   });
 }
 
@@ -577,14 +578,7 @@
   Millis Now = NodeContext_.Clock_->now();
   Millis Remaining = StartedCall->Request_.Deadline_ - Now;
   StartedCall->Started_ = Now;
-  // With a dialect, nested calls name their parent by its request id only. A
-  // request id that the attempt table already holds would be ambiguous, so such
-  // a call gets a random key.
-  bool ById = Options_.Dialect_ && !Attempts_.contains(Offered.request_id);
-  StartedCall->AttemptKey_ =
-      ById ? Offered.request_id : newRequestId() + newRequestId();
   ParentCall Parent;
-  Parent.AttemptKey_ = StartedCall->AttemptKey_;
   Parent.RequestId_ = Offered.request_id;
   Parent.Client_ = Offered.client;
   Parent.Ticket_ = StartedCall->Ticket_ ? StartedCall->Ticket_->Serial_ : "";
@@ -594,7 +588,15 @@
   Parent.Idempotent_ = !StartedCall->Ticket_;
   Parent.Protected_ = StartedCall->Request_.Protected_;
   Parent.Deadline_ = StartedCall->Request_.Deadline_;
-  Attempts_.open(std::move(Parent), Offered.credits);
+  // With a dialect, nested calls name their parent by its request id only. A
+  // request id that the attempt table already holds would be ambiguous, so such
+  // a call gets a random key.
+  Parent.AttemptKey_ = Offered.request_id;
+  if (!Options_.Dialect_ || !Attempts_.tryOpen(Parent, Offered.credits)) {
+    Parent.AttemptKey_ = newRequestId() + newRequestId();
+    Attempts_.open(Parent, Offered.credits);
+  }
+  StartedCall->AttemptKey_ = std::move(Parent.AttemptKey_);
 
   UpstreamRequest Request;
   Request.Method_ = Offered.method;
--- a/src/libcoordination/node.cpp
+++ b/src/libcoordination/node.cpp
@@ -568,7 +568,10 @@
   });
 }
 
+// The next tick is scheduled first, so that an exception does not end the
+// ticks: a drain would never end without them.
 void Node::Impl::tick() {
+  scheduleTick();
   updateIsolation();
   if (Config_.ready() && Lifecycle_.startServing()) {
     State_ = Lifecycle_.state();
@@ -579,8 +582,6 @@
   if (Lifecycle_.state() == NodeLifecycle::State::Draining &&
       Drain_.advance(Clock_.now()))
     endDrain();
-  if (Lifecycle_.state() != NodeLifecycle::State::Stopped)
-    scheduleTick();
 }
 
 void Node::Impl::drain() {
@@ -595,6 +596,7 @@
 void Node::Impl::endDrain() {
   Lifecycle_.stop();
   State_ = Lifecycle_.state();
+  Timer_.cancel();
   stopAll();
 }
 
--- a/src/libcoordination/peerserver.cpp
+++ b/src/libcoordination/peerserver.cpp
@@ -59,8 +59,10 @@
         if (Error == asio::error::operation_aborted)
           return;
         if (!Error) {
-          Self->onAccepted(std::move(Socket));
-          return Self->accept();
+          // First, so that an exception in onAccepted() does not end the
+          // accepting.
+          Self->accept();
+          return Self->onAccepted(std::move(Socket));
         }
         Self->AcceptRetryTimer_.expires_after(toChrono(AcceptRetryDelay));
         Self->AcceptRetryTimer_.async_wait([Self](const error_code &Failure) {
--- a/src/libstate/attempttable.cpp
+++ b/src/libstate/attempttable.cpp
@@ -88,13 +88,17 @@
 AttemptTable::~AttemptTable() = default;
 
 void AttemptTable::open(ParentCall Call, int Credits) {
-  ParentPtr Opened(new Parent(std::move(Call), Credits));
+  if (!tryOpen(Call, Credits))
+    throw std::invalid_argument(
+        "a parent with this attempt key already exists");
+}
+
+bool AttemptTable::tryOpen(const ParentCall &Call, int Credits) {
+  ParentPtr Opened(new Parent(Call, Credits));
   std::lock_guard Lock(State_->Mutex_);
   State_->removeEnded();
   std::string_view Key = Opened->Call_.AttemptKey_;
-  if (!State_->Parents_.emplace(Key, Opened).second)
-    throw std::invalid_argument(
-        "a parent with this attempt key already exists");
+  return State_->Parents_.emplace(Key, Opened).second;
 }
 
 bool AttemptTable::contains(std::string_view Key) const {
--- a/src/libstate/attempttable.h
+++ b/src/libstate/attempttable.h
@@ -70,6 +70,9 @@
   /// Adds a parent with the retry credits that came with its offer. Throws
   /// std::invalid_argument if the table already contains its key.
   void open(ParentCall Call, int Credits);
+  /// Adds a parent as open() does. Returns false and adds nothing if the table
+  /// already contains its key.
+  bool tryOpen(const ParentCall &Call, int Credits);
 
   /// Returns whether the table has an entry for the key: a parent that runs, or
   /// an ended one whose entry is still kept.
--- a/src/libstate/attempttable_test.cpp
+++ b/src/libstate/attempttable_test.cpp
@@ -195,3 +195,14 @@
   CHECK(Table.contains("key"));
   CHECK_FALSE(Table.find("key").has_value());
 }
+
+TEST_CASE("a parent is not added under a key that is in use") {
+  ManualClock TimeSource;
+  AttemptTable Table(TimeSource);
+  ParentCall Call;
+  Call.AttemptKey_ = "key";
+  Call.Deadline_ = TimeSource.now() + Millis(1000);
+  CHECK(Table.tryOpen(Call, 1));
+  CHECK_FALSE(Table.tryOpen(Call, 2));
+  CHECK(Table.close("key") == 1);
+}
--- a/src/libtransport/httpserver.cpp
+++ b/src/libtransport/httpserver.cpp
@@ -88,11 +88,13 @@
   Acceptor_.async_accept(asio::make_strand(Context_),
                          [Self = boost::intrusive_ptr<Shared>(this)](
                              const error_code &Error, tcp::socket Socket) {
-                           if (!Error)
-                             Self->onAccepted(std::move(Socket));
-                           else if (!Self->Stopped_)
+                           if (Error && !Self->Stopped_)
                              return Self->retryAcceptLater();
+                           // First, so that an exception in onAccepted() does
+                           // not end the accepting.
                            Self->accept();
+                           if (!Error)
+                             Self->onAccepted(std::move(Socket));
                          });
 }
 
--- a/src/libtransport/upstreamclient.cpp
+++ b/src/libtransport/upstreamclient.cpp
@@ -315,10 +315,10 @@
   }
   if (Error && Error != http::error::need_more)
     return onResponse(Error);
-  if (!reserveMemory())
-    return fail(Reason::TooLarge);
   if (Parser_->is_done())
     return onResponse({});
+  if (!reserveMemory())
+    return fail(Reason::TooLarge);
   receive();
 }
 
--- a/src/libtransport/upstreamclient_test.cpp
+++ b/src/libtransport/upstreamclient_test.cpp
@@ -288,6 +288,21 @@
   CHECK(Next.text() == "ran 200 ok");
 }
 
+TEST_CASE("a complete answer needs no budget that others have used up") {
+  UpstreamClient::Options Limits;
+  Limits.Budget_ = new ByteBudget(size_t{100} * 1024);
+  Fixture Test(2, Limits);
+  Test.call("/stalled", Millis(60000));
+  RawSocket Stalled = Test.Server_.accept();
+  Stalled.receiveUntil("\r\n\r\n");
+  Stalled.send("HTTP/1.1 200 OK\r\nContent-Length: 101600\r\n\r\nx");
+  REQUIRE(waitUntil([&] { return Limits.Budget_->usedBytes() > 100'000; }));
+  Outcome &Whole = Test.call("/whole");
+  RawSocket Accepted = Test.Server_.accept();
+  serve(Accepted);
+  CHECK(Whole.text() == "ran 200 ok");
+}
+
 TEST_CASE("a refused connection and an invalid request give not-run") {
   Fixture Test;
   Test.Server_.close();
