Exit with 0 if SIGHUP comes while the node is destroyed

As its signal sets are destroyed they restore the default action of SIGHUP, which ends the process. The signals are blocked once the workers have ended.

--- a/src/coltsfootd/coltsfootd.cpp
+++ b/src/coltsfootd/coltsfootd.cpp
@@ -72,6 +72,17 @@
   const std::string File_;
 };
 
+/// Holds back signals that arrive while the node is destroyed. Its signal sets
+/// restore the default action, by which a late SIGHUP would end the process as
+/// if it had failed.
+void blockSignals() {
+  sigset_t Signals;
+  sigemptyset(&Signals);
+  for (int Each : {SIGHUP, SIGINT, SIGTERM})
+    sigaddset(&Signals, Each);
+  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
+}
+
 int runNode(const Settings &LoadedSettings, const std::string &File) {
   boost::asio::io_context Context(LoadedSettings.Node_.Workers_);
   Node Self(Context, LoadedSettings, makeAdapters(Context, LoadedSettings));
@@ -90,6 +101,7 @@
             {"http", IpPrefix + std::to_string(Self.httpPort())},
             {"peer", IpPrefix + std::to_string(Self.peerPort())}});
   runWorkers(Context, LoadedSettings.Node_.Workers_);
+  blockSignals();
   logEvent(LogLevel::Info, "stopped", {{"node", Self.name()}});
   return ExitOk;
 }
