--- a/src/libcoordination/gate.cpp
+++ b/src/libcoordination/gate.cpp
@@ -18,6 +18,7 @@
 
 #include "coltsfootpoint/log.h"
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -35,6 +36,8 @@
 constexpr Millis TickInterval(25);
 constexpr int TicksPerExpiry = 40;
 constexpr int ShedStatus = 503;
+constexpr int MaxDepth = 1000;
+constexpr int MaxRankOrder = 1'000'000;
 constexpr int FirstServerError = 500;
 
 /// The peer connection of an offer and its attempt number on it.
@@ -392,14 +395,17 @@
                            : Rank.Order_;
   if (Options_.Dialect_)
     Request.RankOrder_ = Offered.rank_order;
+  Request.RankOrder_ =
+      std::clamp(Request.RankOrder_, -MaxRankOrder, MaxRankOrder);
   Request.Weight_ = Rank.Weight_;
   Request.RankLimit_ = Rank.Limit_;
   Request.RankFloor_ = Rank.Floor_;
   Request.Protected_ = CallRoute.Protected_ || Offered.protected_call;
   Request.Kind_ = CallRoute.Kind_;
   Request.Client_ = Offered.client;
-  Request.Bucket_ = Offered.bucket;
-  Request.Depth_ = Offered.depth;
+  // Figures of peers are limited, so that arithmetic with them can't overflow.
+  Request.Bucket_ = std::clamp(Offered.bucket, 0, AdmissionBucketCount - 1);
+  Request.Depth_ = std::clamp(Offered.depth, 0, MaxDepth);
   Request.Deadline_ =
       NodeContext_.Clock_->now() + Millis(double(Offered.remaining_ms));
   return Request;
@@ -582,8 +588,8 @@
   Parent.RequestId_ = Offered.request_id;
   Parent.Client_ = Offered.client;
   Parent.Ticket_ = StartedCall->Ticket_ ? StartedCall->Ticket_->Serial_ : "";
-  Parent.Bucket_ = Offered.bucket;
-  Parent.Depth_ = Offered.depth;
+  Parent.Bucket_ = StartedCall->Request_.Bucket_;
+  Parent.Depth_ = StartedCall->Request_.Depth_;
   Parent.RankOrder_ = StartedCall->Request_.RankOrder_;
   Parent.Idempotent_ = !StartedCall->Ticket_;
   Parent.Protected_ = StartedCall->Request_.Protected_;
