Tell no caller not-run while another node runs its ticket

A caller that sends one ticket through two nodes was told *not run* by one of them while the other ran it. The first candidate refuses the queued execution at the deadline of the node that offered it first; that node then answered with the refusal, although the second node, whose deadline is later, goes on to the next candidate and runs the call there. The same held for a caller without a retry credit after its backend server had shed the call.

A refusal by some candidates alone now means may-have-run for a ticket that other calls may offer. For want of a credit the later candidates are asked to close the ticket, as in a drain, so that the refusal is true and comes with a successor.

--- a/src/libcoordination/entrycall.cpp
+++ b/src/libcoordination/entrycall.cpp
@@ -139,6 +139,8 @@
                      HttpExchange::Pointer Exchange, EntryRequest Request)
     : Parts_(std::move(Parts)), Pending_(std::move(Pending)),
       Exchange_(std::move(Exchange)), Request_(std::move(Request)),
+      ClosingReason_(Request_.CloseTicket_ ? std::optional(Reason::Leaving)
+                                           : std::nullopt),
       Started_(Parts_->NodeContext_.Clock_->now()),
       DrainElapsed_(Parts_->Drain_.elapsed()),
       Strand_(boost::asio::make_strand(Parts_->Context_)), Deadline_(Strand_),
@@ -150,7 +152,7 @@
 
 void EntryCall::start() {
   Pending_->add(*this);
-  if (DrainElapsed_ && !ClosesTicket_)
+  if (DrainElapsed_ && !ClosingReason_)
     Parts_->Drain_.countTaken();
   boost::asio::dispatch(Strand_, [Self = Pointer(this)] { Self->begin(); });
 }
@@ -388,7 +390,7 @@
 }
 
 void EntryCall::offerCandidate(size_t Candidate) {
-  if (ClosesTicket_)
+  if (ClosingReason_)
     return inquire(Candidate);
   const NodeRef &Gate = Request_.Ticket_->Candidates_[Candidate];
   if (Request_.StepOffers_ && !Request_.StepOffers_->beginSend(Candidate)) {
@@ -431,18 +433,35 @@
   AttemptMayHaveRun_ = false;
   if (Candidate + 1 == Candidates.size())
     return endTicketClosed(std::move(Outcome), Reply.successor);
-  // The later candidates close the ticket too, so that the refusal is true.
-  if (!Request_.StepOffers_ && !ClosesTicket_)
-    ClosesTicket_ = !canStillEnd();
+  if (!Request_.StepOffers_ && !ClosingReason_ && !canStillEnd())
+    ClosingReason_ = Reason::Leaving;
+  if (now() >= Request_.Deadline_)
+    return endUnclosed(std::move(Outcome));
   // A gate refuses before any work is done, but a backend server that shed the
   // call has spent work on it, so the next attempt then costs a credit.
   bool NeedsNoCredit =
-      ClosesTicket_ || reasonOf(Outcome) != Reason::UpstreamShed;
-  if (now() < Request_.Deadline_ && (NeedsNoCredit || spendRetry()))
-    return offerCandidate(Candidate + 1);
+      ClosingReason_ || reasonOf(Outcome) != Reason::UpstreamShed;
+  if (!NeedsNoCredit && !spendRetry()) {
+    if (!isTicketShared() || Request_.StepOffers_)
+      return endUnclosed(std::move(Outcome));
+    ClosingReason_ = reasonOf(Outcome);
+  }
+  offerCandidate(Candidate + 1);
+}
+
+// Ends a call that the candidates so far have refused, while later ones have
+// not closed its ticket: another call with the ticket may run there.
+void EntryCall::endUnclosed(Verdict Outcome) {
+  if (isTicketShared())
+    Outcome = MayHaveRun{reasonOf(Outcome)};
   end(std::move(Outcome));
 }
 
+/// Returns whether other calls may have offered the ticket of this one.
+bool EntryCall::isTicketShared() const {
+  return Request_.Ticket_ && !Request_.ExclusiveTicket_;
+}
+
 void EntryCall::onCandidateMessageLost(size_t Candidate,
                                        const MessageLost &Lost, bool WasOffer) {
   const auto &Candidates = Request_.Ticket_->Candidates_;
@@ -589,8 +608,7 @@
     Sent = Parts_->Peers_.forget(Awaited->Gate_.Node_, Awaited->Number_, true);
   }
   // Another call with the same ticket may have run.
-  bool Shared = Request_.Ticket_ && !Request_.ExclusiveTicket_;
-  if (Sent || AttemptMayHaveRun_ || Shared)
+  if (Sent || AttemptMayHaveRun_ || isTicketShared())
     end(MayHaveRun{Why});
   else
     end(NotRun{Why});
@@ -622,9 +640,9 @@
   // An earlier attempt may have run, although the last one did not.
   if (AttemptMayHaveRun_ && std::holds_alternative<NotRun>(Outcome))
     Outcome = MayHaveRun{reasonOf(Outcome)};
-  if (ClosesTicket_ && std::holds_alternative<NotRun>(Outcome))
-    Outcome = NotRun{Reason::Leaving};
-  if (std::holds_alternative<Ran>(Outcome) && !ClosesTicket_)
+  if (ClosingReason_ && std::holds_alternative<NotRun>(Outcome))
+    Outcome = NotRun{*ClosingReason_};
+  if (std::holds_alternative<Ran>(Outcome) && !ClosingReason_)
     Parts_->Drain_.learn(routeKey(Request_.Service_, Request_.Route_.Name_),
                          now() - Started_);
   Deadline_.cancel();
--- a/src/libcoordination/entrycall.h
+++ b/src/libcoordination/entrycall.h
@@ -163,6 +163,8 @@
   void onDeadline();
   void abandon(Reason Why);
   void endTicketClosed(Verdict Outcome, std::string Successor);
+  void endUnclosed(Verdict Outcome);
+  bool isTicketShared() const;
   void end(Verdict Outcome, std::string Successor = {});
   void respond(const Verdict &Outcome, const std::string &Successor);
   void respondInDialect(const Verdict &Outcome);
@@ -177,8 +179,9 @@
   const std::shared_ptr<PendingCalls> Pending_;
   const HttpExchange::Pointer Exchange_;
   const EntryRequest Request_;
-  /// Whether the candidates that are left are asked to close the ticket.
-  bool ClosesTicket_ = Request_.CloseTicket_;
+  /// Why the candidates that are left are asked to close the ticket; nothing
+  /// while they are offered the call.
+  std::optional<Reason> ClosingReason_;
   const Millis Started_;
   /// How long the node had been draining when it took the call.
   const std::optional<Millis> DrainElapsed_;
--- a/testsuite/at_most_once/callers_test.cpp
+++ b/testsuite/at_most_once/callers_test.cpp
@@ -172,3 +172,43 @@
   CHECK(NoServiceReply.header("Coltsfoot-Verdict") == "may-have-run");
   Shop.checkOutcomes();
 }
+
+TEST_CASE("a booking is not reported as not run while another node runs its "
+          "ticket") {
+  BookingOptions Options;
+  Options.Gates_ = 2;
+  Options.Backend_.Slots_ = 1;
+  Options.Backend_.MeanServiceTime_ = Millis(1000);
+  BookingFleet Shop(Options);
+  // Occupies the first gate, so that the ticket waits in its queue.
+  std::vector<std::future<ShopOutcome>> Blocking;
+  for (int I = 0; I < 12; ++I)
+    Blocking.push_back(
+        Shop.sendAsync(Shop.entry(0), booking("blocking-" + std::to_string(I),
+                                              Shop.requestTicketFor(0))));
+  waitUntil(
+      [&] {
+        return BookingFleet::statusNumber(Shop.gate(0), "running") +
+                   BookingFleet::statusNumber(Shop.gate(0), "waiting") ==
+               static_cast<int64_t>(Blocking.size());
+      },
+      WaitLimit, "the first gate is occupied");
+  ShopRequest Long = booking("shared", Shop.requestTicketFor(0));
+  ShopRequest Short = Long;
+  Short.Fields_ = {{"Coltsfoot-Deadline-Ms", "400"}};
+  auto First = Shop.sendAsync(Shop.entry(1), Short);
+  waitUntil(
+      [&] {
+        return BookingFleet::statusNumber(Shop.gate(0), "running") +
+                   BookingFleet::statusNumber(Shop.gate(0), "waiting") ==
+               static_cast<int64_t>(Blocking.size()) + 1;
+      },
+      WaitLimit, "the ticket waits at the first gate");
+  auto Second = Shop.sendAsync(Shop.entry(0), Long);
+  CHECK(First.get().verdict() == "may-have-run");
+  CHECK(Second.get().verdict() == "ran");
+  CHECK(Shop.runs("shared") == 1);
+  for (auto &Each : Blocking)
+    Each.get();
+  Shop.checkOutcomes();
+}
