--- a/testsuite/common/platformmachine.cpp
+++ b/testsuite/common/platformmachine.cpp
@@ -67,8 +67,8 @@
          "\"\nread_wait_ms = 500\n[membership]\npeers = [\"" +
          platformAddress(1) +
          ":1\"]\npeers_port = " + std::to_string(PeerPort) +
-         "\n[limits]\nslots = \"exact\"\n[timeouts]\nlease_ms = 60000\n" +
-         MachineOptions.Timeouts_;
+         "\n[limits]\nslots = \"exact\"\n" + MachineOptions.Limits_ +
+         "[timeouts]\nlease_ms = 60000\n" + MachineOptions.Timeouts_;
 }
 
 void PlatformMachine::start() {
