Take only a refusal that names its request for not-run

With the own interface, a backend server that announced shed_means_not_run and wrote a 503 without Coltsfoot-Context as the first bytes of a new connection made the node tell *not run* of a call that it then ran: on a new connection an answer without an id was taken for that of its only request.

coordination_test "only a refusal that names its request means not-run" failed before (outcome not-run and ticket closed, one run) and passes now. Such a 503 now means may-have-run, upstream-lost.

--- a/src/libcoordination/gate.cpp
+++ b/src/libcoordination/gate.cpp
@@ -7,6 +7,7 @@
 #include "configstate.h"
 #include "drainadmission.h"
 #include "entrythreshold.h"
+#include "httpframing.h"
 #include "policy.h"
 #include "queuedrequest.h"
 #include "refusal.h"
@@ -39,6 +40,9 @@
 constexpr int MaxDepth = 1000;
 constexpr int MaxRankOrder = 1'000'000;
 constexpr int FirstServerError = 500;
+/// Passes the key of an attempt to the backend server, which should repeat it
+/// in its answer.
+constexpr std::string_view ContextField = "Coltsfoot-Context";
 
 /// The peer connection of an offer and its attempt number on it.
 using CallKey = std::pair<uint64_t, int64_t>;
@@ -202,6 +206,7 @@
   Decisions releaseSlot(const Call &NotStarted);
   void addUpstreamFields(UpstreamRequest &Request, const Call &StartedCall,
                          Millis Remaining) const;
+  static bool namesCall(const Answer &BackendAnswer, const Call &EndedCall);
   ServiceResult classifyResult(const Call &EndedCall,
                                Verdict &CallVerdict) const;
   void refuse(const CallPointer &RefusedCall, Reason Why);
@@ -545,7 +550,8 @@
       Request.Fields_.push_back(std::move(Field));
     return;
   }
-  Request.Fields_.push_back({"Coltsfoot-Context", StartedCall.AttemptKey_});
+  Request.Fields_.push_back(
+      {std::string(ContextField), StartedCall.AttemptKey_});
   Request.Fields_.push_back(
       {"Coltsfoot-Request-Id", StartedCall.Offer_.request_id});
   Request.Fields_.push_back({"Coltsfoot-Client", StartedCall.Offer_.client});
@@ -652,9 +658,20 @@
   RefusedCall->OnReply_(std::move(Reply));
 }
 
+/// Returns whether the answer repeats the context of the call.
+bool Gate::Impl::namesCall(const Answer &BackendAnswer, const Call &EndedCall) {
+  return std::any_of(BackendAnswer.Fields_.begin(), BackendAnswer.Fields_.end(),
+                     [&](const HttpField &Field) {
+                       return equalIgnoringCase(Field.Name_, ContextField) &&
+                              Field.Value_ == EndedCall.AttemptKey_;
+                     });
+}
+
 // Classifies the result of a call for the admission queue. Also replaces the
 // verdict: with a call dialect by what the dialect reads in the answer, else by
-// NotRun if the backend server announced that a shed request has not run.
+// NotRun if the backend server announced that a shed request has not run. A
+// refusal that does not name the call may be one of another call, written once
+// more.
 ServiceResult Gate::Impl::classifyResult(const Call &EndedCall,
                                          Verdict &CallVerdict) const {
   Ran *Answered = std::get_if<Ran>(&CallVerdict);
@@ -672,8 +689,10 @@
   }
   if (Answered->Answer_.Status_ != ShedStatus)
     return ServiceResult::Ok;
-  if (EndedCall.ShedMeansNotRun_)
+  if (EndedCall.ShedMeansNotRun_ && namesCall(Answered->Answer_, EndedCall))
     CallVerdict = NotRun{Reason::UpstreamShed};
+  else if (EndedCall.ShedMeansNotRun_)
+    CallVerdict = MayHaveRun{Reason::UpstreamLost};
   return ServiceResult::Shed;
 }
 
--- a/src/libcoordination/gate_test.cpp
+++ b/src/libcoordination/gate_test.cpp
@@ -32,6 +32,7 @@
 constexpr Millis OfferTime(5000);
 constexpr std::string_view HttpAnswer =
     "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok";
+constexpr std::string_view ContextField = "Coltsfoot-Context: ";
 
 /// A backend server that holds all requests until answerAll() is called.
 class Backend {
@@ -43,9 +44,14 @@
 
   tcp::endpoint address() const { return Acceptor_.local_endpoint(); }
   size_t requests() const { return Requests_; }
-  void answerAll() {
+  void answerAll(std::string_view Bytes = HttpAnswer) {
     for (const auto &Waiting : std::exchange(Waiting_, {}))
-      asio::write(*Waiting, asio::buffer(HttpAnswer));
+      asio::write(*Waiting, asio::buffer(Bytes));
+  }
+  /// Returns the context of the latest request.
+  std::string latestContext() const {
+    size_t Begin = LatestHead_.find(ContextField) + ContextField.size();
+    return LatestHead_.substr(Begin, LatestHead_.find("\r\n", Begin) - Begin);
   }
 
 private:
@@ -62,6 +68,7 @@
                 if (Failure)
                   return;
                 ++Requests_;
+                LatestHead_ = *Bytes;
                 Waiting_.push_back(Kept);
               });
           accept();
@@ -70,6 +77,7 @@
 
   tcp::acceptor Acceptor_;
   size_t Requests_ = 0;
+  std::string LatestHead_;
   std::vector<std::shared_ptr<tcp::socket>> Waiting_;
 };
 
@@ -126,6 +134,7 @@
     Announcement NewAnnouncement;
     NewAnnouncement.Service_ = Service;
     NewAnnouncement.Address_ = Server.address();
+    NewAnnouncement.ShedMeansNotRun_ = true;
     Gate_.announce(NewAnnouncement);
   }
 
@@ -229,6 +238,24 @@
   CHECK(Fixture.Backend_.requests() == 1);
 }
 
+TEST_CASE("only a refusal that names its request means not-run") {
+  Fixture Fixture;
+  const std::string Refusal = "HTTP/1.1 503 Full\r\nConnection: close\r\n"
+                              "Content-Length: 0\r\n";
+  Fixture.offer(1, Fixture.ticket("named"));
+  Fixture.runUntil([&] { return Fixture.Backend_.requests() == 1; });
+  Fixture.Backend_.answerAll(Refusal + std::string(ContextField) +
+                             Fixture.Backend_.latestContext() + "\r\n\r\n");
+  Fixture.runUntil([&] { return Fixture.Replies_.count(1) == 1; });
+  Fixture.checkClosed(1, Reason::UpstreamShed);
+  Fixture.offer(2, Fixture.ticket("unnamed"));
+  Fixture.runUntil([&] { return Fixture.Backend_.requests() == 2; });
+  Fixture.Backend_.answerAll(Refusal + "\r\n");
+  Fixture.runUntil([&] { return Fixture.Replies_.count(2) == 1; });
+  CHECK(Fixture.Replies_[2].outcome == MayHaveRunOutcome);
+  CHECK_FALSE(Fixture.Replies_[2].closed);
+}
+
 TEST_CASE("an offer with the attempt number of a queued one does not replace "
           "it") {
   Fixture Fixture;
