Ask a source again only after a pause if it answered without waiting

A store or log that answered at once though it was asked to wait was asked again without a pause: 854,534 requests in a second by one node, with one processor busy, while its callers waited. The same for a configuration source that reported a lost history again and again (651,172), for the own log (873,015) and for the stream of seeds when it was trimmed at each read (1,840,043). One class: a poll that is repeated because the last one succeeded, without asking whether it got anywhere.

PollPace decides: another request follows at once if the answer brought something new or came after at least half of the wait, else after the retry delay.

--- a/src/libcoordination/configfollower.cpp
+++ b/src/libcoordination/configfollower.cpp
@@ -1,6 +1,7 @@
 #include "configfollower.h"
 
 #include "configservice.h"
+#include "pollpace.h"
 #include "randomgenerator.h"
 #include "timer.h"
 
@@ -19,8 +20,8 @@
 class ConfigFollower::Impl : public std::enable_shared_from_this<Impl> {
 public:
   Impl(asio::io_context &Context, ConfigSource &Source, ConfigService &Config,
-       Options Settings)
-      : Options_(Settings), Source_(Source), Config_(Config),
+       const Clock &Time, Options Settings)
+      : Options_(Settings), Source_(Source), Config_(Config), Clock_(Time),
         Strand_(asio::make_strand(Context)), Timer_(Strand_),
         RetryDelay_(Settings.RetryMin_) {}
 
@@ -44,6 +45,7 @@
   void onDamaged(const std::string &Why);
   void adoptFrom(const ConfigPollResponse &Answer);
   bool adopt(const VersionedConfig &NewConfig);
+  void pollAgain(bool Progress);
   void scheduleRetry();
   void onSourceDown(const std::string &Why);
   void onSourceUp();
@@ -51,18 +53,21 @@
   const Options Options_;
   ConfigSource &Source_;
   ConfigService &Config_;
+  const Clock &Clock_;
   const asio::strand<asio::io_context::executor_type> Strand_;
   asio::steady_timer Timer_;
   Millis RetryDelay_;
   bool Running_ = false;
-  /// Longest wait of the request in progress.
-  Millis Wait_;
+  PollPace Pace_;
   /// Whether Position_ is valid: the newest configuration has been read since
   /// the start, or since the source last answered ConfigHistoryLost.
   bool HasPosition_ = false;
   /// Whether Position_ was ever valid.
   bool HadPosition_ = false;
   int64_t Position_ = 0;
+  /// Whether a request with fetchAfter() has succeeded since the source last
+  /// answered ConfigHistoryLost.
+  bool Followed_ = false;
   bool SourceDown_ = false;
   /// Damaged answers since a request with fetchAfter() last succeeded.
   int DamagedAnswers_ = 0;
@@ -77,9 +82,11 @@
       return;
     asio::post(Self->Strand_, [Self, Answer] { Self->onAnswer(Answer); });
   };
-  Wait_ = Config_.isLogReader() ? Options_.ReaderWait_ : Options_.FollowWait_;
+  Millis Wait =
+      Config_.isLogReader() ? Options_.ReaderWait_ : Options_.FollowWait_;
+  Pace_.onRequest(Clock_.now(), HasPosition_ ? Wait : Millis());
   if (HasPosition_)
-    Source_.fetchAfter(Position_, Wait_, std::move(Done));
+    Source_.fetchAfter(Position_, Wait, std::move(Done));
   else
     Source_.fetchNewest(std::move(Done));
 }
@@ -99,23 +106,25 @@
   if (std::holds_alternative<ConfigHistoryLost>(Answer.Result_)) {
     logEvent(LogLevel::Info, "config_history_lost", {{"position", Position_}});
     HasPosition_ = false;
-    return poll();
+    return pollAgain(std::exchange(Followed_, false));
   }
-  bool Unchanged = std::holds_alternative<NoNewConfig>(Answer.Result_);
-  bool HadPosition = std::exchange(HasPosition_, true);
-  HadPosition_ = true;
+  Followed_ = Followed_ || HasPosition_;
+  bool Progress = !HadPosition_ || Answer.Position_ > Position_;
+  HasPosition_ = HadPosition_ = true;
   Position_ = Answer.Position_;
   for (const PassedOverRecord &Each : Answer.PassedOver_)
     logEvent(LogLevel::Warning, "config_passed_over",
              {{"position", Each.Offset_}, {"why", Each.Why_}});
   adoptFrom(Answer);
-  // After a wait of zero the source answers at once that nothing is newer, so
-  // polling again without a delay would be a busy loop.
-  bool MayPollAtOnce = !Unchanged || !HadPosition || Wait_ > Millis();
-  if (MayPollAtOnce)
-    poll();
-  else
-    scheduleRetry();
+  pollAgain(Progress);
+}
+
+void ConfigFollower::Impl::pollAgain(bool Progress) {
+  if (!Pace_.mayAskAtOnce(Clock_.now(), Progress))
+    return scheduleRetry();
+  if (DamagedAnswers_ == 0)
+    RetryDelay_ = Options_.RetryMin_;
+  poll();
 }
 
 // The records at a position can stay unreadable for as long as the source keeps
@@ -190,15 +199,14 @@
 }
 
 void ConfigFollower::Impl::onSourceUp() {
-  if (DamagedAnswers_ == 0)
-    RetryDelay_ = Options_.RetryMin_;
   if (std::exchange(SourceDown_, false))
     logEvent(LogLevel::Info, "config_source_regained");
 }
 
 ConfigFollower::ConfigFollower(asio::io_context &Context, ConfigSource &Source,
-                               ConfigService &Config, Options Settings)
-    : Impl_(std::make_shared<Impl>(Context, Source, Config, Settings)) {}
+                               ConfigService &Config, const Clock &Time,
+                               Options Settings)
+    : Impl_(std::make_shared<Impl>(Context, Source, Config, Time, Settings)) {}
 
 ConfigFollower::~ConfigFollower() = default;
 
--- a/src/libcoordination/configfollower.h
+++ b/src/libcoordination/configfollower.h
@@ -9,6 +9,7 @@
 
 namespace coltsfoot {
 
+class Clock;
 class ConfigService;
 
 /// Keeps the configuration of a node up to date with an external ConfigSource
@@ -24,9 +25,11 @@
 /// The source answers a waiting request as soon as there is a newer
 /// configuration, so the wait only bounds how long a dead connection stays
 /// undetected. To keep the request rate at the source low, only the few log
-/// readers of each zone use short waits, and all other nodes use long ones.
+/// readers of each zone use short waits, and all other nodes use long ones, and
+/// a request that brought nothing new without a wait is followed by a pause.
 ///
-/// Runs on a strand. Borrows the source and the configuration service.
+/// Runs on a strand. Borrows the source, the configuration service and the
+/// clock.
 class ConfigFollower {
 public:
   struct Options {
@@ -38,7 +41,7 @@
   };
 
   ConfigFollower(boost::asio::io_context &Context, ConfigSource &Source,
-                 ConfigService &Config, Options Settings);
+                 ConfigService &Config, const Clock &Time, Options Settings);
   ~ConfigFollower();
   ConfigFollower(const ConfigFollower &) = delete;
   ConfigFollower &operator=(const ConfigFollower &) = delete;
--- a/src/libcoordination/configfollower_test.cpp
+++ b/src/libcoordination/configfollower_test.cpp
@@ -63,7 +63,7 @@
   ConfigService Config(Context, Log, Clock, Settings);
   Config.setLogReader(Reader);
   IdleSource Source(Context, 4);
-  ConfigFollower Follower(Context, Source, Config,
+  ConfigFollower Follower(Context, Source, Config, Clock,
                           {Millis(1000), Millis(8000)});
   Follower.start();
   Context.run_for(std::chrono::seconds(10));
@@ -120,7 +120,7 @@
   ScriptedSource Source(Context, std::move(Script));
   ConfigFollower::Options Options;
   Options.RetryMin_ = Options.RetryMax_ = Millis(1);
-  ConfigFollower Follower(Context, Source, Config, Options);
+  ConfigFollower Follower(Context, Source, Config, Clock, Options);
   Follower.start();
   Context.run_for(std::chrono::seconds(10));
   return {Source.Requests_, Config.current()->nextOffset()};
@@ -189,3 +189,65 @@
   CHECK(requestWaits(false) == std::vector<Millis>{Millis(), Millis(8000),
                                                    Millis(8000), Millis(8000)});
 }
+
+namespace {
+
+/// Answers all requests at once: those for the newest configuration with one,
+/// the others as it is told. Counts the requests.
+class HastySource : public ConfigSource {
+public:
+  HastySource(boost::asio::io_context &Context, ConfigPollResponse Later)
+      : Context_(Context), Later_(std::move(Later)) {}
+  void fetchNewest(Handler Done) override {
+    answer({serviceConfig(3, ValidService), 7}, std::move(Done));
+  }
+  void fetchAfter(int64_t, Millis, Handler Done) override {
+    answer(Later_, std::move(Done));
+  }
+  size_t Requests_ = 0;
+
+private:
+  void answer(ConfigPollResponse Response, Handler Done) {
+    ++Requests_;
+    boost::asio::post(Context_,
+                      [Done = std::move(Done), Response = std::move(Response)] {
+                        Done(Response);
+                      });
+  }
+
+  boost::asio::io_context &Context_;
+  const ConfigPollResponse Later_;
+};
+
+/// Returns how many requests a follower sends to a hasty source in a second.
+size_t requestsInSecond(const ConfigPollResponse &Later) {
+  boost::asio::io_context Context;
+  SystemClock Clock;
+  UnusedLog Log;
+  ConfigService::Options Settings;
+  Settings.ExternalSource_ = true;
+  ConfigService Config(Context, Log, Clock, Settings);
+  Config.start();
+  HastySource Source(Context, Later);
+  ConfigFollower Follower(Context, Source, Config, Clock, {});
+  Follower.start();
+  Context.run_for(std::chrono::seconds(1));
+  return Source.Requests_;
+}
+
+/// More than the requests that the retry delays allow in a second.
+constexpr size_t MaxRequestsInSecond = 30;
+
+} // namespace
+
+TEST_CASE("a source that answers before its wait has passed is asked again "
+          "with a pause") {
+  CHECK(requestsInSecond({NoNewConfig{}, 7}) < MaxRequestsInSecond);
+  CHECK(requestsInSecond({serviceConfig(3, ValidService), 7}) <
+        MaxRequestsInSecond);
+}
+
+TEST_CASE("a source that loses its history again and again is asked again with "
+          "a pause") {
+  CHECK(requestsInSecond({ConfigHistoryLost{}, 0}) < MaxRequestsInSecond);
+}
--- a/src/libcoordination/configservice.cpp
+++ b/src/libcoordination/configservice.cpp
@@ -4,6 +4,7 @@
 #include "coltsfootpoint/log.h"
 #include "coltsfootpoint/verdict.h"
 #include "logstore.h"
+#include "pollpace.h"
 #include "recordhistory.h"
 #include "reorderbuffer.h"
 #include "snapshotreader.h"
@@ -218,6 +219,7 @@
   bool ReachedEnd_ = false;     ///< The end of the log was reached once.
   bool PeersQueried_ = false;
   Millis RetryDelay_;
+  PollPace Pace_;
   /// next() at the LogTrimmed that made this node read the snapshots again; -1
   /// if there was none or if a second one came at the same offset.
   int64_t TrimmedAtOffset_ = -1;
@@ -327,6 +329,7 @@
 void ConfigService::Impl::readLog() {
   Reading_ = true;
   Millis Wait = ReachedEnd_ ? Settings_.PollWait_ : Millis(0);
+  Pace_.onRequest(Clock_.now(), Wait);
   Log_.read(Settings_.Stream_, next(), Settings_.BatchRecords_, Wait,
             onStrand([](Impl &Self, const ReadResult &Result) {
               Self.onRead(Result);
@@ -344,7 +347,7 @@
 }
 
 void ConfigService::Impl::onBatch(const LogBatch &Batch) {
-  RetryDelay_ = Settings_.RetryMin_;
+  bool Progress = !ReachedEnd_ || !Batch.Records_.empty();
   if (Batch.Records_.empty()) {
     ReachedEnd_ = true;
     updateReady();
@@ -352,6 +355,9 @@
   } else {
     addRecords(Batch.Records_);
   }
+  if (!Pace_.mayAskAtOnce(Clock_.now(), Progress))
+    return scheduleRetry();
+  RetryDelay_ = Settings_.RetryMin_;
   continueReading();
 }
 
--- a/src/libcoordination/seedregistry.cpp
+++ b/src/libcoordination/seedregistry.cpp
@@ -71,6 +71,7 @@
 
 void SeedRegistry::onRead(const ReadResult &Result) {
   std::visit(Overloaded{[&](const LogBatch &Batch) {
+                          Trimmed_ = false;
                           std::vector<std::string> Nodes;
                           for (const LogRecord &Record : Batch.Records_) {
                             NextOffset_ = Record.Offset_ + 1;
@@ -86,6 +87,8 @@
                         },
                         [&](const LogTrimmed &Trimmed) {
                           NextOffset_ = Trimmed.FirstOffset_;
+                          if (std::exchange(Trimmed_, true))
+                            return scheduleRead(LogRetryDelay);
                           read();
                         },
                         [&](const LogDown &) { scheduleRead(LogRetryDelay); }},
--- a/src/libcoordination/seedregistry.h
+++ b/src/libcoordination/seedregistry.h
@@ -60,6 +60,8 @@
   boost::asio::steady_timer Timer_;
   int64_t NextOffset_ = 0;
   bool ReachedEnd_ = false;
+  /// Whether the latest answer of the log was LogTrimmed.
+  bool Trimmed_ = false;
   bool RecordWritten_ = false;
   Millis RecordWrittenAt_;
 };
