Refuse a request that does not fit between two nodes without ending others

A request of more than 32 MiB, which the deployed body_bytes allows, exceeded the send queue of the connection to the gate's node. A full queue closed the connection, and with it all other calls that were running over it: their callers were told may-have-run. The same for several smaller requests at once.

A call's frame that finds no room is now refused alone; a peer that does not read is still closed as silent, and by an answer that finds no room. Such a request ends as not run; it is not served, as frames are not divided.

--- a/src/libcoordination/peerpool.cpp
+++ b/src/libcoordination/peerpool.cpp
@@ -157,7 +157,7 @@
     if (Entry.ExpectedIncarnation_ &&
         *Entry.ExpectedIncarnation_ != Incarnation_)
       return MessageLost{false, true, CloseCause::Local};
-    if (!Connection_->sendEncoded(Entry.Bytes_))
+    if (!Connection_->trySendEncoded(Entry.Bytes_))
       return MessageLost{false, false, CloseCause::Lost};
     Unanswered_.emplace(Number, std::move(Entry.OnEnd_));
     return {};
--- a/src/libtransport/frameconnection.cpp
+++ b/src/libtransport/frameconnection.cpp
@@ -146,36 +146,40 @@
 bool FrameConnection::send(const wire::Frame &Message) {
   std::string Bytes;
   appendFrame(Bytes, Message);
-  return sendEncoded(Bytes);
+  QueueResult Result = enqueue(Bytes);
+  // Posted rather than called, because the caller may hold a lock that a
+  // callback takes.
+  if (Result == QueueResult::Full)
+    asio::post(Socket_.get_executor(),
+               [Self = Pointer(this)] { Self->finish(CloseCause::Overflow); });
+  return Result == QueueResult::Queued;
 }
 
-bool FrameConnection::sendEncoded(std::string_view Bytes) {
-  // The other side would reject a larger frame as CloseCause::Garbage and
+bool FrameConnection::trySendEncoded(std::string_view Bytes) {
+  return enqueue(Bytes) == QueueResult::Queued;
+}
+
+FrameConnection::QueueResult FrameConnection::enqueue(std::string_view Bytes) {
+  // The other side would reject a larger frame as CloseCause::TooLarge and
   // close.
   if (Bytes.size() > LengthBytes + Options_.MaxFrameBytes_)
-    return false;
-  bool QueueFull = false;
+    return QueueResult::Refused;
   {
     std::lock_guard<std::mutex> Lock(QueueMutex_);
     if (Closed_)
-      return false;
-    QueueFull = QueuedBytes_.size() + Bytes.size() > Options_.MaxQueuedBytes_;
-    if (!QueueFull)
-      QueuedBytes_ += Bytes;
+      return QueueResult::Refused;
+    if (QueuedBytes_.size() + Bytes.size() > Options_.MaxQueuedBytes_)
+      return QueueResult::Full;
+    QueuedBytes_ += Bytes;
     // Before the first write, sendHello() starts the writing.
-    if (!QueueFull && (WriteActive_ || !HasWritten_))
-      return true;
+    if (WriteActive_ || !HasWritten_)
+      return QueueResult::Queued;
     WriteActive_ = true;
   }
-  // Posted rather than called, because the caller may hold a lock that a
-  // callback takes.
-  asio::post(Socket_.get_executor(), [Self = Pointer(this), QueueFull] {
-    if (QueueFull)
-      Self->finish(CloseCause::Overflow);
-    else
-      Self->startWrite();
-  });
-  return !QueueFull;
+  // Posted rather than called, for the same reason as in send().
+  asio::post(Socket_.get_executor(),
+             [Self = Pointer(this)] { Self->startWrite(); });
+  return QueueResult::Queued;
 }
 
 void FrameConnection::startWrite() {
--- a/src/libtransport/frameconnection.h
+++ b/src/libtransport/frameconnection.h
@@ -99,8 +99,10 @@
   /// connection is closed, the frame is larger than Options::MaxFrameBytes_ or
   /// the queue is full. A full queue closes the connection.
   bool send(const wire::Frame &Message);
-  /// Queues a frame that appendFrame() has encoded; otherwise as send().
-  bool sendEncoded(std::string_view Bytes);
+  /// Queues a frame that appendFrame() has encoded. Otherwise as send(), but
+  /// the connection stays open if the queue is full, so that the frames of
+  /// other calls are not lost with this one.
+  bool trySendEncoded(std::string_view Bytes);
   /// Sets whether the caller awaits replies. While it does, the connection
   /// closes after Options::Silent_ without a received byte.
   void setAwaitingReplies(bool AwaitingReplies);
@@ -110,8 +112,11 @@
   bool hasWritten() const { return HasWritten_; }
 
 private:
+  enum class QueueResult { Queued, Refused, Full };
+
   FrameConnection(Socket Peer, Options Limits, wire::Hello Self,
                   Handlers Callbacks);
+  QueueResult enqueue(std::string_view Bytes);
   void sendHello();
   void read();
   void resizeReadBuffer();
--- a/src/libtransport/frameconnection_test.cpp
+++ b/src/libtransport/frameconnection_test.cpp
@@ -302,6 +302,20 @@
   CHECK(Setup.cause() == CloseCause::Overflow);
 }
 
+TEST_CASE("a frame that the queue has no room for can be refused alone") {
+  FrameConnection::Options Limits = shortTimeouts();
+  Limits.MaxQueuedBytes_ = 1000;
+  Fixture Setup(Limits);
+  RawSocket Peer = Setup.open();
+  std::string TooLarge;
+  appendFrame(TooLarge, offerFrame(std::string(2000, 'x')));
+  CHECK_FALSE(Setup.Connection_->trySendEncoded(TooLarge));
+  std::string Small;
+  appendFrame(Small, offerFrame("small"));
+  CHECK(Setup.Connection_->trySendEncoded(Small));
+  CHECK(Peer.receiveUntil("small").ends_with("small"));
+}
+
 TEST_CASE("close causes are distinguished and have names") {
   SUBCASE("lost") {
     Fixture Setup;
