Limit how long a gate can make callers wait

The advice is limited to 30 s before the jitter.

The other odd figures, such as an unknown reason, status or outcome, do no harm.

--- a/src/libcoordination/entrycall.cpp
+++ b/src/libcoordination/entrycall.cpp
@@ -38,6 +38,7 @@
 constexpr int SearchAfterUnanswered = 2;
 constexpr Millis RetryTokenLife(120'000);
 constexpr int MinRetryAfterMs = 50;
+constexpr int MaxRetryAfterMs = 30'000;
 constexpr int FirstServerError = 500;
 
 /// Returns the verdict in a reply. An unknown outcome number says nothing, so
@@ -290,7 +291,7 @@
   Thresholds.onReply(routeKey(Request_.Service_, Request_.Route_.Name_), Gate,
                      PathThreshold, now());
   if (Reply.retry_after_ms > 0)
-    RetryAfterMs_ = Reply.retry_after_ms;
+    RetryAfterMs_ = std::min(Reply.retry_after_ms, MaxRetryAfterMs);
 }
 
 void EntryCall::runAfter(Millis Pause, std::function<void()> Task) {
--- a/src/libtransport/frameconnection.h
+++ b/src/libtransport/frameconnection.h
@@ -49,8 +49,9 @@
 /// idle connection is checked only every Options::IdleHeartbeat_, so that
 /// unused connections cost little, and is closed as silent after three times
 /// that. The time during which this process itself was paused does not count as
-/// silence of the other side. The connection closes when more than
-/// Options::MaxQueuedBytes_ wait to be sent.
+/// silence of the other side. When more than Options::MaxQueuedBytes_ would
+/// wait to be sent, send() closes the connection and trySendEncoded() refuses
+/// the frame.
 ///
 /// Objects are reference counted, and an open connection keeps itself alive.
 /// All methods are thread-safe. Callbacks run on the connection's
--- a/testsuite/odd_peers/odd_peers_test.cpp
+++ b/testsuite/odd_peers/odd_peers_test.cpp
@@ -8,6 +8,8 @@
 #include <functional>
 #include <future>
 #include <limits>
+#include <mutex>
+#include <thread>
 
 using namespace coltsfoot;
 
@@ -214,8 +216,143 @@
   std::future<void> Served_;
 };
 
+/// A gate of the service odd, which answers all offers with the same reply.
+class GatePeer {
+public:
+  explicit GatePeer(Shop &Site)
+      : Site_(Site), Name_("127.0.0.1:" + std::to_string(Listener_.port())) {
+    Fleet::putResource(Site.node(), "services/odd", shopServiceJson());
+    Server_ = std::thread([this] { serve(); });
+  }
+  ~GatePeer() {
+    Stopping_ = true;
+    Server_.join();
+  }
+
+  /// Makes the node know the peer as alive, although it answers no probe. As a
+  /// new process it is not avoided for its earlier replies.
+  void announce() {
+    wire::WireMember Self = member(Name_);
+    Self.incarnation = Self.generation = ++Generation_;
+    Self.service_name = "odd";
+    Self.slots = 8;
+    Site_.sendDatagram(datagram(Self));
+    Site_.node().waitForGates("odd", 1);
+  }
+  void setReply(const wire::Reply &Reply) {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    Reply_ = Reply;
+  }
+  int offers() const { return Offers_; }
+
+private:
+  void serve() {
+    constexpr std::chrono::milliseconds Poll{20};
+    while (!Stopping_) {
+      if (!Listener_.hasPendingConnection(Poll))
+        continue;
+      RawSocket Peer = Listener_.accept();
+      wire::Frame Hello;
+      Hello.__set_hello(testHello(Name_, 5));
+      Peer.send(encoded(Hello));
+      while (!Stopping_ && answerNext(Peer)) {
+      }
+    }
+  }
+
+  bool answerNext(RawSocket &Peer) {
+    auto Next = receiveNonHeartbeat(Peer);
+    if (!Next || !Next->__isset.offer)
+      return Next.has_value();
+    ++Offers_;
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    wire::Frame Message;
+    Message.__set_reply(Reply_);
+    Message.reply.attempt = Next->offer.attempt;
+    return Peer.send(encoded(Message));
+  }
+
+  Shop &Site_;
+  RawListener Listener_;
+  const std::string Name_;
+  int64_t Generation_ = 0;
+  std::atomic<int> Offers_ = 0;
+  std::atomic<bool> Stopping_ = false;
+  std::mutex Mutex_; // guards Reply_
+  wire::Reply Reply_;
+  std::thread Server_;
+};
+
+std::vector<wire::Reply> oddReplies() {
+  std::vector<wire::Reply> Replies;
+  auto Add = [&](const std::function<void(wire::Reply &)> &Change) {
+    for (int32_t Outcome : {0, 1, 2}) {
+      wire::Reply Reply;
+      Reply.outcome = Outcome;
+      Reply.status = 200;
+      Change(Reply);
+      Replies.push_back(Reply);
+    }
+  };
+  for (int32_t Number : {Min32, -1, 0, 1000, Max32}) {
+    Add([=](auto &R) { R.outcome = Number; });
+    Add([=](auto &R) { R.status = Number; });
+    Add([=](auto &R) { R.reason = Number; });
+    Add([=](auto &R) { R.credits_left = Number; });
+    Add([=](auto &R) { R.in_flight = Number; });
+    Add([=](auto &R) { R.limit = Number; });
+    Add([=](auto &R) { R.retry_after_ms = Number; });
+    wire::Threshold Odd;
+    Odd.rank = Odd.bucket = Number;
+    Add([=](auto &R) { R.threshold = Odd; });
+    Add([=](auto &R) { R.__set_general(Odd); });
+    Add([=](auto &R) { R.__set_path(Odd); });
+  }
+  for (const std::string &Text :
+       {std::string(70'000, 'x'), std::string("\0\r\nX: y\xff", 8)}) {
+    wire::WireField Name;
+    Name.name = Text;
+    Add([=](auto &R) { R.fields = {Name}; });
+    wire::WireField Value;
+    Value.name = "A";
+    Value.value = Text;
+    Add([=](auto &R) { R.fields = {Value}; });
+    Add([=](auto &R) { R.successor = Text; });
+  }
+  return Replies;
+}
+
 } // namespace
 
+TEST_CASE("odd replies of a gate leave no call unanswered and do not stop the "
+          "node") {
+  Shop Shop;
+  GatePeer Gate(Shop);
+  for (const wire::Reply &Reply : oddReplies()) {
+    CAPTURE(Reply.outcome);
+    CAPTURE(Reply.status);
+    CAPTURE(Reply.retry_after_ms);
+    Gate.setReply(Reply);
+    int Before = Gate.offers();
+    waitUntil(
+        [&] {
+          Gate.announce();
+          HttpReply Got;
+          CHECK_NOTHROW(Got = Shop.node().call("GET", "/items",
+                                               requestFields("odd"), "",
+                                               WaitLimit));
+          CHECK(Got.Status_ >= 200);
+          CHECK(Got.Status_ <= 599);
+          // Advice to wait longer than a minute serves no caller.
+          std::string Advice = Got.header("Retry-After");
+          CHECK((Advice.empty() || (Advice.size() <= 2 && Advice[0] != '-')));
+          return Gate.offers() > Before;
+        },
+        WaitLimit, "the gate receives an offer");
+  }
+  Shop.checkServing();
+}
+
 TEST_CASE("odd frames of a peer do not stop the node") {
   Shop Shop;
   for (const wire::Frame &Message : oddOffers())
