Move the conversions of call messages out of entry and gate

The tests of followers share a fixture, and Process tells the peak memory that two tests read themselves.

--- a/src/libcoordination/configfollower_test.cpp
+++ b/src/libcoordination/configfollower_test.cpp
@@ -54,20 +54,41 @@
   const size_t MaxRequests_;
 };
 
+/// A follower of one source, which runs until the source stops the context or a
+/// time has passed.
+template <typename Source> struct Fixture {
+  boost::asio::io_context Context_;
+  SystemClock Clock_;
+  UnusedLog Log_;
+  ConfigService Config_{Context_, Log_, Clock_, externalSource()};
+  Source Source_;
+  ConfigFollower Follower_;
+
+  template <typename... Args>
+  explicit Fixture(ConfigFollower::Options Options, Args &&...SourceArguments)
+      : Source_(Context_, std::forward<Args>(SourceArguments)...),
+        Follower_(Context_, Source_, Config_, Clock_, Options) {
+    Config_.start();
+  }
+
+  static ConfigService::Options externalSource() {
+    ConfigService::Options Settings;
+    Settings.ExternalSource_ = true;
+    return Settings;
+  }
+
+  void run(std::chrono::seconds Time) {
+    Follower_.start();
+    Context_.run_for(Time);
+  }
+};
+
 std::vector<Millis> requestWaits(bool Reader) {
-  boost::asio::io_context Context;
-  SystemClock Clock;
-  UnusedLog Log;
-  ConfigService::Options Settings;
-  Settings.ExternalSource_ = true;
-  ConfigService Config(Context, Log, Clock, Settings);
-  Config.setLogReader(Reader);
-  IdleSource Source(Context, 4);
-  ConfigFollower Follower(Context, Source, Config, Clock,
-                          {Millis(1000), Millis(8000)});
-  Follower.start();
-  Context.run_for(std::chrono::seconds(10));
-  return Source.Waits_;
+  constexpr size_t Requests = 4;
+  Fixture<IdleSource> Test({Millis(1000), Millis(8000)}, Requests);
+  Test.Config_.setLogReader(Reader);
+  Test.run(std::chrono::seconds(10));
+  return Test.Source_.Waits_;
 }
 
 /// Answers the requests with prepared responses in their order, and stops the
@@ -110,20 +131,11 @@
 };
 
 Followed follow(std::vector<ConfigPollResponse> Script) {
-  boost::asio::io_context Context;
-  SystemClock Clock;
-  UnusedLog Log;
-  ConfigService::Options Settings;
-  Settings.ExternalSource_ = true;
-  ConfigService Config(Context, Log, Clock, Settings);
-  Config.start();
-  ScriptedSource Source(Context, std::move(Script));
   ConfigFollower::Options Options;
   Options.RetryMin_ = Options.RetryMax_ = Millis(1);
-  ConfigFollower Follower(Context, Source, Config, Clock, Options);
-  Follower.start();
-  Context.run_for(std::chrono::seconds(10));
-  return {Source.Requests_, Config.current()->nextOffset()};
+  Fixture<ScriptedSource> Test(Options, std::move(Script));
+  Test.run(std::chrono::seconds(10));
+  return {Test.Source_.Requests_, Test.Config_.current()->nextOffset()};
 }
 
 } // namespace
@@ -221,18 +233,9 @@
 
 /// Returns how many requests a follower sends to a hasty source in a second.
 size_t requestsInSecond(const ConfigPollResponse &Later) {
-  boost::asio::io_context Context;
-  SystemClock Clock;
-  UnusedLog Log;
-  ConfigService::Options Settings;
-  Settings.ExternalSource_ = true;
-  ConfigService Config(Context, Log, Clock, Settings);
-  Config.start();
-  HastySource Source(Context, Later);
-  ConfigFollower Follower(Context, Source, Config, Clock, {});
-  Follower.start();
-  Context.run_for(std::chrono::seconds(1));
-  return Source.Requests_;
+  Fixture<HastySource> Test({}, Later);
+  Test.run(std::chrono::seconds(1));
+  return Test.Source_.Requests_;
 }
 
 /// More than the requests that the retry delays allow in a second.
--- a/src/libcoordination/entrycall.cpp
+++ b/src/libcoordination/entrycall.cpp
@@ -2,6 +2,7 @@
 
 #include "attempttable.h"
 #include "calldialect.h"
+#include "callwire.h"
 #include "coltsfoot_types.h"
 #include "drainadmission.h"
 #include "entrythreshold.h"
@@ -41,22 +42,6 @@
 constexpr int MaxRetryAfterMs = 30'000;
 constexpr int FirstServerError = 500;
 
-/// Returns the verdict in a reply. An unknown outcome number says nothing, so
-/// the call may have run.
-Verdict verdictOf(const wire::Reply &Reply) {
-  constexpr int32_t RanIndex = 0;
-  constexpr int32_t NotRunIndex = 1;
-  Reason Why = static_cast<Reason>(Reply.reason);
-  if (Reply.outcome == NotRunIndex)
-    return NotRun{Why};
-  if (Reply.outcome != RanIndex)
-    return MayHaveRun{Why};
-  Answer ServerAnswer{Reply.status, {}, Reply.body};
-  for (const wire::WireField &Field : Reply.fields)
-    ServerAnswer.Fields_.push_back({Field.name, Field.value});
-  return Ran{std::move(ServerAnswer)};
-}
-
 AttemptResult resultOf(const wire::Reply &Reply) {
   return std::visit(
       Overloaded{[](const Ran &) { return AttemptResult::Ok; },
--- a/src/libcoordination/gate.cpp
+++ b/src/libcoordination/gate.cpp
@@ -3,6 +3,7 @@
 #include "admissionqueue.h"
 #include "attempttable.h"
 #include "calldialect.h"
+#include "callwire.h"
 #include "coltsfoot_types.h"
 #include "configstate.h"
 #include "drainadmission.h"
@@ -37,8 +38,6 @@
 constexpr Millis TickInterval(25);
 constexpr int TicksPerExpiry = 40;
 constexpr int ShedStatus = 503;
-constexpr int MaxDepth = 1000;
-constexpr int MaxRankOrder = 1'000'000;
 constexpr int FirstServerError = 500;
 /// Passes the key of an attempt to the backend server, which should repeat it
 /// in its answer.
@@ -57,55 +56,6 @@
          " retry_after_ms=" + std::to_string(Reply.retry_after_ms);
 }
 
-void setOutcome(wire::Reply &Reply, const Verdict &CallVerdict) {
-  Reply.outcome = static_cast<int32_t>(CallVerdict.index());
-  std::visit(
-      Overloaded{[&](const Ran &VerdictCase) {
-                   Reply.status = VerdictCase.Answer_.Status_;
-                   Reply.body = VerdictCase.Answer_.Body_;
-                   for (const HttpField &Field : VerdictCase.Answer_.Fields_) {
-                     wire::WireField Copy;
-                     Copy.name = Field.Name_;
-                     Copy.value = Field.Value_;
-                     Reply.fields.push_back(std::move(Copy));
-                   }
-                 },
-                 [&](const NotRun &VerdictCase) {
-                   Reply.reason = static_cast<int32_t>(VerdictCase.Reason_);
-                 },
-                 [&](const MayHaveRun &VerdictCase) {
-                   Reply.reason = static_cast<int32_t>(VerdictCase.Reason_);
-                 }},
-      CallVerdict);
-}
-
-/// Returns the configured route of an offer. If this node has not yet applied
-/// the configuration that adds the route, it is derived from the offer alone.
-Route configuredRoute(const ConfigState &Config, const wire::Offer &Offered) {
-  if (const ServiceResource *Service = Config.service(Offered.service_name))
-    for (const Route &Configured : Service->Routes_)
-      if (Configured.Name_ == Offered.route)
-        return Configured;
-  Route Derived;
-  Derived.Name_ = Offered.route;
-  Derived.Kind_ = Offered.route;
-  Derived.Rank_ = "normal";
-  Derived.Method_ = Offered.method;
-  Derived.Idempotent_ = Offered.method == "GET" || Offered.method == "HEAD";
-  return Derived;
-}
-
-/// Returns the route of an offer under a call dialect, derived from the offer
-/// alone. An offer without a ticket is for an idempotent call.
-Route routeFromOffer(const wire::Offer &Offered) {
-  Route OfferRoute;
-  OfferRoute.Name_ = Offered.route;
-  OfferRoute.Kind_ = Offered.route;
-  OfferRoute.Method_ = Offered.method;
-  OfferRoute.Idempotent_ = Offered.ticket.empty();
-  return OfferRoute;
-}
-
 UpstreamClient::Options upstreamOptions(const Gate::Options &Given) {
   UpstreamClient::Options Limits;
   Limits.IdleTimeout_ = Given.IdleTimeout_;
@@ -195,9 +145,6 @@
 
   Reason refusalReason(const Call &Incoming) const;
   Reason lateRefusalReason(const Call &Queued) const;
-  AdmissionRequest admissionRequestOf(const ConfigState &Config,
-                                      const Route &CallRoute,
-                                      const wire::Offer &Offered) const;
   void offerTicketed(const CallPointer &Incoming, ReplyHandler OnReply);
   void enqueue(const CallPointer &Incoming);
   Decisions takeDecisions();
@@ -389,42 +336,17 @@
   return InTime ? Reason::None : Reason::Leaving;
 }
 
-AdmissionRequest
-Gate::Impl::admissionRequestOf(const ConfigState &Config,
-                               const Route &CallRoute,
-                               const wire::Offer &Offered) const {
-  const RankResource &Rank = Config.rank(CallRoute.Rank_);
-  AdmissionRequest Request;
-  Request.RankOrder_ = Offered.depth > 0
-                           ? std::min(Rank.Order_, Offered.rank_order)
-                           : Rank.Order_;
-  if (Options_.Dialect_)
-    Request.RankOrder_ = Offered.rank_order;
-  Request.RankOrder_ =
-      std::clamp(Request.RankOrder_, -MaxRankOrder, MaxRankOrder);
-  Request.Weight_ = Rank.Weight_;
-  Request.RankLimit_ = Rank.Limit_;
-  Request.RankFloor_ = Rank.Floor_;
-  Request.Protected_ = CallRoute.Protected_ || Offered.protected_call;
-  Request.Kind_ = CallRoute.Kind_;
-  Request.Client_ = Offered.client;
-  // Figures of peers are limited, so that arithmetic with them can't overflow.
-  Request.Bucket_ = std::clamp(Offered.bucket, 0, AdmissionBucketCount - 1);
-  Request.Depth_ = std::clamp(Offered.depth, 0, MaxDepth);
-  Request.Deadline_ =
-      NodeContext_.Clock_->now() + Millis(double(Offered.remaining_ms));
-  return Request;
-}
-
 void Gate::Impl::offer(uint64_t Connection, const wire::Offer &Offered,
                        ReplyHandler OnReply) {
   auto Config = NodeContext_.Config_();
   Route CallRoute = Options_.Dialect_ ? routeFromOffer(Offered)
                                       : configuredRoute(*Config, Offered);
-  CallPointer Incoming(new Call(admissionRequestOf(*Config, CallRoute, Offered),
-                                {Connection, Offered.attempt}, Offered,
-                                CallRoute));
-  Incoming->Arrived_ = NodeContext_.Clock_->now();
+  Millis Now = NodeContext_.Clock_->now();
+  CallPointer Incoming(
+      new Call(admissionRequestOf(*Config, CallRoute, Offered, Now,
+                                  Options_.Dialect_ != nullptr),
+               {Connection, Offered.attempt}, Offered, CallRoute));
+  Incoming->Arrived_ = Now;
   if (!Offered.ticket.empty())
     return offerTicketed(Incoming, std::move(OnReply));
   Incoming->OnReply_ = std::move(OnReply);
--- a/testsuite/common/process.cpp
+++ b/testsuite/common/process.cpp
@@ -5,6 +5,7 @@
 #include <condition_variable>
 #include <csignal>
 #include <fcntl.h>
+#include <fstream>
 #include <mutex>
 #include <optional>
 #include <sys/wait.h>
@@ -213,6 +214,14 @@
 
 int Process::pid() const { return Impl_->Pid_; }
 
+size_t Process::peakMemoryKib() const {
+  std::ifstream File("/proc/" + std::to_string(pid()) + "/status");
+  for (std::string Line; std::getline(File, Line);)
+    if (Line.starts_with("VmHWM:"))
+      return std::stoul(Line.substr(Line.find_first_of("0123456789")));
+  return 0;
+}
+
 bool Process::running() {
   std::lock_guard Guard(Impl_->ChildMutex_);
   return !Impl_->reap();
--- a/testsuite/common/process.h
+++ b/testsuite/common/process.h
@@ -55,6 +55,9 @@
 
   /// Returns the process id.
   int pid() const;
+  /// Returns the largest resident size that the running process has had, in
+  /// KiB; 0 when it can't be read.
+  size_t peakMemoryKib() const;
   /// Returns whether the process still runs.
   bool running();
   /// Sends a signal; does nothing when the process has ended.
--- a/testsuite/platform/spoiled_answers_test.cpp
+++ b/testsuite/platform/spoiled_answers_test.cpp
@@ -6,7 +6,6 @@
 
 #include <doctest/doctest.h>
 #include <filesystem>
-#include <fstream>
 #include <future>
 #include <optional>
 
@@ -25,15 +24,6 @@
 /// How a cut answer ends.
 enum class End { Closed, Reset };
 
-/// Returns the largest resident size that a process has had, in KiB.
-size_t peakMemoryKib(int Pid) {
-  std::ifstream File("/proc/" + std::to_string(Pid) + "/status");
-  for (std::string Line; std::getline(File, Line);)
-    if (Line.starts_with("VmHWM:"))
-      return std::stoul(Line.substr(Line.find_first_of("0123456789")));
-  return 0;
-}
-
 /// A machine of service alpha with a faulty upstream, and one of beta with a
 /// good one. Calls of /safe/ and /once/ go to alpha, those of /good/ to beta.
 class FaultySite {
@@ -241,7 +231,7 @@
   }
   for (int Number : {1, 2}) {
     CHECK_FALSE(Site.machine(Number).exitedUnexpectedly());
-    size_t Peak = peakMemoryKib(Site.machine(Number).node().pid());
+    size_t Peak = Site.machine(Number).node().peakMemoryKib();
     CAPTURE(Number);
     CAPTURE(Peak);
     CHECK(Peak > 0);
--- a/testsuite/receive_limits/receive_limits_test.cpp
+++ b/testsuite/receive_limits/receive_limits_test.cpp
@@ -4,7 +4,6 @@
 #include "rawsocket.h"
 
 #include <doctest/doctest.h>
-#include <fstream>
 
 using namespace coltsfoot;
 
@@ -17,15 +16,6 @@
 /// The most memory that a node may use.
 constexpr size_t NodeMemoryKib = 128 * Kib;
 
-/// Returns the largest resident size that a process has had, in KiB.
-size_t peakMemoryKib(int Pid) {
-  std::ifstream File("/proc/" + std::to_string(Pid) + "/status");
-  for (std::string Line; std::getline(File, Line);)
-    if (Line.starts_with("VmHWM:"))
-      return std::stoul(Line.substr(Line.find_first_of("0123456789")));
-  return 0;
-}
-
 } // namespace
 
 TEST_CASE("half-sent bodies of many callers don't exhaust a node's memory") {
@@ -55,7 +45,7 @@
         return Refused >= Callers / 2;
       },
       Millis(30000), "callers are refused");
-  size_t Peak = peakMemoryKib(Node->process().pid());
+  size_t Peak = Node->process().peakMemoryKib();
   CHECK(Peak > 0);
 #ifndef __SANITIZE_ADDRESS__ // It keeps freed memory back.
   CHECK(Peak < NodeMemoryKib);
