--- a/testsuite/at_most_once/callers_test.cpp
+++ b/testsuite/at_most_once/callers_test.cpp
@@ -181,8 +181,10 @@
   Options.Backend_.MeanServiceTime_ = Millis(1000);
   BookingFleet Shop(Options);
   // Occupies the first gate, so that the ticket waits in its queue.
+  constexpr size_t BlockingBookings = 12;
   std::vector<std::future<ShopOutcome>> Blocking;
-  for (int I = 0; I < 12; ++I)
+  Blocking.reserve(BlockingBookings);
+  for (size_t I = 0; I < BlockingBookings; ++I)
     Blocking.push_back(
         Shop.sendAsync(Shop.entry(0), booking("blocking-" + std::to_string(I),
                                               Shop.requestTicketFor(0))));
--- a/testsuite/common/platformmachine.h
+++ b/testsuite/common/platformmachine.h
@@ -38,7 +38,7 @@
     /// proxy; empty for the upstream's own.
     std::string Backend_;
     /// TOML lines for the settings table `limits`.
-    std::string Limits_ = "";
+    std::string Limits_ = {};
     /// TOML lines for the settings table `timeouts`.
     std::string Timeouts_ = "drain_notice_ms = 500\n";
   };
