--- a/testsuite/common/platformmachine.h
+++ b/testsuite/common/platformmachine.h
@@ -37,10 +37,10 @@
     /// The `ip:port` at which the node reaches the upstream, such as that of a
     /// proxy; empty for the upstream's own.
     std::string Backend_;
-    /// TOML lines for the settings table `limits`.
-    std::string Limits_ = {};
     /// TOML lines for the settings table `timeouts`.
     std::string Timeouts_ = "drain_notice_ms = 500\n";
+    /// TOML lines for the settings table `limits`.
+    std::string Limits_ = {};
   };
 
   /// Starts the upstream, but not yet the node.
--- a/testsuite/platform/spoiled_answers_test.cpp
+++ b/testsuite/platform/spoiled_answers_test.cpp
@@ -38,13 +38,17 @@
                    1, "alpha",
                    R"(,{"name":"r-good","path-prefix":"/good/","kind":"safe",)"
                    R"("timeout":"3000ms","max-attempts":2,"service":"beta"})"));
-    for (int Number : {1, 2})
-      Machines_.push_back(std::make_unique<PlatformMachine>(
-          PlatformMachine::Options{
-              Number, Store_.address(), Folder_,
-              Number == 1 ? Faulty_.address() : std::string(), DeployedLimits},
-          PlatformUpstream::Options{.Service_ =
-                                        Number == 1 ? "alpha" : "beta"}));
+    for (int Number : {1, 2}) {
+      PlatformMachine::Options Options;
+      Options.Number_ = Number;
+      Options.Store_ = Store_.address();
+      Options.Folder_ = Folder_;
+      Options.Backend_ = Number == 1 ? Faulty_.address() : std::string();
+      Options.Limits_ = DeployedLimits;
+      PlatformUpstream::Options Upstream;
+      Upstream.Service_ = Number == 1 ? "alpha" : "beta";
+      Machines_.push_back(std::make_unique<PlatformMachine>(Options, Upstream));
+    }
     for (auto &Each : Machines_)
       Each->start();
     for (auto &Each : Machines_) {
