Bound the answers that callers do not read

Only what is being received had a budget; a whole answer had none.

Answers of more than 64 KiB that are being sent share a budget of limits.receive_bytes; one that finds no room becomes a 502, may-have-run, answer-not-kept.

--- a/src/libcoordination/node.cpp
+++ b/src/libcoordination/node.cpp
@@ -159,6 +159,8 @@
   const boost::intrusive_ptr<ByteBudget> CallerBudget_;
   const boost::intrusive_ptr<ByteBudget> BackendBudget_;
   const boost::intrusive_ptr<ByteBudget> PeerBudget_;
+  /// The answers that callers have not read yet.
+  const boost::intrusive_ptr<ByteBudget> AnswerBudget_;
   PeerSockets Sockets_;
   PeerPool Peers_;
   ConfigService Config_;
@@ -203,6 +205,7 @@
       CallerBudget_(new ByteBudget(AllSettings.Limits_.ReceiveBytes_)),
       BackendBudget_(new ByteBudget(AllSettings.Limits_.ReceiveBytes_)),
       PeerBudget_(new ByteBudget(AllSettings.Limits_.ReceiveBytes_)),
+      AnswerBudget_(new ByteBudget(AllSettings.Limits_.ReceiveBytes_)),
       Sockets_(bindPeerSockets(AllSettings)),
       Peers_(Context, connectionOptions(),
              asio::ip::make_address(AllSettings.Node_.Address_), hello()),
@@ -282,6 +285,7 @@
   HttpServer::Options Limits;
   Limits.HeaderBytes_ = ConfiguredLimits.HeaderBytes_;
   Limits.BodyBytes_ = ConfiguredLimits.BodyBytes_;
+  Limits.AnswerBudget_ = AnswerBudget_;
   Limits.Callers_ = static_cast<size_t>(ConfiguredLimits.Callers_);
   Limits.IdleTimeout_ = ConfiguredLimits.CallerIdle_;
   Limits.ReceiveTimeout_ = ConfiguredLimits.HeaderTimeout_;
--- a/src/libtransport/httpserver.h
+++ b/src/libtransport/httpserver.h
@@ -87,6 +87,9 @@
     Millis ReceiveTimeout_{5000};
     /// Bounds the received bytes of all unfinished requests; null for no bound.
     boost::intrusive_ptr<ByteBudget> Budget_ = nullptr;
+    /// Bounds the bytes of the large responses that are being sent; null for no
+    /// bound. One that finds no room is replaced by a 502, may-have-run.
+    boost::intrusive_ptr<ByteBudget> AnswerBudget_ = nullptr;
   };
   using Handler = std::function<void(HttpExchange::Pointer)>;
 
--- a/src/libtransport/httpserversession.cpp
+++ b/src/libtransport/httpserversession.cpp
@@ -26,6 +26,9 @@
 constexpr size_t MaxChunkHeaderBytes = size_t{4} * 1024;
 constexpr size_t MaxLingerBytes = size_t{8} * 1024 * 1024;
 constexpr Millis LingerTimeout{1000};
+/// Smaller responses do not count against Options::AnswerBudget_, so that slow
+/// readers of large ones do not keep them from other callers.
+constexpr size_t UncountedResponseBytes = size_t{64} * 1024;
 constexpr std::string_view HeadEnd = "\r\n\r\n";
 constexpr std::string_view ContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -51,6 +54,15 @@
   return Status == 413 || Status == 431 ? "too-large" : "bad-request";
 }
 
+/// Returns the response in place of one that Options::AnswerBudget_ has no room
+/// for.
+Answer answerNotKept() {
+  return {502,
+          {{"Content-Type", "application/json"},
+           {"Coltsfoot-Verdict", "may-have-run"}},
+          "{\"verdict\":\"may-have-run\",\"reason\":\"answer-not-kept\"}\n"};
+}
+
 bool hasNoBody(int Status) { return Status == 204 || Status == 304; }
 
 /// Returns the Content-Length for the response to a HEAD request, or an empty
@@ -290,7 +302,8 @@
 HttpServerSession::HttpServerSession(
     tcp::socket Socket, boost::intrusive_ptr<HttpServerState> Server)
     : Socket_(std::move(Socket)), Timer_(Socket_.get_executor()),
-      Server_(std::move(Server)), Received_(Server_->Options_.Budget_) {
+      Server_(std::move(Server)), Received_(Server_->Options_.Budget_),
+      Sent_(Server_->Options_.AnswerBudget_) {
   error_code Ignored;
   RemoteAddress_ = Socket_.remote_endpoint(Ignored).address().to_string();
   Socket_.set_option(tcp::no_delay(true), Ignored);
@@ -534,7 +547,10 @@
   if (Phase_ != Phase::Working)
     return;
   Phase_ = Phase::Sending;
-  Message_->Response_ = toResponse(Reply, Message_->ToHeadRequest_);
+  bool Kept = Reply.Body_.size() <= UncountedResponseBytes ||
+              Sent_.resize(Reply.Body_.size());
+  Message_->Response_ =
+      toResponse(Kept ? Reply : answerNotKept(), Message_->ToHeadRequest_);
   Message_->Response_.keep_alive(Message_->KeepAlive_ && !Server_->Stopped_ &&
                                  !Server_->KeepAliveDisabled_);
   startTimer(Server_->Options_.IdleTimeout_);
@@ -552,6 +568,8 @@
 }
 
 void HttpServerSession::finishResponse(bool KeepAlive) {
+  Message_->Response_ = Response();
+  Sent_.resize(0);
   --Server_->Pending_;
   if (KeepAlive && !InputEnded_)
     awaitRequest();
@@ -645,6 +663,7 @@
   error_code Ignored;
   Socket_.close(Ignored);
   releaseReceived();
+  Sent_.resize(0);
   Server_->remove(*this);
 }
 
--- a/src/libtransport/httpserversession.h
+++ b/src/libtransport/httpserversession.h
@@ -97,6 +97,7 @@
   std::array<char, ReadBufferBytes> ReadBuffer_;
   std::string Input_;
   ByteBudget::Reservation Received_; ///< Input_ and the body in Message_.
+  ByteBudget::Reservation Sent_;     ///< A large body that is being sent.
   std::unique_ptr<Message> Message_;
   boost::intrusive_ptr<PendingResponse> PendingResponse_;
   size_t LingeredBytes_ = 0;
--- a/testsuite/common/rawsocket.h
+++ b/testsuite/common/rawsocket.h
@@ -108,10 +108,11 @@
   RawSocket &operator=(const RawSocket &) = delete;
   ~RawSocket() { close(); }
 
-  /// Connects to a port of 127.0.0.1. A time-out above zero applies to
+  /// Connects to a port of a loopback address. A time-out above zero applies to
   /// connecting and to each send. Throws std::runtime_error.
   static RawSocket connect(uint16_t Port,
-                           std::chrono::milliseconds Timeout = {}) {
+                           std::chrono::milliseconds Timeout = {},
+                           const std::string &Ip = "127.0.0.1") {
     RawSocket Socket(::socket(AF_INET, SOCK_STREAM, 0));
     if (Timeout.count() > 0) {
       timeval SendTimeout{Timeout.count() / 1000,
@@ -120,9 +121,10 @@
                    sizeof SendTimeout);
     }
     sockaddr_in Address = loopback(Port);
+    ::inet_pton(AF_INET, Ip.c_str(), &Address.sin_addr);
     if (::connect(Socket.Descriptor_, reinterpret_cast<sockaddr *>(&Address),
                   sizeof Address) != 0)
-      throw std::runtime_error("cannot connect to 127.0.0.1: " +
+      throw std::runtime_error("cannot connect to " + Ip + ": " +
                                std::string(strerror(errno)));
     return Socket;
   }
