Leave out an answer that finds no room between two nodes

Several large answers that a gate sent to one entry within a moment filled the send queue of their connection, which was then closed: all other calls over it ended may-have-run, and the gate logged nothing.

Such a reply is sent without the answer, as may-have-run, answer-not-kept, with a log line answer_not_sent; small frames have room of their own, so that cancels and heartbeats do not close a full connection. An overflow that still closes one is logged as peer_refused.

--- a/src/libcoordination/node.cpp
+++ b/src/libcoordination/node.cpp
@@ -4,6 +4,8 @@
 #include "api.h"
 #include "attempttable.h"
 #include "bytebudget.h"
+#include "callwire.h"
+#include "codec.h"
 #include "coltsfoot_types.h"
 #include "configfollower.h"
 #include "configservice.h"
@@ -127,6 +129,7 @@
   EntryParts entryParts();
   ApiParts apiParts();
   void startGossip();
+  static void sendReply(FrameConnection &To, const wire::Frame &Message);
   void onPeerFrame(uint64_t Connection, const FrameConnection::Pointer &From,
                    const wire::Frame &Message);
   void onLocalFrame(const wire::Frame &Message,
@@ -505,11 +508,34 @@
     Sockets_.Udp_->setAlive();
 }
 
+// An answer that finds no room on the connection is left out, so that the other
+// calls on it go on.
+void Node::Impl::sendReply(FrameConnection &To, const wire::Frame &Message) {
+  std::string Bytes;
+  appendFrame(Bytes, Message);
+  auto Refused = To.trySendEncoded(Bytes);
+  bool NoRoom =
+      Refused == CloseCause::Overflow || Refused == CloseCause::TooLarge;
+  if (!NoRoom)
+    return;
+  logEvent(LogLevel::Warning, "answer_not_sent",
+           {{"bytes", Bytes.size()}, {"cause", closeCauseName(*Refused)}});
+  wire::Frame WithoutAnswer = Message;
+  WithoutAnswer.reply.fields.clear();
+  WithoutAnswer.reply.body.clear();
+  setOutcome(WithoutAnswer.reply, MayHaveRun{Reason::AnswerNotKept});
+  To.send(WithoutAnswer);
+}
+
 void Node::Impl::onPeerFrame(uint64_t Connection,
                              const FrameConnection::Pointer &From,
                              const wire::Frame &Message) {
-  answerFrame(Connection, Message,
-              [From](const wire::Frame &Answer) { From->send(Answer); });
+  answerFrame(Connection, Message, [From](const wire::Frame &Answer) {
+    if (Answer.__isset.reply)
+      sendReply(*From, Answer);
+    else
+      From->send(Answer);
+  });
 }
 
 void Node::Impl::onLocalFrame(const wire::Frame &Message,
--- a/src/libcoordination/peerpool.cpp
+++ b/src/libcoordination/peerpool.cpp
@@ -157,8 +157,8 @@
     if (Entry.ExpectedIncarnation_ &&
         *Entry.ExpectedIncarnation_ != Incarnation_)
       return MessageLost{false, true, CloseCause::Local};
-    if (!Connection_->trySendEncoded(Entry.Bytes_))
-      return MessageLost{false, false, CloseCause::Lost};
+    if (auto Cause = Connection_->trySendEncoded(Entry.Bytes_))
+      return MessageLost{false, false, *Cause};
     Unanswered_.emplace(Number, std::move(Entry.OnEnd_));
     return {};
   }
--- a/src/libcoordination/peerserver.cpp
+++ b/src/libcoordination/peerserver.cpp
@@ -101,7 +101,8 @@
 void PeerServer::Shared::onClosed(uint64_t Number, CloseCause Cause) {
   bool Refused =
       Cause == CloseCause::Garbage || Cause == CloseCause::Handshake ||
-      Cause == CloseCause::TooLarge || Cause == CloseCause::ReceiveLimit;
+      Cause == CloseCause::TooLarge || Cause == CloseCause::ReceiveLimit ||
+      Cause == CloseCause::Overflow;
   if (Refused)
     logEvent(LogLevel::Warning, "peer_refused",
              {{"cause", closeCauseName(Cause)}});
--- a/src/libtransport/frameconnection.cpp
+++ b/src/libtransport/frameconnection.cpp
@@ -26,6 +26,10 @@
 constexpr size_t MaxRetainedBufferBytes = size_t{64} * 1024;
 constexpr Millis MinCheckDelay{1};
 constexpr size_t LengthBytes = 4;
+/// Frames up to this size may use SmallFramesRoom: replies without an answer,
+/// cancels and heartbeats.
+constexpr size_t SmallFrameBytes = 4096;
+constexpr size_t SmallFramesRoom = size_t{1024} * 1024;
 /// No settings allow a frame of this size, so such a length is text or the
 /// like.
 constexpr size_t ImplausibleFrameBytes = size_t{1024} * 1024 * 1024;
@@ -146,40 +150,39 @@
 bool FrameConnection::send(const wire::Frame &Message) {
   std::string Bytes;
   appendFrame(Bytes, Message);
-  QueueResult Result = enqueue(Bytes);
+  std::optional<CloseCause> Refused = trySendEncoded(Bytes);
   // Posted rather than called, because the caller may hold a lock that a
   // callback takes.
-  if (Result == QueueResult::Full)
+  if (Refused == CloseCause::Overflow)
     asio::post(Socket_.get_executor(),
                [Self = Pointer(this)] { Self->finish(CloseCause::Overflow); });
-  return Result == QueueResult::Queued;
+  return !Refused;
 }
 
-bool FrameConnection::trySendEncoded(std::string_view Bytes) {
-  return enqueue(Bytes) == QueueResult::Queued;
-}
-
-FrameConnection::QueueResult FrameConnection::enqueue(std::string_view Bytes) {
+std::optional<CloseCause>
+FrameConnection::trySendEncoded(std::string_view Bytes) {
   // The other side would reject a larger frame as CloseCause::TooLarge and
   // close.
   if (Bytes.size() > LengthBytes + Options_.MaxFrameBytes_)
-    return QueueResult::Refused;
+    return CloseCause::TooLarge;
+  bool Small = Bytes.size() <= SmallFrameBytes;
+  size_t Room = Options_.MaxQueuedBytes_ + (Small ? SmallFramesRoom : 0);
   {
     std::lock_guard<std::mutex> Lock(QueueMutex_);
     if (Closed_)
-      return QueueResult::Refused;
-    if (QueuedBytes_.size() + Bytes.size() > Options_.MaxQueuedBytes_)
-      return QueueResult::Full;
+      return CloseCause::Lost;
+    if (QueuedBytes_.size() + Bytes.size() > Room)
+      return CloseCause::Overflow;
     QueuedBytes_ += Bytes;
     // Before the first write, sendHello() starts the writing.
     if (WriteActive_ || !HasWritten_)
-      return QueueResult::Queued;
+      return {};
     WriteActive_ = true;
   }
   // Posted rather than called, for the same reason as in send().
   asio::post(Socket_.get_executor(),
              [Self = Pointer(this)] { Self->startWrite(); });
-  return QueueResult::Queued;
+  return {};
 }
 
 void FrameConnection::startWrite() {
--- a/src/libtransport/frameconnection.h
+++ b/src/libtransport/frameconnection.h
@@ -13,6 +13,7 @@
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <string>
 
 namespace coltsfoot {
@@ -51,7 +52,7 @@
 /// that. The time during which this process itself was paused does not count as
 /// silence of the other side. When more than Options::MaxQueuedBytes_ would
 /// wait to be sent, send() closes the connection and trySendEncoded() refuses
-/// the frame.
+/// the frame. Small frames, such as heartbeats, have some additional room.
 ///
 /// Objects are reference counted, and an open connection keeps itself alive.
 /// All methods are thread-safe. Callbacks run on the connection's
@@ -100,10 +101,11 @@
   /// connection is closed, the frame is larger than Options::MaxFrameBytes_ or
   /// the queue is full. A full queue closes the connection.
   bool send(const wire::Frame &Message);
-  /// Queues a frame that appendFrame() has encoded. Otherwise as send(), but
-  /// the connection stays open if the queue is full, so that the frames of
-  /// other calls are not lost with this one.
-  bool trySendEncoded(std::string_view Bytes);
+  /// Queues a frame that appendFrame() has encoded and returns nothing, or else
+  /// sends nothing of it and returns why: CloseCause::Lost if the connection is
+  /// closed, TooLarge or, if the queue has no room, Overflow. The connection
+  /// stays open, so that the frames of other calls are not lost with this one.
+  std::optional<CloseCause> trySendEncoded(std::string_view Bytes);
   /// Sets whether the caller awaits replies. While it does, the connection
   /// closes after Options::Silent_ without a received byte.
   void setAwaitingReplies(bool AwaitingReplies);
@@ -113,11 +115,8 @@
   bool hasWritten() const { return HasWritten_; }
 
 private:
-  enum class QueueResult { Queued, Refused, Full };
-
   FrameConnection(Socket Peer, Options Limits, wire::Hello Self,
                   Handlers Callbacks);
-  QueueResult enqueue(std::string_view Bytes);
   void sendHello();
   void read();
   void resizeReadBuffer();
--- a/testsuite/receive_limits/large_answers_test.cpp
+++ b/testsuite/receive_limits/large_answers_test.cpp
@@ -51,3 +51,42 @@
   CHECK(Shop.entry(0).process().peakMemoryKib() < NodeMemoryKib);
 #endif
 }
+
+TEST_CASE("answers that find no room between two nodes end no other call") {
+  constexpr size_t Reads = 10;
+  BookingOptions Options;
+  Options.Entries_ = 1;
+  Options.DeadlineMs_ = 4000;
+  Options.Backend_.PaddingBytes_ = AnswerBytes;
+  Options.Backend_.MeanServiceTime_ = Millis(500);
+  Options.Backend_.Slots_ = 16;
+  // The limits of deploy/node.toml.in.
+  Options.Node_.Limits_ = "body_bytes = 67108864\nreceive_bytes = 83886080\n";
+  BookingFleet Shop(Options);
+  Shop.warmUp();
+  std::vector<std::future<ShopOutcome>> Sent;
+  for (size_t I = 0; I < 2; ++I) {
+    ShopRequest Booking;
+    Booking.Tag_ = "booking-" + std::to_string(I);
+    Booking.Ticket_ = Shop.requestTicket();
+    Sent.push_back(Shop.sendAsync(Shop.entry(0), Booking));
+  }
+  for (size_t I = 0; I < Reads; ++I) {
+    ShopRequest Read;
+    Read.Tag_ = "read-" + std::to_string(I);
+    Sent.push_back(Shop.sendAsync(Shop.entry(0), Read));
+  }
+  ShopRequest Small;
+  Small.Tag_ = "small";
+  Small.Fields_ = {{"X-Padding", "10"}, {"X-Work-Ms", "1500"}};
+  CHECK(Shop.send(Shop.entry(0), Small).verdict() == "ran");
+  CHECK(Shop.runs("small") == 1);
+  size_t Ran = 0;
+  for (auto &Each : Sent)
+    Ran += Each.get().verdict() == "ran" ? 1 : 0;
+  CHECK(Ran > 0);
+  for (TestNode *Node : {&Shop.entry(0), &Shop.gate(0)})
+    CHECK(Node->process().output().find("peer_connection_closed") ==
+          std::string::npos);
+  Shop.checkOutcomes();
+}
