Tell not-run at once of a refused call that only a stopping node could offer

A stopping node whose non-idempotent call the first gate had refused asked the other candidates to close its ticket, though no other call can offer it. With a silent candidate that lasted until the drain cut the call: its caller got a late 502 instead of a 503, after which it may repeat the call.

--- a/src/libcoordination/entrycall.cpp
+++ b/src/libcoordination/entrycall.cpp
@@ -423,10 +423,12 @@
   AttemptMayHaveRun_ = false;
   if (Candidate + 1 == Candidates.size())
     return endTicketClosed(std::move(Outcome), Reply.successor);
-  if (!Request_.StepOffers_ && !ClosingReason_ && !canStillEnd())
-    ClosingReason_ = Reason::Leaving;
-  if (now() >= Request_.Deadline_)
+  bool Stops = !Request_.StepOffers_ && !ClosingReason_ && !canStillEnd();
+  // A ticket that no other call offers is not run at the later candidates.
+  if (now() >= Request_.Deadline_ || (Stops && !isTicketShared()))
     return endUnclosed(std::move(Outcome));
+  if (Stops)
+    ClosingReason_ = Reason::Leaving;
   // A gate refuses before any work is done, but a backend server that shed the
   // call has spent work on it, so the next attempt then costs a credit.
   bool NeedsNoCredit =
