Withdraw a message that still waits for a blocked connection

When the caller of a call left, or its time ended, while the connection to the gate was blocked, the offer stayed in the send queue and reached the gate later, followed by its cancel: a backend server began work for a caller that had left.

The queue holds frames, which are handed over in parts of 64 KiB; one that still waits is removed, and its call was not sent.

--- a/src/libcoordination/peerpool.cpp
+++ b/src/libcoordination/peerpool.cpp
@@ -103,6 +103,8 @@
     if (Unanswered_.erase(Number) == 0)
       return true;
     updateAwaiting();
+    if (Connection_ && Connection_->withdraw(Number))
+      return false;
     if (SendCancel && Connection_)
       Connection_->send(cancelFrame(Number));
     return true;
@@ -118,8 +120,18 @@
       OnEnd(MessageLost{false, false, CloseCause::Local});
       return;
     }
-    if (Connection_ && Unanswered_.count(Number) > 0)
+    auto Sent = Unanswered_.find(Number);
+    if (!Connection_ || Sent == Unanswered_.end())
+      return;
+    if (!Connection_->withdraw(Number)) {
       Connection_->send(cancelFrame(Number));
+      return;
+    }
+    Handler OnEnd = std::move(Sent->second);
+    Unanswered_.erase(Sent);
+    updateAwaiting();
+    Lock.unlock();
+    OnEnd(MessageLost{false, false, CloseCause::Local});
   }
 
   void close() {
@@ -157,7 +169,8 @@
     if (Entry.ExpectedIncarnation_ &&
         *Entry.ExpectedIncarnation_ != Incarnation_)
       return MessageLost{false, true, CloseCause::Local};
-    if (auto Cause = Connection_->trySendEncoded(Entry.Bytes_))
+    if (auto Cause =
+            Connection_->trySendEncoded(std::move(Entry.Bytes_), Number))
       return MessageLost{false, false, *Cause};
     Unanswered_.emplace(Number, std::move(Entry.OnEnd_));
     return {};
--- a/src/libcoordination/peerpool_test.cpp
+++ b/src/libcoordination/peerpool_test.cpp
@@ -244,6 +244,34 @@
   CHECK(Cancelled.Ended_.count() == 1);
 }
 
+TEST_CASE("a message forgotten while the connection is blocked is not sent") {
+  Fixture Test;
+  Test.call(PeerIncarnation, "first");
+  RawSocket Peer = Test.accept();
+  REQUIRE(receiveNonHeartbeat(Peer));
+  // More than the sockets buffer, so that the rest waits in the queue.
+  constexpr int Blocking = 12;
+  for (int I = 0; I < Blocking; ++I)
+    Test.call(PeerIncarnation, std::string(1'500'000, 'x'));
+  Outcome &Forgotten = Test.call(PeerIncarnation, "forgotten");
+  Outcome &Cancelled = Test.call(PeerIncarnation, "cancelled");
+  Test.call(PeerIncarnation, "last");
+  CHECK_FALSE(Test.Pool_.forget(Test.Node_, Forgotten.Number_, true));
+  Test.Pool_.cancel(Test.Node_, Cancelled.Number_);
+  CHECK_FALSE(Cancelled.lost().Sent_);
+  std::string Body;
+  while (Body != "last") {
+    auto Next = receiveNonHeartbeat(Peer);
+    REQUIRE(Next);
+    bool IsCancel = Next->__isset.cancel;
+    CHECK_FALSE(IsCancel);
+    Body = Next->offer.body;
+    CHECK(Body != "forgotten");
+    CHECK(Body != "cancelled");
+  }
+  CHECK(Body == "last");
+}
+
 TEST_CASE("closing the pool ends all messages and refuses later ones") {
   Fixture Test;
   Outcome &Sent = Test.call();
--- a/src/libtransport/frameconnection.cpp
+++ b/src/libtransport/frameconnection.cpp
@@ -4,6 +4,7 @@
 #include "coltsfoot_types.h"
 #include "timer.h"
 
+#include <algorithm>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
@@ -22,6 +23,7 @@
 // memory.
 constexpr size_t MinReadBytes = size_t{4} * 1024;
 constexpr size_t MaxReadBytes = size_t{256} * 1024;
+constexpr size_t MaxWriteBytes = size_t{64} * 1024;
 constexpr size_t MaxHelloBytes = size_t{4} * 1024;
 constexpr size_t MaxRetainedBufferBytes = size_t{64} * 1024;
 constexpr Millis MinCheckDelay{1};
@@ -141,7 +143,8 @@
     if (Closed_)
       return;
     // The Hello precedes frames that were queued while connecting.
-    QueuedBytes_.insert(0, Bytes);
+    QueuedBytes_ += Bytes.size();
+    Queue_.push_front({0, std::move(Bytes)});
     WriteActive_ = true;
   }
   startWrite();
@@ -150,7 +153,7 @@
 bool FrameConnection::send(const wire::Frame &Message) {
   std::string Bytes;
   appendFrame(Bytes, Message);
-  std::optional<CloseCause> Refused = trySendEncoded(Bytes);
+  std::optional<CloseCause> Refused = trySendEncoded(std::move(Bytes));
   // Posted rather than called, because the caller may hold a lock that a
   // callback takes.
   if (Refused == CloseCause::Overflow)
@@ -159,8 +162,8 @@
   return !Refused;
 }
 
-std::optional<CloseCause>
-FrameConnection::trySendEncoded(std::string_view Bytes) {
+std::optional<CloseCause> FrameConnection::trySendEncoded(std::string Bytes,
+                                                          int64_t Number) {
   // The other side would reject a larger frame as CloseCause::TooLarge and
   // close.
   if (Bytes.size() > LengthBytes + Options_.MaxFrameBytes_)
@@ -171,9 +174,10 @@
     std::lock_guard<std::mutex> Lock(QueueMutex_);
     if (Closed_)
       return CloseCause::Lost;
-    if (QueuedBytes_.size() + Bytes.size() > Room)
+    if (QueuedBytes_ + Bytes.size() > Room)
       return CloseCause::Overflow;
-    QueuedBytes_ += Bytes;
+    QueuedBytes_ += Bytes.size();
+    Queue_.push_back({Number, std::move(Bytes)});
     // Before the first write, sendHello() starts the writing.
     if (WriteActive_ || !HasWritten_)
       return {};
@@ -185,13 +189,37 @@
   return {};
 }
 
+bool FrameConnection::withdraw(int64_t Number) {
+  std::lock_guard<std::mutex> Lock(QueueMutex_);
+  auto Found =
+      std::find_if(Queue_.begin(), Queue_.end(), [&](const QueuedFrame &Each) {
+        return Each.Number_ == Number;
+      });
+  if (Number == 0 || Found == Queue_.end())
+    return false;
+  QueuedBytes_ -= Found->Bytes_.size();
+  Queue_.erase(Found);
+  return true;
+}
+
 void FrameConnection::startWrite() {
   {
     std::lock_guard<std::mutex> Lock(QueueMutex_);
     WriteBuffer_.clear();
     if (WriteBuffer_.capacity() > MaxRetainedBufferBytes)
       WriteBuffer_.shrink_to_fit();
-    std::swap(WriteBuffer_, QueuedBytes_);
+    // In parts, so that what waits behind a slow link can be withdrawn.
+    while (
+        !Queue_.empty() &&
+        (WriteBuffer_.empty() ||
+         WriteBuffer_.size() + Queue_.front().Bytes_.size() <= MaxWriteBytes)) {
+      QueuedBytes_ -= Queue_.front().Bytes_.size();
+      if (WriteBuffer_.empty())
+        WriteBuffer_ = std::move(Queue_.front().Bytes_);
+      else
+        WriteBuffer_ += Queue_.front().Bytes_;
+      Queue_.pop_front();
+    }
     if (WriteBuffer_.empty() || Closed_) {
       WriteActive_ = false;
       return;
--- a/src/libtransport/frameconnection.h
+++ b/src/libtransport/frameconnection.h
@@ -11,6 +11,8 @@
 #include <boost/asio/strand.hpp>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <cstdint>
+#include <deque>
 #include <functional>
 #include <mutex>
 #include <optional>
@@ -105,7 +107,12 @@
   /// sends nothing of it and returns why: CloseCause::Lost if the connection is
   /// closed, TooLarge or, if the queue has no room, Overflow. The connection
   /// stays open, so that the frames of other calls are not lost with this one.
-  std::optional<CloseCause> trySendEncoded(std::string_view Bytes);
+  /// A frame with a Number other than 0 can be withdrawn.
+  std::optional<CloseCause> trySendEncoded(std::string Bytes,
+                                           int64_t Number = 0);
+  /// Removes the queued frame with this number. Returns whether it was removed;
+  /// otherwise its bytes may have been handed to the operating system.
+  bool withdraw(int64_t Number);
   /// Sets whether the caller awaits replies. While it does, the connection
   /// closes after Options::Silent_ without a received byte.
   void setAwaitingReplies(bool AwaitingReplies);
@@ -151,8 +158,14 @@
   std::atomic<bool> TimerIsShort_ = false;
   std::atomic<bool> HasWritten_ = false;
 
-  std::mutex QueueMutex_; // guards QueuedBytes_, WriteActive_ and Closed_
-  std::string QueuedBytes_;
+  struct QueuedFrame {
+    int64_t Number_ = 0;
+    std::string Bytes_;
+  };
+  std::mutex
+      QueueMutex_; // guards Queue_, QueuedBytes_, WriteActive_ and Closed_
+  std::deque<QueuedFrame> Queue_;
+  size_t QueuedBytes_ = 0;
   bool WriteActive_ = false;
   bool Closed_ = false;
 };
