End the test's gate as soon as its test has ended

e2e.odd_peers ran into its time-out in two of two runs of the whole suite and passed alone: the thread of the fake gate waited for a frame that is no heartbeat, while the node's heartbeats came every 10 s, just within the time-out of a read (seen in the stacks of the hanging process).

--- a/testsuite/odd_peers/odd_peers_test.cpp
+++ b/testsuite/odd_peers/odd_peers_test.cpp
@@ -9,6 +9,7 @@
 #include <future>
 #include <limits>
 #include <mutex>
+#include <optional>
 #include <thread>
 
 using namespace coltsfoot;
@@ -226,6 +227,12 @@
   }
   ~GatePeer() {
     Stopping_ = true;
+    {
+      std::lock_guard<std::mutex> Lock(Mutex_);
+      // The node then closes the connection, which ends the wait for a frame.
+      if (Peer_)
+        Peer_->shutdownSend();
+    }
     Server_.join();
   }
 
@@ -251,11 +258,14 @@
     while (!Stopping_) {
       if (!Listener_.hasPendingConnection(Poll))
         continue;
-      RawSocket Peer = Listener_.accept();
+      {
+        std::lock_guard<std::mutex> Lock(Mutex_);
+        Peer_.emplace(Listener_.accept());
+      }
       wire::Frame Hello;
       Hello.__set_hello(testHello(Name_, 5));
-      Peer.send(encoded(Hello));
-      while (!Stopping_ && answerNext(Peer)) {
+      Peer_->send(encoded(Hello));
+      while (!Stopping_ && answerNext(*Peer_)) {
       }
     }
   }
@@ -278,8 +288,9 @@
   int64_t Generation_ = 0;
   std::atomic<int> Offers_ = 0;
   std::atomic<bool> Stopping_ = false;
-  std::mutex Mutex_; // guards Reply_
+  std::mutex Mutex_; // guards Reply_ and the creation of Peer_
   wire::Reply Reply_;
+  std::optional<RawSocket> Peer_; // of the latest connection
   std::thread Server_;
 };
 
