Count no call of the soak as lost that was answered at its deadline

The trace: it waited 1,559 ms in the queue of the gate, ran for 3,496 ms, and its deadline is 5,000 ms. The target does not count a request whose deadline was reached; the check did not know the deadline.

--- a/testsuite/soak/soakrun.cpp
+++ b/testsuite/soak/soakrun.cpp
@@ -303,18 +303,21 @@
 
 void SoakRun::Impl::callOnce(HttpSession &Session, const ClientCall &Call) {
   bool IsLong = Call.Work_ > Millis();
+  Millis Deadline = IsLong ? LongCallDeadline : CallDeadline;
   bool Planned = PlannedWorkOnly_;
   Millis Sent = Clock_.now();
   std::string Outcome;
   try {
     HttpReply Reply =
         Session.request(Call.MayRepeat_ ? "GET" : "POST", Call.target(),
-                        PlatformMachine::callFields(
-                            Call.Id_, IsLong ? LongCallDeadline : CallDeadline),
+                        PlatformMachine::callFields(Call.Id_, Deadline),
                         Call.MayRepeat_ ? "" : "body of " + Call.Id_,
                         IsLong ? LongCallTimeout : CallTimeout);
     Ledger_.recordAnswer(Call.Id_, Call.MayRepeat_, Reply);
-    if (Reply.Status_ == 502 || Reply.Status_ == 504)
+    // A call whose deadline was reached, by waiting and work, is not lost.
+    bool DeadlineReached =
+        Reply.Status_ == 504 && Clock_.now() - Sent >= Deadline;
+    if (!DeadlineReached && (Reply.Status_ == 502 || Reply.Status_ == 504))
       Outcome = "status " + std::to_string(Reply.Status_);
   } catch (const HttpError &Error) {
     Ledger_.recordNoAnswer(Call.Id_, Call.MayRepeat_);
