Keep descriptors free of callers' idle connections

Cause: callers kept idle connections until the process had no descriptors left. The limit of 4,096 connections was above the 3,900 sockets that a VM allows, so it never applied. Then accept() failed and was repeated every 20 ms, connections to the backend server failed with the same error (no-upstream), and requests were read seconds after they had been sent.

Change: connections of callers leave limits.reserved_descriptors free. Above three quarters of their share responses close their connections, and a new connection takes the place of one that has been idle for 5 s; at the limit it takes the place of the one that has been idle longest. A failure to accept is logged and counted, and closes idle connections. Connections by port, and what became of them, are metrics.

Test changed: "connections over the limit are refused with 503" held its places by idle connections, which now give way; it holds them by requests in progress, with the same checks and one more.

--- a/src/include/coltsfootpoint/settings.h
+++ b/src/include/coltsfootpoint/settings.h
@@ -103,6 +103,8 @@
   Millis CallerIdle_;
   Millis HeaderTimeout_;
   int Callers_ = 0;
+  int Descriptors_ = 0;
+  int ReservedDescriptors_ = 0;
   int Queue_ = 0;
   SlotsMeaning Slots_ = SlotsMeaning::Bound;
   double SlotShare_ = 1;
--- a/src/libcoordination/api.cpp
+++ b/src/libcoordination/api.cpp
@@ -142,6 +142,9 @@
   void handle(const HttpExchange::Pointer &Exchange);
   std::string localStatus(std::string_view QueryKind,
                           std::string_view Argument);
+  void showListener(std::string_view Port, const HttpServer &Server) {
+    Metrics_.addListenerGauges(Port, Server);
+  }
   void record(const CallRecord &Ended);
   void endWatches() { Resources_.endWatches(); }
 
@@ -408,6 +411,9 @@
   return Impl_->localStatus(QueryKind, Argument);
 }
 
+void Api::showListener(std::string_view Port, const HttpServer &Server) {
+  Impl_->showListener(Port, Server);
+}
 void Api::record(const CallRecord &Ended) { Impl_->record(Ended); }
 
 void Api::endWatches() { Impl_->endWatches(); }
--- a/src/libcoordination/api.h
+++ b/src/libcoordination/api.h
@@ -63,6 +63,9 @@
   /// Adds an ended call to the counts of service-level objectives and to the
   /// metrics.
   void record(const CallRecord &Ended);
+  /// Shows the connections to one HTTP port in the metrics. To be called before
+  /// the first request; the server has to outlive the last one.
+  void showListener(std::string_view Port, const HttpServer &Server);
   /// Ends the streams of watchers, so that they resume at another node.
   void endWatches();
 
--- a/src/libcoordination/node.cpp
+++ b/src/libcoordination/node.cpp
@@ -10,6 +10,7 @@
 #include "configfollower.h"
 #include "configservice.h"
 #include "configsync.h"
+#include "descriptorplan.h"
 #include "drainadmission.h"
 #include "drainsequence.h"
 #include "entry.h"
@@ -147,7 +148,9 @@
   Reason notServingReason() const;
   bool takesCalls() const;
   std::unique_ptr<HttpServer> listen(const tcp::endpoint &Address,
+                                     bool TakesCalls,
                                      HttpServer::Handler OnRequest);
+  void showListeners();
   std::vector<HttpServer *> servers() const;
   HttpServer &callServer() const { return Calls_ ? *Calls_ : *Http_; }
   void answerReadiness(const HttpExchange::Pointer &Exchange) const;
@@ -165,6 +168,7 @@
   const PolicyKind Policy_;
   std::unique_ptr<LogClient> LogClient_;
   MonitoredLog Log_;
+  const DescriptorPlan Descriptors_;
   // One for each kind of sender, so that none uses up what another needs.
   const boost::intrusive_ptr<ByteBudget> CallerBudget_;
   const boost::intrusive_ptr<ByteBudget> BackendBudget_;
@@ -212,6 +216,8 @@
       Policy_(parsePolicy(policyName(AllSettings.Node_.Policy_))),
       LogClient_(makeLogClient(Context, AllSettings)),
       Log_(LogClient_.get(), Clock_),
+      Descriptors_(planDescriptors(AllSettings.Limits_,
+                                   availableDescriptors(AllSettings.Limits_))),
       CallerBudget_(new ByteBudget(AllSettings.Limits_.ReceiveBytes_)),
       BackendBudget_(new ByteBudget(AllSettings.Limits_.ReceiveBytes_)),
       PeerBudget_(new ByteBudget(AllSettings.Limits_.ReceiveBytes_)),
@@ -256,20 +262,21 @@
   tcp::endpoint HttpAddress =
       endpointOf(AllSettings.Node_.Address_, AllSettings.Node_.HttpPort_);
   bool SeparateCallListener = !AllSettings.Listen_.Calls_.empty();
-  Http_ = listen(HttpAddress, [this, SeparateCallListener](
-                                  const HttpExchange::Pointer &Exchange) {
-    if (!SeparateCallListener && Entry_.isCall(Exchange->request()))
-      Entry_.handle(Exchange);
-    else
-      Api_.handle(Exchange);
-  });
+  Http_ = listen(
+      HttpAddress, !SeparateCallListener,
+      [this, SeparateCallListener](const HttpExchange::Pointer &Exchange) {
+        if (!SeparateCallListener && Entry_.isCall(Exchange->request()))
+          Entry_.handle(Exchange);
+        else
+          Api_.handle(Exchange);
+      });
   if (SeparateCallListener)
-    Calls_ = listen(endpointOf(AllSettings.Listen_.Calls_),
+    Calls_ = listen(endpointOf(AllSettings.Listen_.Calls_), true,
                     [this](const HttpExchange::Pointer &Exchange) {
                       Entry_.handle(Exchange);
                     });
   if (!AllSettings.Listen_.Readiness_.empty())
-    Readiness_ = listen(endpointOf(AllSettings.Listen_.Readiness_),
+    Readiness_ = listen(endpointOf(AllSettings.Listen_.Readiness_), false,
                         [this](const HttpExchange::Pointer &Exchange) {
                           answerReadiness(Exchange);
                         });
@@ -283,20 +290,24 @@
   Instances_ = std::make_unique<InstanceMonitor>(Context, nodeContext(),
                                                  *Adapters_.Reports_, Gate_,
                                                  AllSettings.Timeouts_.Lease_);
-  Reports_ = listen(endpointOf(AllSettings.Listen_.Reports_),
+  Reports_ = listen(endpointOf(AllSettings.Listen_.Reports_), false,
                     [this](const HttpExchange::Pointer &Exchange) {
                       Instances_->processReport(Exchange);
                     });
 }
 
 std::unique_ptr<HttpServer> Node::Impl::listen(const tcp::endpoint &Address,
+                                               bool TakesCalls,
                                                HttpServer::Handler OnRequest) {
   const LimitSettings &ConfiguredLimits = Settings_.Limits_;
   HttpServer::Options Limits;
   Limits.HeaderBytes_ = ConfiguredLimits.HeaderBytes_;
   Limits.BodyBytes_ = std::min(ConfiguredLimits.BodyBytes_, maxSentBodyBytes());
   Limits.AnswerBudget_ = AnswerBudget_;
-  Limits.Callers_ = static_cast<size_t>(ConfiguredLimits.Callers_);
+  Limits.Callers_ =
+      TakesCalls ? Descriptors_.Callers_ : Descriptors_.OtherCallers_;
+  Limits.KeptCallers_ =
+      TakesCalls ? Descriptors_.KeptCallers_ : Descriptors_.OtherCallers_;
   Limits.IdleTimeout_ = ConfiguredLimits.CallerIdle_;
   Limits.ReceiveTimeout_ = ConfiguredLimits.HeaderTimeout_;
   Limits.Budget_ = CallerBudget_;
@@ -304,6 +315,16 @@
                                       std::move(OnRequest));
 }
 
+void Node::Impl::showListeners() {
+  Api_.showListener("http", *Http_);
+  if (Calls_)
+    Api_.showListener("calls", *Calls_);
+  if (Readiness_)
+    Api_.showListener("readiness", *Readiness_);
+  if (Reports_)
+    Api_.showListener("reports", *Reports_);
+}
+
 std::vector<HttpServer *> Node::Impl::servers() const {
   std::vector<HttpServer *> All;
   for (const auto *Each : {&Http_, &Calls_, &Readiness_, &Reports_})
@@ -475,6 +496,7 @@
   Gate_.start([this](const std::string &Service, int Slots, bool Leaving) {
     onServing(Service, Slots, Leaving);
   });
+  showListeners();
   for (HttpServer *Each : servers())
     Each->start();
   asio::post(Strand_, [this] { scheduleTick(); });
--- a/src/libcoordination/nodemetrics.cpp
+++ b/src/libcoordination/nodemetrics.cpp
@@ -7,6 +7,7 @@
 #include "entry.h"
 #include "gate.h"
 #include "gossipservice.h"
+#include "httpserver.h"
 #include "memberview.h"
 
 #include "coltsfootpoint/log.h"
@@ -112,6 +113,29 @@
                  [&Budget] { return static_cast<double>(Budget.refusals()); });
 }
 
+void NodeMetrics::addListenerGauges(std::string_view Port,
+                                    const HttpServer &Server) {
+  const MetricLabels Labels{{"port", std::string(Port)}};
+  Metrics_.gauge(
+      "coltsfoot_listener_connections", "Open connections to the port.", Labels,
+      [&Server] { return static_cast<double>(Server.figures().Connections_); });
+  auto Add = [&](const std::string &Name, const std::string &Help,
+                 uint64_t HttpServer::Figures::*Count) {
+    Metrics_.gauge("coltsfoot_listener_" + Name, Help, Labels,
+                   [&Server, Count] {
+                     return static_cast<double>(Server.figures().*Count);
+                   });
+  };
+  Add("idle_closed", "Idle connections closed to make room for others.",
+      &HttpServer::Figures::IdleClosed_);
+  Add("refused", "Connections refused because too many were in use.",
+      &HttpServer::Figures::Refused_);
+  Add("accept_failures", "Failed attempts to accept a connection.",
+      &HttpServer::Figures::AcceptFailures_);
+  Add("callers_left", "Requests not handled because their callers had left.",
+      &HttpServer::Figures::CallersLeft_);
+}
+
 LatencyHistogram &NodeMetrics::addCallHistogram(std::string_view Verdict) {
   return Metrics_.histogram(
       "coltsfoot_call_seconds",
--- a/src/libcoordination/nodemetrics.h
+++ b/src/libcoordination/nodemetrics.h
@@ -14,6 +14,7 @@
 class DrainAdmission;
 class Gate;
 class GossipService;
+class HttpServer;
 struct CallRecord;
 
 /// The metrics of a node: counters of the calls that entered here by service,
@@ -34,6 +35,9 @@
   /// Adds the bytes that the reservations of the budget hold, and how many of
   /// them were refused.
   void addReceiveGauges(std::string_view Sender, const ByteBudget &Budget);
+  /// Adds gauges of the connections to one HTTP port. The server has to outlive
+  /// this object's last text().
+  void addListenerGauges(std::string_view Port, const HttpServer &Server);
 
   /// Counts a call that has ended and, for a root call, records its latency.
   void record(const CallRecord &Ended);
--- a/src/libtransport/httpserver.cpp
+++ b/src/libtransport/httpserver.cpp
@@ -4,11 +4,14 @@
 #include "httpserversession.h"
 #include "timer.h"
 
+#include "coltsfootpoint/log.h"
+
 #include <array>
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/strand.hpp>
 #include <linux/filter.h>
+#include <optional>
 #include <sys/socket.h>
 
 namespace coltsfoot {
@@ -20,6 +23,12 @@
 namespace {
 
 constexpr Millis AcceptRetryDelay{20};
+/// How many idle connections are closed after a failure to accept one.
+constexpr int ClosedAfterAcceptFailure = 8;
+constexpr Millis AcceptFailureLogInterval{1000};
+/// A connection idle for less is likely to be used again, and is closed only at
+/// Options::Callers_.
+constexpr Millis LongIdle{5000};
 /// How long connections that are half open at a stop have to complete their TCP
 /// handshake. This is longer than a round trip within an availability zone.
 constexpr Millis HandshakeGracePeriod{2};
@@ -72,6 +81,8 @@
 
   void accept();
   void onAccepted(tcp::socket Socket);
+  bool makeRoom();
+  void onAcceptFailed(const error_code &Error);
   void acceptBacklog();
   void retryAcceptLater();
   void stopAccepting();
@@ -80,6 +91,8 @@
   tcp::acceptor Acceptor_;
   asio::steady_timer AcceptTimer_;
   const uint16_t Port_;
+  const SystemClock Clock_;
+  std::optional<Millis> FailureLogged_;
 };
 
 void HttpServer::Shared::accept() {
@@ -89,7 +102,7 @@
                          [Self = boost::intrusive_ptr<Shared>(this)](
                              const error_code &Error, tcp::socket Socket) {
                            if (Error && !Self->Stopped_)
-                             return Self->retryAcceptLater();
+                             return Self->onAcceptFailed(Error);
                            // First, so that an exception in onAccepted() does
                            // not end the accepting.
                            Self->accept();
@@ -101,7 +114,8 @@
 // Tells a caller over the limit that its request did not run. The refusal is
 // written without blocking; what the socket's buffer does not take is lost.
 void HttpServer::Shared::onAccepted(tcp::socket Socket) {
-  if (Callers_ >= Options_.Callers_) {
+  if (!makeRoom()) {
+    ++Refused_;
     error_code Ignored;
     Socket.non_blocking(true, Ignored);
     Socket.write_some(asio::buffer(TooManyCallersResponse), Ignored);
@@ -113,6 +127,34 @@
   Caller->start();
 }
 
+/// Closes an idle connection if there are many. Returns whether there is room
+/// for a further one.
+bool HttpServer::Shared::makeRoom() {
+  if (Callers_ >= Options_.Callers_)
+    return closeLongestIdle(Millis(0));
+  if (crowded())
+    closeLongestIdle(LongIdle);
+  return true;
+}
+
+// Accepting fails, for example, while no file descriptors are left; idle
+// connections then hold most of them.
+void HttpServer::Shared::onAcceptFailed(const error_code &Error) {
+  ++AcceptFailures_;
+  Millis Now = Clock_.now();
+  if (!FailureLogged_ || Now - *FailureLogged_ >= AcceptFailureLogInterval) {
+    FailureLogged_ = Now;
+    logEvent(LogLevel::Warning, "accept_failed",
+             {{"error", Error.message()},
+              {"port", Port_},
+              {"connections", Callers_.load()},
+              {"failures", AcceptFailures_.load()}});
+  }
+  for (int I = 0; I < ClosedAfterAcceptFailure; ++I)
+    closeLongestIdle(Millis(0));
+  retryAcceptLater();
+}
+
 // Accepts the connections that were established before the stop, so that their
 // requests are served.
 void HttpServer::Shared::acceptBacklog() {
@@ -126,8 +168,7 @@
   }
 }
 
-// Accepting fails, for example, while no file descriptors are left. The delay
-// prevents a busy loop.
+// The delay prevents a busy loop.
 void HttpServer::Shared::retryAcceptLater() {
   AcceptTimer_.expires_after(toChrono(AcceptRetryDelay));
   AcceptTimer_.async_wait(
@@ -173,4 +214,9 @@
 
 size_t HttpServer::pending() const { return Shared_->Pending_; }
 
+HttpServer::Figures HttpServer::figures() const {
+  return {Shared_->Callers_, Shared_->Pending_,        Shared_->IdleClosed_,
+          Shared_->Refused_, Shared_->AcceptFailures_, Shared_->CallersLeft_};
+}
+
 } // namespace coltsfoot
--- a/src/libtransport/httpserver.h
+++ b/src/libtransport/httpserver.h
@@ -65,9 +65,17 @@
 /// A request must arrive completely within a fixed time, so a caller that sends
 /// its bytes slowly is refused; until then it occupies a buffer but no worker
 /// thread. Malformed, ambiguous, late and oversized requests are refused with
-/// 400, 408, 413, 431 or 505 and never reach the handler. A connection over the
-/// connection limit, and a request that does not fit in Options::Budget_, is
-/// refused with 503.
+/// 400, 408, 413, 431 or 505 and never reach the handler. A request that does
+/// not fit in Options::Budget_ is refused with 503.
+///
+/// Callers that keep idle connections do not keep others out. Above
+/// Options::KeptCallers_ responses close their connections, and each new
+/// connection takes the place of one that has been idle for some seconds. At
+/// Options::Callers_ it takes the place of the one that has been idle longest;
+/// if none is idle, it is refused with 503.
+///
+/// A request whose caller has left before it was read is not handled, where
+/// this can be told: see HttpServerSession.
 ///
 /// A caller abandons its request by closing the connection. A caller that shuts
 /// down only its sending direction is treated the same way: the server can't
@@ -83,6 +91,9 @@
     size_t HeaderBytes_ = 16 * 1024;
     size_t BodyBytes_ = 1024 * 1024;
     size_t Callers_ = 4096; ///< Maximum number of connections.
+    /// Number of connections above which a response closes its connection, and
+    /// connections that have been idle for long are closed.
+    size_t KeptCallers_ = 4096;
     Millis IdleTimeout_{60000};
     Millis ReceiveTimeout_{5000};
     /// Bounds the received bytes of all unfinished requests; null for no bound.
@@ -93,6 +104,23 @@
   };
   using Handler = std::function<void(HttpExchange::Pointer)>;
 
+  /// Counts since the start, but for Connections_ and Pending_, which are those
+  /// of this moment.
+  struct Figures {
+    size_t Connections_ = 0;
+    /// Requests whose response is not finished.
+    size_t Pending_ = 0;
+    /// Idle connections closed to make room for others.
+    uint64_t IdleClosed_ = 0;
+    /// Connections refused because of Options::Callers_.
+    uint64_t Refused_ = 0;
+    /// Failed attempts to accept a connection.
+    uint64_t AcceptFailures_ = 0;
+    /// Requests not handled because their callers had left.
+    uint64_t CallersLeft_ = 0;
+    bool operator==(const Figures &) const = default;
+  };
+
   /// Binds the address. Throws boost::system::system_error on failure, for
   /// example if the address is in use.
   HttpServer(boost::asio::io_context &Context,
@@ -115,6 +143,7 @@
   uint16_t port() const;
   /// Returns the number of requests whose response is not finished.
   size_t pending() const;
+  Figures figures() const;
 
 private:
   struct Shared;
--- a/src/libtransport/httpserver_test.cpp
+++ b/src/libtransport/httpserver_test.cpp
@@ -606,15 +606,26 @@
   HttpServer::Options Limits = smallLimits();
   Limits.Callers_ = 2;
   Fixture Test(Limits);
+  std::mutex HeldMutex;
+  std::vector<HttpExchange::Pointer> Held;
+  EventCounter Arrived;
+  Fixture::StopGuard Guard(Test);
+  Test.OnRequest_ = [&](HttpExchange::Pointer Exchange) {
+    if (Exchange->request().Target_ != "/good")
+      return Fixture::echo(Exchange);
+    std::lock_guard<std::mutex> Lock(HeldMutex);
+    Held.push_back(std::move(Exchange));
+    Arrived.increment();
+  };
   RawSocket First = Test.caller();
   RawSocket Second = Test.caller();
   First.send(ValidRequest);
   Second.send(ValidRequest);
-  First.receiveAnswer();
-  Second.receiveAnswer();
+  REQUIRE(Arrived.wait(2));
   std::string Refusal = Test.caller().receiveAll();
   CHECK(hasStatus(Refusal, 503));
   CHECK(contains(Refusal, "Coltsfoot-Verdict: not-run"));
+  CHECK(Test.Server_.figures().Refused_ == 1);
   First.close();
   CHECK(waitUntil([&] { return Test.isServing(); }));
 }
--- a/src/libtransport/httpserversession.cpp
+++ b/src/libtransport/httpserversession.cpp
@@ -1,6 +1,7 @@
 #include "httpserversession.h"
 
 #include "httpframing.h"
+#include "inputstate.h"
 #include "timer.h"
 
 #include "coltsfootpoint/log.h"
@@ -281,7 +282,7 @@
 void HttpServerState::remove(HttpServerSession &Session) {
   {
     std::lock_guard<std::mutex> Lock(Mutex_);
-    if (!Session.is_linked())
+    if (!static_cast<boost::intrusive::list_base_hook<> &>(Session).is_linked())
       return;
     Sessions_.erase(Sessions_.iterator_to(Session));
   }
@@ -299,6 +300,33 @@
     Session->stop();
 }
 
+void HttpServerState::addIdle(HttpServerSession &Session) {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  if (static_cast<IdleHook &>(Session).is_linked())
+    return;
+  Session.setIdleSince(Clock_.now());
+  Idle_.push_back(Session);
+}
+
+void HttpServerState::removeIdle(HttpServerSession &Session) {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  if (static_cast<IdleHook &>(Session).is_linked())
+    Idle_.erase(Idle_.iterator_to(Session));
+}
+
+bool HttpServerState::closeLongestIdle(Millis MinIdle) {
+  HttpServerSession::Pointer Longest;
+  {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    if (Idle_.empty() || Clock_.now() - Idle_.front().idleSince() < MinIdle)
+      return false;
+    Longest = &Idle_.front();
+    Idle_.pop_front();
+  }
+  Longest->closeIfIdle();
+  return true;
+}
+
 HttpServerSession::HttpServerSession(
     tcp::socket Socket, boost::intrusive_ptr<HttpServerState> Server)
     : Socket_(std::move(Socket)), Timer_(Socket_.get_executor()),
@@ -310,7 +338,10 @@
   ++Server_->Callers_;
 }
 
-HttpServerSession::~HttpServerSession() { --Server_->Callers_; }
+HttpServerSession::~HttpServerSession() {
+  Server_->removeIdle(*this);
+  --Server_->Callers_;
+}
 
 void HttpServerSession::start() {
   Server_->add(*this);
@@ -329,6 +360,19 @@
   });
 }
 
+void HttpServerSession::closeIfIdle() {
+  asio::post(executor(), [Self = Pointer(this)] {
+    bool Unused =
+        Self->Phase_ == Phase::Idle || Self->Phase_ == Phase::Lingering;
+    // What has arrived meanwhile is read next: a request, or input without
+    // whose reading the connection would be reset.
+    if (!Unused || inputState(Self->Socket_) == InputState::Bytes)
+      return;
+    ++Self->Server_->IdleClosed_;
+    Self->close();
+  });
+}
+
 // The idle time-out applies until the first byte of a request arrives. From
 // then on the complete request must arrive within the receive time-out.
 void HttpServerSession::awaitRequest() {
@@ -345,6 +389,7 @@
   Input_.shrink_to_fit();
   Received_.resize(0);
   startTimer(Server_->Options_.IdleTimeout_);
+  Server_->addIdle(*this);
   read();
 }
 
@@ -373,6 +418,7 @@
   Input_.append(ReadBuffer_.data(), Size);
   if (Phase_ == Phase::Idle) {
     Phase_ = Phase::Receiving;
+    Server_->removeIdle(*this);
     startTimer(Server_->Options_.ReceiveTimeout_);
   }
   if (Phase_ == Phase::Receiving)
@@ -551,8 +597,7 @@
               Sent_.resize(Reply.Body_.size());
   Message_->Response_ =
       toResponse(Kept ? Reply : answerNotKept(), Message_->ToHeadRequest_);
-  Message_->Response_.keep_alive(Message_->KeepAlive_ && !Server_->Stopped_ &&
-                                 !Server_->KeepAliveDisabled_);
+  Message_->Response_.keep_alive(keepsOpen());
   startTimer(Server_->Options_.IdleTimeout_);
   http::async_write(Socket_, Message_->Response_,
                     [Self = Pointer(this)](const error_code &Error, size_t) {
@@ -567,6 +612,12 @@
                     });
 }
 
+bool HttpServerSession::keepsOpen() const {
+  if (!Message_->KeepAlive_ || Server_->Stopped_)
+    return false;
+  return !Server_->KeepAliveDisabled_ && !Server_->crowded();
+}
+
 void HttpServerSession::finishResponse(bool KeepAlive) {
   Message_->Response_ = Response();
   Sent_.resize(0);
@@ -653,11 +704,13 @@
   Phase_ = Phase::Lingering;
   releaseReceived();
   startTimer(LingerTimeout);
+  Server_->addIdle(*this);
   read();
 }
 
 void HttpServerSession::close() {
   Phase_ = Phase::Closed;
+  Server_->removeIdle(*this);
   PendingResponse_ = nullptr;
   cancelTimer();
   error_code Ignored;
--- a/src/libtransport/httpserversession.h
+++ b/src/libtransport/httpserversession.h
@@ -16,6 +16,7 @@
 namespace coltsfoot {
 
 struct HttpServerState;
+struct IdleSessionTag;
 
 /// One caller's connection to an HttpServer.
 ///
@@ -28,7 +29,9 @@
 class HttpServerSession
     : public boost::intrusive_ref_counter<HttpServerSession,
                                           boost::thread_safe_counter>,
-      public boost::intrusive::list_base_hook<> {
+      public boost::intrusive::list_base_hook<>,
+      public boost::intrusive::list_base_hook<
+          boost::intrusive::tag<IdleSessionTag>> {
 public:
   using Pointer = boost::intrusive_ptr<HttpServerSession>;
   class PendingResponse;
@@ -45,6 +48,12 @@
   void start();
   /// Ends a stream in progress. Does not interrupt other responses.
   void stop();
+  /// Closes the connection if it still waits for a request or for the caller to
+  /// close it, and nothing has arrived on it.
+  void closeIfIdle();
+  /// When the connection became idle. HttpServerState guards it.
+  Millis idleSince() const { return IdleSince_; }
+  void setIdleSince(Millis Time) { IdleSince_ = Time; }
 
   auto executor() { return Socket_.get_executor(); }
   void sendResponse(const Answer &Reply);
@@ -74,6 +83,8 @@
   void copyHead();
   void parseBody();
   void dispatchRequest();
+  bool callerHasLeft();
+  bool keepsOpen() const;
   void refuse(int Status, std::string_view Detail);
   void finishResponse(bool KeepAlive);
   void writeNextPiece();
@@ -92,6 +103,8 @@
   std::string RemoteAddress_;
   Phase Phase_ = Phase::Idle;
   uint64_t TimerGeneration_ = 0;
+  Millis IdleSince_;
+  bool ServedBefore_ = false;
   bool Reading_ = false;
   bool InputEnded_ = false;
   std::array<char, ReadBufferBytes> ReadBuffer_;
@@ -121,6 +134,10 @@
   std::atomic<bool> KeepAliveDisabled_ = false;
   std::atomic<size_t> Callers_ = 0;
   std::atomic<size_t> Pending_ = 0;
+  std::atomic<uint64_t> IdleClosed_ = 0;
+  std::atomic<uint64_t> Refused_ = 0;
+  std::atomic<uint64_t> AcceptFailures_ = 0;
+  std::atomic<uint64_t> CallersLeft_ = 0;
 
   /// Adds an open session to the list, unless the server has stopped. The list
   /// owns a reference to it.
@@ -130,9 +147,30 @@
   /// Stops the listed sessions and empties the list.
   void stopAll();
 
+  /// Adds a session to the list of idle ones: those that wait for a request, or
+  /// for their caller to close the connection.
+  void addIdle(HttpServerSession &Session);
+  /// Removes a session from the list of idle ones, if it is in it.
+  void removeIdle(HttpServerSession &Session);
+  /// Asks the session that has been idle longest, and for at least MinIdle, to
+  /// close. Returns false if there is none.
+  bool closeLongestIdle(Millis MinIdle);
+  /// Returns whether there are so many connections that a response should
+  /// close its own.
+  bool crowded() const { return Callers_ > Options_.KeptCallers_; }
+
 private:
-  std::mutex Mutex_; // guards Sessions_
+  using IdleHook =
+      boost::intrusive::list_base_hook<boost::intrusive::tag<IdleSessionTag>>;
+
+  const SystemClock Clock_;
+  std::mutex Mutex_; // guards the members below
   boost::intrusive::list<HttpServerSession> Sessions_;
+  /// In the order in which they became idle; each session removes itself before
+  /// it is destroyed.
+  boost::intrusive::list<HttpServerSession,
+                         boost::intrusive::base_hook<IdleHook>>
+      Idle_;
 };
 
 } // namespace coltsfoot
--- /dev/null
+++ b/src/libtransport/idleconnections_test.cpp
@@ -0,0 +1,112 @@
+#include "httpserver.h"
+
+#include "rawsocket.h"
+
+#include <boost/asio/post.hpp>
+#include <doctest/doctest.h>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+using namespace coltsfoot;
+
+namespace {
+
+constexpr std::string_view Request = "GET /a HTTP/1.1\r\nHost: a\r\n\r\n";
+
+HttpServer::Options limits(size_t Callers, size_t KeptCallers) {
+  HttpServer::Options Limits;
+  Limits.Callers_ = Callers;
+  Limits.KeptCallers_ = KeptCallers;
+  return Limits;
+}
+
+/// A server that counts requests and answers them at once, except those for
+/// `/held`.
+struct Fixture {
+  explicit Fixture(HttpServer::Options Limits)
+      : Workers_(1),
+        Server_(Workers_.context(),
+                {boost::asio::ip::address_v4::loopback(), 0}, Limits,
+                [this](HttpExchange::Pointer Exchange) {
+                  Arrived_.increment();
+                  if (Exchange->request().Target_ == "/held")
+                    Held_ = std::move(Exchange);
+                  else
+                    Exchange->respond({200, {}, Exchange->request().Target_});
+                }) {
+    Server_.start();
+  }
+  ~Fixture() {
+    Server_.stop();
+    Workers_.stop();
+  }
+
+  RawSocket caller() const { return RawSocket::connect(Server_.port()); }
+  /// Returns a connection on which one request was answered.
+  RawSocket idleCaller(std::string &Response) const {
+    RawSocket Caller = caller();
+    Caller.send(Request);
+    Response = Caller.receiveAnswer();
+    return Caller;
+  }
+
+  HttpExchange::Pointer Held_;
+  EventCounter Arrived_;
+  Workers Workers_;
+  HttpServer Server_;
+};
+
+bool isOk(const std::string &Response) {
+  return Response.starts_with("HTTP/1.1 200 ");
+}
+
+bool closes(const std::string &Response) {
+  return Response.find("Connection: close") != std::string::npos;
+}
+
+} // namespace
+
+TEST_CASE("callers that keep idle connections don't keep others out") {
+  Fixture Test(limits(4, 4));
+  std::vector<RawSocket> Idle;
+  for (int I = 0; I < 40; ++I) {
+    std::string Response;
+    Idle.push_back(Test.idleCaller(Response));
+    CHECK(isOk(Response));
+  }
+  CHECK(Test.Server_.figures().Connections_ <= 5);
+  CHECK(Test.Server_.figures().Refused_ == 0);
+  CHECK(Idle.front().closesSilently());
+}
+
+TEST_CASE("the connection that has been idle longest is closed first") {
+  Fixture Test(limits(3, 3));
+  std::string Ignored;
+  RawSocket First = Test.idleCaller(Ignored);
+  RawSocket Second = Test.idleCaller(Ignored);
+  RawSocket Third = Test.idleCaller(Ignored);
+  First.send(Request);
+  CHECK(isOk(First.receiveAnswer()));
+  RawSocket Fourth = Test.idleCaller(Ignored);
+  CHECK(Second.closesSilently());
+  First.send(Request);
+  CHECK(isOk(First.receiveAnswer()));
+  Third.send(Request);
+  CHECK(isOk(Third.receiveAnswer()));
+}
+
+TEST_CASE("with many connections a response closes its own") {
+  Fixture Test(limits(100, 2));
+  std::vector<RawSocket> Idle;
+  for (int I = 0; I < 6; ++I) {
+    std::string Response;
+    Idle.push_back(Test.idleCaller(Response));
+    CHECK(isOk(Response));
+    CHECK(closes(Response) == (I >= 2));
+  }
+  CHECK(waitUntil([&] { return Test.Server_.figures().Connections_ <= 6; }));
+  Idle.erase(Idle.begin() + 2, Idle.end());
+  Idle.front().send(Request);
+  CHECK(isOk(Idle.front().receiveAnswer()));
+}
--- a/src/libtransport/upstreamconnections.cpp
+++ b/src/libtransport/upstreamconnections.cpp
@@ -1,33 +1,13 @@
 #include "upstreamconnections.h"
 
+#include "inputstate.h"
+
 #include <algorithm>
-#include <boost/asio/buffer.hpp>
 #include <vector>
 
 namespace coltsfoot {
 
-namespace asio = boost::asio;
-using boost::system::error_code;
-using tcp = asio::ip::tcp;
-
-namespace {
-
-enum class IdleState { Reusable, HasUnreadBytes, Closed };
-
-/// Returns whether a request can be sent on an idle connection: the peer has
-/// neither closed it nor sent anything that is still unread.
-IdleState idleState(tcp::socket &Socket) {
-  error_code Failure;
-  char Byte = 0;
-  Socket.non_blocking(true, Failure);
-  Socket.receive(asio::buffer(&Byte, 1), tcp::socket::message_peek, Failure);
-  if (!Failure)
-    return IdleState::HasUnreadBytes;
-  return Failure == asio::error::would_block ? IdleState::Reusable
-                                             : IdleState::Closed;
-}
-
-} // namespace
+using tcp = boost::asio::ip::tcp;
 
 void UpstreamConnectionPool::close() {
   boost::intrusive::list<UpstreamWaiter> Waiters;
@@ -101,10 +81,12 @@
   while (!IdleConnections_.empty() && !Grant.Reused_) {
     IdleConnection Newest = std::move(IdleConnections_.back());
     IdleConnections_.pop_back();
-    IdleState State = idleState(*Newest.Socket_);
-    if (State == IdleState::HasUnreadBytes)
+    // A request can be sent only if the peer has neither closed the connection
+    // nor sent anything that is still unread.
+    InputState State = inputState(*Newest.Socket_);
+    if (State == InputState::Bytes)
       ++Grant.SurplusConnections_;
-    if (Now - Newest.IdleSince_ < IdleTimeout_ && State == IdleState::Reusable)
+    if (Now - Newest.IdleSince_ < IdleTimeout_ && State == InputState::Nothing)
       Grant.Reused_ = std::move(Newest.Socket_);
   }
   return Grant;
--- a/src/libutil/settingstable.cpp
+++ b/src/libutil/settingstable.cpp
@@ -225,6 +225,15 @@
     SettingEntry{"limits", "callers", "connections",
                  "maximum number of connections to each HTTP port",
                  number<Limits, &I::Callers_>(4096, 1, 1e6)},
+    SettingEntry{"limits", "descriptors", "",
+                 "number of file descriptors that the process may use; 0 for "
+                 "the limit of the operating system",
+                 number<Limits, &I::Descriptors_>(0, 0, 1e7)},
+    SettingEntry{"limits", "reserved_descriptors", "",
+                 "file descriptors that connections of callers leave free, for "
+                 "the backend server, other nodes, the log and files; half of "
+                 "the descriptors if that is less",
+                 number<Limits, &I::ReservedDescriptors_>(512, 0, 1e7)},
     SettingEntry{"limits", "queue", "requests",
                  "maximum number of requests that wait at the gate",
                  number<Limits, &I::Queue_>(256, 0, 1e6)},
