--- a/src/libtransport/idleconnections_test.cpp
+++ b/src/libtransport/idleconnections_test.cpp
@@ -110,3 +110,18 @@
   Idle.front().send(Request);
   CHECK(isOk(Idle.front().receiveAnswer()));
 }
+
+TEST_CASE("a request that was read is served before its connection closes") {
+  Fixture Test(limits(100, 100));
+  RawSocket Caller = Test.caller();
+  std::string Both = "GET /held HTTP/1.1\r\nHost: a\r\n\r\n";
+  Both += Request;
+  Caller.send(Both);
+  REQUIRE(Test.Arrived_.wait());
+  Test.Server_.disableKeepAlive();
+  Test.Held_->respond({200, {}, "held"});
+  CHECK(Caller.receiveAnswer().ends_with("held"));
+  std::string Last = Caller.receiveAnswer();
+  CHECK(Last.ends_with("/a"));
+  CHECK(closes(Last));
+}
