Do not handle a request whose caller left before it was read

What callers saw: nothing; but backend servers worked for clients that had left, up to seconds before, where connections had waited to be accepted.

Cause: a request and the end of its connection were read in two steps, and the first passed the request on.

Change: before the first request of a connection is handled, one look whether the caller has closed it. How long the connection waited is unknown. Later requests are read as soon as they arrive, unless the event loop is late.

The test fails on the old logic: the request of a caller that has left is handled once the worker is free.

--- a/src/libtransport/httpserversession.cpp
+++ b/src/libtransport/httpserversession.cpp
@@ -554,8 +554,21 @@
   dispatchRequest();
 }
 
+// A request that lay unread may be one that its caller has given up. Its work
+// would be done in vain, and the caller's departure would be noticed only after
+// the request has been passed on. How long a connection waited to be accepted
+// is unknown, so its first request is checked.
+bool HttpServerSession::callerHasLeft() {
+  bool FirstRequest = !std::exchange(ServedBefore_, true);
+  return FirstRequest && inputState(Socket_) == InputState::Ended;
+}
+
 void HttpServerSession::dispatchRequest() {
   cancelTimer();
+  if (callerHasLeft()) {
+    ++Server_->CallersLeft_;
+    return close();
+  }
   Phase_ = Phase::Working;
   ++Server_->Pending_;
   HttpRequest Request = std::move(Message_->Request_);
--- a/src/libtransport/idleconnections_test.cpp
+++ b/src/libtransport/idleconnections_test.cpp
@@ -125,3 +125,25 @@
   CHECK(Last.ends_with("/a"));
   CHECK(closes(Last));
 }
+
+TEST_CASE("a request whose caller has left before it was read is not handled") {
+  Fixture Test(limits(100, 100));
+  // The only worker is blocked, so the request stays unread.
+  EventCounter Busy;
+  EventCounter Free;
+  boost::asio::post(Test.Workers_.context(), [&] {
+    Busy.increment();
+    Free.wait();
+  });
+  REQUIRE(Busy.wait());
+  {
+    RawSocket Leaving = Test.caller();
+    Leaving.send(Request);
+  }
+  RawSocket Staying = Test.caller();
+  Staying.send(Request);
+  Free.increment();
+  CHECK(isOk(Staying.receiveAnswer()));
+  CHECK(waitUntil([&] { return Test.Server_.figures().CallersLeft_ == 1; }));
+  CHECK(Test.Arrived_.count() == 1);
+}
