Let a test limit the file descriptors of a node process

Process sets the soft and the hard limit of its child between fork and exec, as the node may read its limit when it starts and may raise the soft one.

--- a/testsuite/common/fleet.cpp
+++ b/testsuite/common/fleet.cpp
@@ -25,10 +25,11 @@
 } // namespace
 
 TestNode::TestNode(const std::string &SettingsFile, std::string Ip,
-                   std::string Authorization)
+                   std::string Authorization, uint64_t DescriptorLimit)
     : Ip_(std::move(Ip)), Authorization_(std::move(Authorization)),
       Process_(std::make_unique<Process>(
-          NodeProgram, std::vector<std::string>{"--config", SettingsFile})) {
+          NodeProgram, std::vector<std::string>{"--config", SettingsFile},
+          DescriptorLimit)) {
   std::string Line = Process_->waitForLine("event=listening", StartTimeout);
   HttpPort_ = portOf(field(Line, "http"));
   Name_ = field(Line, "node");
@@ -125,7 +126,8 @@
   std::string File = writeFile("node-" + std::to_string(++Started_) + ".toml",
                                settingsText(Spec));
   return std::make_unique<TestNode>(File, Spec.Ip_,
-                                    "Bearer " + std::string(TestToken));
+                                    "Bearer " + std::string(TestToken),
+                                    Spec.DescriptorLimit_);
 }
 
 std::unique_ptr<BackendServer> Fleet::startBackend(const TestNode &Node,
--- a/testsuite/common/fleet.h
+++ b/testsuite/common/fleet.h
@@ -7,6 +7,7 @@
 
 #include "coltsfootpoint/time.h"
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -37,6 +38,9 @@
   int Workers_ = DefaultWorkers;
   std::string Policy_ = "adaptive";
   bool UseLog_ = true;
+  /// The number of file descriptors that the process may have open; 0 keeps the
+  /// limit of the test's own process.
+  uint64_t DescriptorLimit_ = 0;
   std::vector<std::string> Peers_;
   /// This and the members below: further TOML lines for the settings table of
   /// the same name.
@@ -51,9 +55,10 @@
 class TestNode {
 public:
   /// Starts the process and waits until it listens. Authorization is the value
-  /// of that header field in requests of the operator. Throws WaitTimeout.
+  /// of that header field in requests of the operator; DescriptorLimit is that
+  /// of the NodeSpec. Throws WaitTimeout.
   TestNode(const std::string &SettingsFile, std::string Ip,
-           std::string Authorization);
+           std::string Authorization, uint64_t DescriptorLimit = 0);
 
   uint16_t httpPort() const { return HttpPort_; }
   const std::string &ip() const { return Ip_; }
--- a/testsuite/common/process.cpp
+++ b/testsuite/common/process.cpp
@@ -1,6 +1,7 @@
 #include "process.h"
 
 #include <boost/process.hpp>
+#include <boost/process/extend.hpp>
 #include <chrono>
 #include <condition_variable>
 #include <csignal>
@@ -8,6 +9,7 @@
 #include <fstream>
 #include <mutex>
 #include <optional>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <thread>
 
@@ -30,11 +32,20 @@
              std::chrono::duration<double, std::milli>(Timeout.count()));
 }
 
+/// Sets the limits of the calling process unless Limit is 0. It is called
+/// between fork and exec, where only such simple calls are allowed.
+void limitDescriptors(uint64_t Limit) {
+  rlimit Limits{Limit, Limit};
+  if (Limit != 0)
+    ::setrlimit(RLIMIT_NOFILE, &Limits);
+}
+
 } // namespace
 
 class Process::Impl {
 public:
-  Impl(const std::string &Program, const std::vector<std::string> &Arguments);
+  Impl(const std::string &Program, const std::vector<std::string> &Arguments,
+       uint64_t DescriptorLimit);
   ~Impl();
 
   void collectOutput(boost::process::ipstream &Stream, bool IsStandardOutput);
@@ -73,7 +84,8 @@
 };
 
 Process::Impl::Impl(const std::string &Program,
-                    const std::vector<std::string> &Arguments)
+                    const std::vector<std::string> &Arguments,
+                    uint64_t DescriptorLimit)
     : Program_(Program) {
   for (int Handle : {Out_.pipe().native_source(), Out_.pipe().native_sink(),
                      Err_.pipe().native_source(), Err_.pipe().native_sink()})
@@ -82,7 +94,10 @@
       boost::process::exe = Program, boost::process::args = Arguments,
       boost::process::std_in<boost::process::null, boost::process::std_out>
           Out_,
-      boost::process::std_err > Err_);
+      boost::process::std_err > Err_,
+      boost::process::extend::on_exec_setup = [DescriptorLimit](auto &) {
+        limitDescriptors(DescriptorLimit);
+      });
   StartLock_.unlock();
   Pid_ = Child.id();
   Child.detach();
@@ -169,8 +184,9 @@
 }
 
 Process::Process(const std::string &Program,
-                 const std::vector<std::string> &Arguments)
-    : Impl_(std::make_unique<Impl>(Program, Arguments)) {}
+                 const std::vector<std::string> &Arguments,
+                 uint64_t DescriptorLimit)
+    : Impl_(std::make_unique<Impl>(Program, Arguments, DescriptorLimit)) {}
 
 Process::~Process() = default;
 
--- a/testsuite/common/process.h
+++ b/testsuite/common/process.h
@@ -2,6 +2,7 @@
 
 #include "coltsfootpoint/time.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <regex>
@@ -26,9 +27,12 @@
 /// collected line by line in one list. All methods are thread-safe.
 class Process {
 public:
-  /// Starts a program. Throws when it can't be started.
+  /// Starts a program. Throws when it can't be started. DescriptorLimit is the
+  /// number of file descriptors that the child may have open, both as its soft
+  /// and as its hard limit; 0 keeps the limits of the test's own process.
   explicit Process(const std::string &Program,
-                   const std::vector<std::string> &Arguments = {});
+                   const std::vector<std::string> &Arguments = {},
+                   uint64_t DescriptorLimit = 0);
   /// Kills this process, and no other one, if it still runs.
   ~Process();
   Process(const Process &) = delete;
