Count a connection that was made while the loop was busy

Callers saw calls fail as no-upstream beside a sound backend server. The time limit of a connect was judged by when the timer's handler or that of the connection ran. If this process was busy or suspended meanwhile, a connection that the system had made long before was closed, and another one was tried.

Asio collects all timers that have expired together with the first of them, so a timer can even be handled before a connection that was made before it expired.

Now the handler of the connection decides alone, and the timer fails a connect only if the socket shows that it is neither made nor refused. The limit of the call itself is unchanged.

The new test steps an event loop by hand, so that it does not depend on speed.

--- a/src/libtransport/upstreamclient.cpp
+++ b/src/libtransport/upstreamclient.cpp
@@ -17,6 +17,7 @@
 #include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http.hpp>
 #include <optional>
+#include <poll.h>
 #include <sstream>
 
 namespace coltsfoot {
@@ -139,6 +140,9 @@
   void begin(UpstreamRequest &&Request, Millis TimeLimit);
   void onGranted(UpstreamGrant Grant);
   void connect();
+  bool isConnectDecided() const;
+  void onConnectTimeLimit();
+  void onConnected(const error_code &Error);
   void write();
   void onWritten(const error_code &Error, size_t Size);
   void read();
@@ -181,6 +185,7 @@
   std::optional<UpstreamGrant> Grant_;
   std::unique_ptr<UpstreamSocket> Socket_;
   bool Reused_ = false;
+  bool Connecting_ = false;
   bool Written_ = false;
   int SkippedResponses_ = 0;
 };
@@ -252,24 +257,44 @@
       Strand_, toChrono(Client_->Options_.ConnectTimeout_));
   ConnectTimer->async_wait([Self = Pointer(this)](const error_code &Error) {
     if (!Error)
-      Self->fail(Reason::NoUpstream);
+      Self->onConnectTimeLimit();
   });
+  Connecting_ = true;
   Socket_->async_connect(
       Grant_->Target_,
       onStrand([Self = Pointer(this), ConnectTimer](const error_code &Error) {
-        // If the time limit has just passed, the timer's handler may be queued
-        // after this one.
-        bool InTime = ConnectTimer->cancel() > 0;
-        if (!Self->Handler_)
-          return;
-        if (Error || !InTime)
-          return Self->fail(Reason::NoUpstream);
-        error_code Ignored;
-        Self->Socket_->set_option(tcp::no_delay(true), Ignored);
-        Self->write();
+        ConnectTimer->cancel();
+        Self->onConnected(Error);
       }));
 }
 
+/// Returns whether the system has already made the connection or failed to, so
+/// that onConnected() will follow.
+bool UpstreamClient::Shared::Exchange::isConnectDecided() const {
+  if (!Socket_->is_open())
+    return true;
+  pollfd Poll{Socket_->native_handle(), POLLOUT, 0};
+  return ::poll(&Poll, 1, 0) > 0;
+}
+
+// The time limit is about the backend server: if this process was busy or
+// suspended, the connection may have been made long before this is called.
+void UpstreamClient::Shared::Exchange::onConnectTimeLimit() {
+  if (Handler_ && Connecting_ && !isConnectDecided())
+    fail(Reason::NoUpstream);
+}
+
+void UpstreamClient::Shared::Exchange::onConnected(const error_code &Error) {
+  Connecting_ = false;
+  if (!Handler_)
+    return;
+  if (Error)
+    return fail(Reason::NoUpstream);
+  error_code Ignored;
+  Socket_->set_option(tcp::no_delay(true), Ignored);
+  write();
+}
+
 void UpstreamClient::Shared::Exchange::write() {
   // From now on the backend server may receive bytes of the request.
   Written_ = true;
--- a/src/libtransport/upstreamclient.h
+++ b/src/libtransport/upstreamclient.h
@@ -108,6 +108,7 @@
   /// Sends a request. The handler is called with Ran and the complete response,
   /// with NotRun if no byte was written, or else with MayHaveRun. The time
   /// limit covers the wait for a connection, connecting and the response. A
+  /// connection that was made counts, however late this process handles it. A
   /// request that can't be written as a single valid HTTP message gets
   /// NotRun(BadRequest).
   CallPointer call(UpstreamRequest Request, Millis TimeLimit, Handler OnEnd);
--- a/src/libtransport/upstreamclient_test.cpp
+++ b/src/libtransport/upstreamclient_test.cpp
@@ -1,6 +1,7 @@
 #include "upstreamclient.h"
 
 #include "rawsocket.h"
+#include "readycrowd.h"
 #include "upstreamconnections.h"
 
 #include <deque>
@@ -847,3 +848,67 @@
   CHECK(Connection.hasCarried(std::to_string(Last)));
   CHECK_FALSE(Connection.hasCarried("other"));
 }
+
+namespace {
+
+/// A call on an event loop that runs only while the test lets it run.
+struct SteppedCall {
+  explicit SteppedCall(Millis TimeLimit) {
+    Client_.setTarget(Server_.endpoint(), 1);
+    Out_.Call_ =
+        Client_.call({"GET", "/x", {{"Coltsfoot-Context", "attempt-1"}}, {}},
+                     TimeLimit, [this](Verdict What) {
+                       Out_.Verdict_ = std::move(What);
+                       Out_.Ended_.increment();
+                     });
+  }
+  ~SteppedCall() { Out_.Call_ = nullptr; }
+  SteppedCall(const SteppedCall &) = delete;
+  SteppedCall &operator=(const SteppedCall &) = delete;
+
+  /// Runs single handlers until the backend server has the whole request.
+  /// Returns its head.
+  std::string receiveRequest(RawSocket &Accepted) {
+    std::string Head;
+    waitUntil([&] {
+      Context_.poll_one();
+      Head += Accepted.receive(0ms);
+      return Head.ends_with("\r\n\r\n") || Out_.Ended_.count() > 0;
+    });
+    return Head;
+  }
+  /// Runs the loop until the call ends. Returns its verdict as text.
+  std::string text() {
+    waitUntil([&] {
+      Context_.poll();
+      return Out_.Ended_.count() > 0;
+    });
+    return Out_.text();
+  }
+
+  boost::asio::io_context Context_;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+      WorkGuard_{Context_.get_executor()};
+  RawListener Server_{0};
+  ReadyCrowd Crowd_{Context_};
+  UpstreamClient Client_{Context_, smallLimits()};
+  Outcome Out_;
+};
+
+} // namespace
+
+TEST_CASE("a connection made while the loop was busy counts after its time "
+          "limit") {
+  SteppedCall Test(Millis(60000));
+  SUBCASE("handled before the time limit") { Test.Context_.poll_one(); }
+  SUBCASE("handled after the time limit") {
+    RawSocket Filler = RawSocket::connect(Test.Server_.port());
+    Test.Context_.poll_one();
+    Test.Crowd_.makeReady();
+    Test.Server_.accept();
+  }
+  RawSocket Accepted = Test.Server_.accept();
+  sleepBeyond(smallLimits().ConnectTimeout_);
+  Accepted.send(okTo(Test.receiveRequest(Accepted)));
+  CHECK(Test.text() == "ran 200 ok");
+}
--- a/testsuite/common/rawsocket.h
+++ b/testsuite/common/rawsocket.h
@@ -243,12 +243,15 @@
 /// A listening TCP socket on a free port of loopback.
 class RawListener {
 public:
-  RawListener() : Descriptor_(::socket(AF_INET, SOCK_STREAM, 0)) {
+  /// With a backlog of 0, the system makes one connection at a time; it drops
+  /// further handshakes until that connection is accepted.
+  explicit RawListener(int Backlog = 64)
+      : Descriptor_(::socket(AF_INET, SOCK_STREAM, 0)) {
     sockaddr_in Address = RawSocket::loopback(0);
     socklen_t Size = sizeof Address;
     auto *BindAddress = reinterpret_cast<sockaddr *>(&Address);
     if (::bind(Descriptor_, BindAddress, Size) != 0 ||
-        ::listen(Descriptor_, 64) != 0 ||
+        ::listen(Descriptor_, Backlog) != 0 ||
         ::getsockname(Descriptor_, BindAddress, &Size) != 0)
       throw std::runtime_error("cannot listen on 127.0.0.1: " +
                                std::string(strerror(errno)));
