Deliver an answer that had arrived before the time limit

A call ended as may-have-run deadline-passed although its whole answer was in the socket when the limit passed, because this process was busy or suspended and handled the timer first. The caller could not know that its request had run.

When the limit passes, what is queued on the event loop is handled first. If the socket then holds unread bytes, the call goes on until as many are read; bytes that arrive later don't prolong it. The end of the connection is not waited for, so a close-delimited answer whose end had arrived unread still ends the call.

Two of the four cases of the new test failed before: an answer that came before the write of the request had been noted, and one that is handled after a crowd of other sockets. An unfinished answer ends the call as before. All pass now.

--- a/src/libtransport/upstreamclient.cpp
+++ b/src/libtransport/upstreamclient.cpp
@@ -143,6 +143,8 @@
   bool isConnectDecided() const;
   void onConnectTimeLimit();
   void onConnected(const error_code &Error);
+  void onTimeLimit();
+  void endUnlessUnread();
   void write();
   void onWritten(const error_code &Error, size_t Size);
   void read();
@@ -187,6 +189,9 @@
   bool Reused_ = false;
   bool Connecting_ = false;
   bool Written_ = false;
+  /// Once the time limit has passed: how many bytes of those that had arrived
+  /// by then are still to be read.
+  std::optional<size_t> UnreadAtLimit_;
   int SkippedResponses_ = 0;
 };
 
@@ -218,7 +223,7 @@
   Timer_.expires_after(toChrono(TimeLimit));
   Timer_.async_wait([Self = Pointer(this)](const error_code &Error) {
     if (!Error)
-      Self->fail(Reason::DeadlinePassed);
+      Self->onTimeLimit();
   });
   Waiter_ = new Waiter(Pointer(this));
   if (auto Grant = Client_->Connections_->acquire(*Waiter_))
@@ -295,6 +300,25 @@
   write();
 }
 
+// Bytes of the answer that arrived before the time limit may be unread, because
+// this process was busy or suspended. Some may be in a finished read whose
+// handler is queued on the io_context, hence the post behind it.
+void UpstreamClient::Shared::Exchange::onTimeLimit() {
+  asio::post(Client_->Context_,
+             onStrand([Self = Pointer(this)] { Self->endUnlessUnread(); }));
+}
+
+/// Ends the call, or lets it go on until the bytes that have arrived by now are
+/// read. Bytes that arrive later don't prolong it.
+void UpstreamClient::Shared::Exchange::endUnlessUnread() {
+  if (!Handler_)
+    return;
+  error_code Error;
+  UnreadAtLimit_ = Parser_ ? Socket_->available(Error) : 0;
+  if (Error || UnreadAtLimit_ == size_t{0})
+    fail(Reason::DeadlinePassed);
+}
+
 void UpstreamClient::Shared::Exchange::write() {
   // From now on the backend server may receive bytes of the request.
   Written_ = true;
@@ -354,6 +378,8 @@
 // The parser consumes no unfinished line of a chunk and no unfinished trailer,
 // and does not limit them; the size of the buffer does.
 void UpstreamClient::Shared::Exchange::receive() {
+  if (UnreadAtLimit_ == size_t{0})
+    return fail(Reason::DeadlinePassed);
   size_t Room = beast::read_size(Buffer_, MaxReadBytes);
   if (Room == 0)
     return fail(Reason::TooLarge);
@@ -369,6 +395,8 @@
   if (!Handler_)
     return;
   Buffer_.commit(Size);
+  if (UnreadAtLimit_)
+    *UnreadAtLimit_ -= std::min(*UnreadAtLimit_, Size);
   if (Error == asio::error::eof)
     return onEndOfStream();
   if (Error)
--- a/src/libtransport/upstreamclient.h
+++ b/src/libtransport/upstreamclient.h
@@ -107,10 +107,11 @@
 
   /// Sends a request. The handler is called with Ran and the complete response,
   /// with NotRun if no byte was written, or else with MayHaveRun. The time
-  /// limit covers the wait for a connection, connecting and the response. A
-  /// connection that was made counts, however late this process handles it. A
-  /// request that can't be written as a single valid HTTP message gets
-  /// NotRun(BadRequest).
+  /// limit covers the wait for a connection, connecting and the response. What
+  /// the backend server did before a limit passed counts, however late this
+  /// process handles it: a connection that was made, and a response that had
+  /// arrived as a whole. A request that can't be written as a single valid HTTP
+  /// message gets NotRun(BadRequest).
   CallPointer call(UpstreamRequest Request, Millis TimeLimit, Handler OnEnd);
 
   /// Returns how many answers or surplus bytes could not be attributed to a
--- a/src/libtransport/upstreamclient_test.cpp
+++ b/src/libtransport/upstreamclient_test.cpp
@@ -912,3 +912,29 @@
   Accepted.send(okTo(Test.receiveRequest(Accepted)));
   CHECK(Test.text() == "ran 200 ok");
 }
+
+TEST_CASE(
+    "an answer that arrived while the loop was busy counts after the time "
+    "limit of its call") {
+  constexpr Millis TimeLimit(2000);
+  SteppedCall Test(TimeLimit);
+  Test.Context_.poll_one();
+  RawSocket Accepted = Test.Server_.accept();
+  std::string Answer = okTo(Test.receiveRequest(Accepted));
+  std::string Expected = "ran 200 ok";
+  SUBCASE("before the request counts as written") {}
+  SUBCASE("while the answer is awaited") { Test.Context_.poll(); }
+  SUBCASE("handled after the time limit") {
+    Test.Context_.poll();
+    Test.Crowd_.makeReady();
+  }
+  SUBCASE("unfinished") {
+    Test.Context_.poll();
+    Answer.pop_back();
+    Expected = "may-have-run deadline-passed";
+  }
+  REQUIRE(Test.Out_.Ended_.count() == 0);
+  Accepted.send(Answer);
+  sleepBeyond(TimeLimit);
+  CHECK(Test.text() == Expected);
+}
