Read what a peer node has sent before a limit closes its connection

A connection between nodes was closed as unanswered or silent, and the calls on it were lost, although the Hello or a frame of the peer had arrived in time: the check ran before the socket was read. The rule for a pause of this process applies only to a delay of more than Heartbeat_, so not to a busy loop.

A Hello that arrives in pieces prolongs the handshake by its limit at most.

--- a/src/libtransport/frameconnection.cpp
+++ b/src/libtransport/frameconnection.cpp
@@ -11,6 +11,8 @@
 #include <boost/asio/write.hpp>
 #include <chrono>
 #include <cstring>
+#include <poll.h>
+#include <utility>
 
 namespace coltsfoot {
 
@@ -118,7 +120,9 @@
       Self->Socket_.bind({From, 0}, Failure);
     if (Failure)
       return Self->finish(CloseCause::Unanswered);
+    Self->Connecting_ = true;
     Self->Socket_.async_connect(To, [Self](const error_code &Error) {
+      Self->Connecting_ = false;
       if (Error)
         return Self->finish(Error == asio::error::connection_refused
                                 ? CloseCause::Refused
@@ -351,7 +355,10 @@
   // re-arm.
   if (!ExpectsTraffic && AwaitingReplies_)
     TimerIsShort_ = ExpectsTraffic = true;
-  Millis Delay = nextCheckDelay(ExpectsTraffic);
+  armTimer(nextCheckDelay(ExpectsTraffic));
+}
+
+void FrameConnection::armTimer(Millis Delay) {
   TimerDue_ = Clock_.now() + Delay;
   Timer_.expires_after(toChrono(Delay));
   Timer_.async_wait([Self = Pointer(this)](const error_code &Error) {
@@ -383,16 +390,17 @@
     LastReceiveTime_ = std::max(LastReceiveTime_, Now - Options_.Heartbeat_);
     StartTime_ = std::max(StartTime_, Now - Options_.Heartbeat_);
   }
-  Millis Silence = Now - LastReceiveTime_;
+  // This process may be late by less than that. What the other side sent in
+  // time is then in the socket, or in a finished read whose handler runs before
+  // the next timer.
+  if (std::optional<CloseCause> Overdue = overdueCause(Now)) {
+    if (std::exchange(LimitChecked_, true) && !hasUnhandledInput(Now))
+      return finish(*Overdue);
+    return armTimer(MinCheckDelay);
+  }
+  LimitChecked_ = false;
   bool Open = StateMachine_.state() == ConnectionLifecycle::State::Open;
-  if (!Open && Now - StartTime_ >= Options_.Connect_)
-    return finish(CloseCause::Unanswered);
-  bool ExpectsTraffic = AwaitingReplies_;
-  Millis SilenceLimit =
-      ExpectsTraffic ? Options_.Silent_ : Options_.IdleHeartbeat_ * 3;
-  if (Open && Silence >= SilenceLimit)
-    return finish(CloseCause::Silent);
-  if (Open && Silence >= Options_.Heartbeat_ * 0.9) {
+  if (Open && Now - LastReceiveTime_ >= Options_.Heartbeat_ * 0.9) {
     wire::Heartbeat HeartbeatRequest;
     HeartbeatRequest.__set_sequence(++HeartbeatSequence_);
     HeartbeatRequest.__set_answer(false);
@@ -403,6 +411,32 @@
   armTimer();
 }
 
+std::optional<CloseCause> FrameConnection::overdueCause(Millis Now) const {
+  if (StateMachine_.state() != ConnectionLifecycle::State::Open)
+    return Now - StartTime_ >= Options_.Connect_
+               ? std::optional(CloseCause::Unanswered)
+               : std::nullopt;
+  Millis SilenceLimit =
+      AwaitingReplies_ ? Options_.Silent_ : Options_.IdleHeartbeat_ * 3;
+  return Now - LastReceiveTime_ >= SilenceLimit
+             ? std::optional(CloseCause::Silent)
+             : std::nullopt;
+}
+
+// A Hello that arrives in pieces prolongs the handshake by its time limit at
+// most.
+bool FrameConnection::hasUnhandledInput(Millis Now) {
+  if (StateMachine_.state() != ConnectionLifecycle::State::Open &&
+      Now - StartTime_ >= Options_.Connect_ * 2)
+    return false;
+  if (Connecting_) {
+    pollfd Poll{Socket_.native_handle(), POLLOUT, 0};
+    return ::poll(&Poll, 1, 0) > 0;
+  }
+  error_code Error;
+  return Socket_.available(Error) > 0;
+}
+
 void FrameConnection::close() {
   asio::dispatch(Socket_.get_executor(),
                  [Self = Pointer(this)] { Self->finish(CloseCause::Local); });
--- a/src/libtransport/frameconnection.h
+++ b/src/libtransport/frameconnection.h
@@ -52,7 +52,8 @@
 /// idle connection is checked only every Options::IdleHeartbeat_, so that
 /// unused connections cost little, and is closed as silent after three times
 /// that. The time during which this process itself was paused does not count as
-/// silence of the other side. When more than Options::MaxQueuedBytes_ would
+/// silence of the other side, and a limit is enforced only after all that has
+/// arrived was read. When more than Options::MaxQueuedBytes_ would
 /// wait to be sent, send() closes the connection and trySendEncoded() refuses
 /// the frame. Small frames, such as heartbeats, have some additional room.
 ///
@@ -132,8 +133,11 @@
   bool handleFrame(wire::Frame &&Message);
   void startWrite();
   void armTimer();
+  void armTimer(Millis Delay);
   Millis nextCheckDelay(bool ExpectsTraffic) const;
   void onTimer();
+  std::optional<CloseCause> overdueCause(Millis Now) const;
+  bool hasUnhandledInput(Millis Now);
   void finish(CloseCause Cause);
 
   struct LocalHello;
@@ -153,6 +157,10 @@
   Millis StartTime_;
   Millis LastReceiveTime_;
   Millis TimerDue_;
+  bool Connecting_ = false;
+  /// Whether the last check found a limit passed. It is enforced by the next
+  /// one, so that what has arrived is handled first.
+  bool LimitChecked_ = false;
   int64_t HeartbeatSequence_ = 0;
   std::atomic<bool> AwaitingReplies_ = false;
   std::atomic<bool> TimerIsShort_ = false;
--- a/src/libtransport/frameconnection_test.cpp
+++ b/src/libtransport/frameconnection_test.cpp
@@ -1,6 +1,7 @@
 #include "frameconnection.h"
 
 #include "rawframes.h"
+#include "readycrowd.h"
 
 #include <boost/asio/post.hpp>
 #include <doctest/doctest.h>
@@ -289,6 +290,76 @@
   Connection = nullptr;
 }
 
+// The loop runs only while the test lets it run.
+TEST_CASE("what arrived while the loop was busy counts after its time limit") {
+  FrameConnection::Options Limits = shortTimeouts();
+  // So that the delays below are no pause of the process.
+  Limits.Heartbeat_ = Millis(60000);
+  boost::asio::io_context Context;
+  auto WorkGuard = boost::asio::make_work_guard(Context);
+  ReadyCrowd Crowd(Context);
+  RawListener Listener;
+  EventCounter Opened;
+  EventCounter FrameReceived;
+  EventCounter Closed;
+  FrameConnection::Handlers Handlers;
+  Handlers.OnOpen_ = [&](FrameConnection &, const wire::Hello &) {
+    Opened.increment();
+  };
+  Handlers.OnFrame_ = [&](FrameConnection &, wire::Frame &&) {
+    FrameReceived.increment();
+  };
+  Handlers.OnClosed_ = [&](FrameConnection &, CloseCause) {
+    Closed.increment();
+  };
+  auto RunUntil = [&](EventCounter &Event) {
+    return waitUntil([&] {
+      Context.poll();
+      return Event.count() > 0 || Closed.count() > 0;
+    });
+  };
+  auto Connection = FrameConnection::create(
+      FrameConnection::Socket(boost::asio::make_strand(Context)), Limits,
+      testHello("127.0.0.1:9", 9), std::move(Handlers));
+  Connection->connect(boost::asio::ip::address_v4::loopback(),
+                      Listener.endpoint());
+  SUBCASE("a Hello handled before the time limit") {
+    Context.poll_one();
+    RawSocket Peer = Listener.accept();
+    Peer.send(helloBytes(7));
+    sleepBeyond(Limits.Connect_);
+    CHECK(RunUntil(Opened));
+    CHECK(Opened.count() == 1);
+  }
+  SUBCASE("a Hello handled after the time limit") {
+    Crowd.makeReady();
+    Context.poll_one();
+    RawSocket Peer = Listener.accept();
+    Peer.send(helloBytes(7));
+    sleepBeyond(Limits.Connect_);
+    CHECK(RunUntil(Opened));
+    CHECK(Opened.count() == 1);
+  }
+  SUBCASE("a frame on an open connection") {
+    Context.poll_one();
+    RawSocket Peer = Listener.accept();
+    Peer.send(helloBytes(7));
+    REQUIRE(RunUntil(Opened));
+    Connection->setAwaitingReplies(true);
+    Context.poll();
+    Crowd.makeReady();
+    Peer.send(encoded(offerFrame()));
+    sleepBeyond(Limits.Silent_);
+    CHECK(RunUntil(FrameReceived));
+    CHECK(FrameReceived.count() == 1);
+  }
+  CHECK(Closed.count() == 0);
+  Connection->close();
+  CHECK(RunUntil(Closed));
+  Connection = nullptr;
+  Context.poll();
+}
+
 TEST_CASE("a peer that does not read is closed at MaxQueuedBytes_") {
   FrameConnection::Options Limits = shortTimeouts();
   Limits.MaxQueuedBytes_ = size_t{4} * 1024 * 1024;
