Don't let a lease lapse while the node can't read its renewals

A node that was suspended or busy for about the lease time closed its gate as announcement_lapsed at the first tick afterwards, although the renewals of its backend server lay unread in the socket. Callers got refusals, and gossip carried the change, until the next report was read.

A tick that comes more than 100 ms late now prolongs the lease by its delay, so that the backend server has as much time to be heard as it was promised. Ticks in time let a lease lapse as before, which the same test checks.

--- a/src/libcoordination/gate.cpp
+++ b/src/libcoordination/gate.cpp
@@ -36,6 +36,8 @@
 namespace {
 
 constexpr Millis TickInterval(25);
+/// A tick that is later than this shows that the process was busy or suspended.
+constexpr Millis LateTick(100);
 constexpr int TicksPerExpiry = 40;
 constexpr int ShedStatus = 503;
 constexpr int FirstServerError = 500;
@@ -171,6 +173,7 @@
   std::optional<size_t> ownCandidateIndex(const Ticket &OpenedTicket) const;
   void tick();
   void armTimer();
+  void prolongLease(Millis Delay);
   void expireLease();
 
   const NodeContext NodeContext_;
@@ -185,6 +188,7 @@
   TicketTable Tickets_;
   ServingHandler OnServingChange_;
   std::atomic<bool> Draining_ = false;
+  Millis TickDue_; // on the strand only
   int Ticks_ = 0;
 
   mutable std::mutex Mutex_; // guards the members below
@@ -205,10 +209,12 @@
 }
 
 void Gate::Impl::armTimer() {
+  TickDue_ = NodeContext_.Clock_->now() + TickInterval;
   Timer_.expires_after(toChrono(TickInterval));
   Timer_.async_wait([this](const boost::system::error_code &Error) {
     if (Error)
       return;
+    prolongLease(NodeContext_.Clock_->now() - TickDue_);
     // First, so that an exception in tick() does not end the ticks.
     armTimer();
     tick();
@@ -229,6 +235,16 @@
     Tickets_.expire();
 }
 
+// While this process is busy or suspended, the renewals of the backend server
+// stay unread. So this time does not count.
+void Gate::Impl::prolongLease(Millis Delay) {
+  if (Delay <= LateTick)
+    return;
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  LeaseEnd_ =
+      std::min(LeaseEnd_ + Delay, NodeContext_.Clock_->now() + Options_.Lease_);
+}
+
 void Gate::Impl::expireLease() {
   {
     std::lock_guard<std::mutex> Lock(Mutex_);
--- a/src/libcoordination/gate.h
+++ b/src/libcoordination/gate.h
@@ -72,7 +72,8 @@
     /// Limit on the memory for the answers of ended calls with a ticket, which
     /// are kept for repeated offers and inquiries.
     size_t KeptAnswerBytes_ = size_t{16} * 1024 * 1024;
-    /// How long an announcement is valid unless it is renewed.
+    /// How long an announcement is valid unless it is renewed. Time for which
+    /// this process is busy or suspended does not count.
     Millis Lease_{3000};
     Millis AttemptTimeout_{10000};
     /// Whether the announced slots are exactly the number of requests that the
--- a/src/libcoordination/gate_test.cpp
+++ b/src/libcoordination/gate_test.cpp
@@ -364,3 +364,24 @@
   Fixture.checkClosed(Waiting, Reason::Leaving);
   CHECK(Fixture.Gate_.idle());
 }
+
+TEST_CASE("a lease that passes while the loop is busy does not lapse") {
+  Fixture Test;
+  const Millis Lease = Gate::Options().Lease_;
+  constexpr std::chrono::milliseconds SomeTicks(100);
+  Test.Context_.run_for(SomeTicks);
+  REQUIRE(Test.Gate_.figures().Serving_);
+  // The next tick is late by this span, and the renewal can't be read before.
+  Test.Clock_.advance(Lease + Millis(1));
+  Test.Context_.run_for(SomeTicks);
+  CHECK(Test.Gate_.figures().Serving_);
+  // A lease lapses as before while the ticks are in time.
+  constexpr Millis Step(50);
+  Millis Before = Test.Clock_.now();
+  while (Test.Gate_.figures().Serving_ &&
+         Test.Clock_.now() - Before < Lease * 2) {
+    Test.Clock_.advance(Step);
+    Test.Context_.run_for(std::chrono::milliseconds(30));
+  }
+  CHECK(!Test.Gate_.figures().Serving_);
+}
