Say why a connection to the backend server did not come about

Each failed connect now leaves a line upstream_connect_failed with cause and error text, and is counted by cause: local-shortage, refused, timed-out, other. The counts are the metric coltsfoot_upstream_connect_failures. A call that ends by its own time limit or is cancelled while it connects is not counted.

--- a/src/libcoordination/gate.cpp
+++ b/src/libcoordination/gate.cpp
@@ -833,9 +833,16 @@
 Gate::Figures Gate::Impl::figures() const {
   TicketTable::Figures Kept = Tickets_.figures();
   std::lock_guard<std::mutex> Lock(Mutex_);
-  return {Announced_,       Serving_,         Draining_,
-          Queue_.running(), Queue_.waiting(), Queue_.limit(),
-          Kept.Entries_,    Kept.KeptBytes_,  Upstream_.answersNotAttributed()};
+  return {Announced_,
+          Serving_,
+          Draining_,
+          Queue_.running(),
+          Queue_.waiting(),
+          Queue_.limit(),
+          Kept.Entries_,
+          Kept.KeptBytes_,
+          Upstream_.answersNotAttributed(),
+          Upstream_.connectFailures()};
 }
 
 Gate::Gate(asio::io_context &Context, NodeContext ThisNode,
--- a/src/libcoordination/gate.h
+++ b/src/libcoordination/gate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bytebudget.h"
+#include "connectfailure.h"
 #include "ticketissuer.h"
 
 #include "coltsfootpoint/verdict.h"
@@ -146,6 +147,8 @@
     size_t KeptBytes_ = 0;
     /// See UpstreamClient::answersNotAttributed().
     uint64_t AnswersNotAttributed_ = 0;
+    /// See UpstreamClient::connectFailures().
+    ConnectFailureCounts ConnectFailures_{};
   };
   Figures figures() const;
 
--- a/src/libcoordination/nodemetrics.cpp
+++ b/src/libcoordination/nodemetrics.cpp
@@ -3,6 +3,7 @@
 #include "bytebudget.h"
 #include "configservice.h"
 #include "configstate.h"
+#include "connectfailure.h"
 #include "drainadmission.h"
 #include "entry.h"
 #include "gate.h"
@@ -62,6 +63,16 @@
                    return static_cast<double>(
                        LocalGate.figures().AnswersNotAttributed_);
                  });
+  for (ConnectFailure Kind :
+       {ConnectFailure::LocalShortage, ConnectFailure::Refused,
+        ConnectFailure::TimedOut, ConnectFailure::Other})
+    Metrics_.gauge(
+        "coltsfoot_upstream_connect_failures",
+        "Connections to the backend server that did not come about.",
+        {{"cause", std::string(connectFailureName(Kind))}}, [&LocalGate, Kind] {
+          return static_cast<double>(
+              LocalGate.figures().ConnectFailures_[static_cast<size_t>(Kind)]);
+        });
   Metrics_.gauge("coltsfoot_gate_open",
                  "1 while the gate is open for new calls, otherwise 0.", {},
                  [&LocalGate] {
--- a/src/libtransport/upstreamclient.cpp
+++ b/src/libtransport/upstreamclient.cpp
@@ -7,6 +7,7 @@
 #include "coltsfootpoint/log.h"
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <boost/asio/bind_executor.hpp>
 #include <boost/asio/dispatch.hpp>
@@ -104,6 +105,8 @@
   const Options Options_;
   const boost::intrusive_ptr<UpstreamConnectionPool> Connections_;
   std::atomic<uint64_t> AnswersNotAttributed_ = 0;
+  /// Indexed by ConnectFailure.
+  std::array<std::atomic<uint64_t>, ConnectFailureKinds> ConnectFailures_{};
   /// UpstreamGrant::Generation_ of the target whose last attributable answer
   /// did not repeat the id of its request; 0 for none.
   std::atomic<uint64_t> SilentTarget_ = 0;
@@ -143,6 +146,7 @@
   bool isConnectDecided() const;
   void onConnectTimeLimit();
   void onConnected(const error_code &Error);
+  void failConnect(const error_code &Error);
   void onTimeLimit();
   void endUnlessUnread();
   void write();
@@ -286,7 +290,7 @@
 // suspended, the connection may have been made long before this is called.
 void UpstreamClient::Shared::Exchange::onConnectTimeLimit() {
   if (Handler_ && Connecting_ && !isConnectDecided())
-    fail(Reason::NoUpstream);
+    failConnect(asio::error::timed_out);
 }
 
 void UpstreamClient::Shared::Exchange::onConnected(const error_code &Error) {
@@ -294,12 +298,22 @@
   if (!Handler_)
     return;
   if (Error)
-    return fail(Reason::NoUpstream);
+    return failConnect(Error);
   error_code Ignored;
   Socket_->set_option(tcp::no_delay(true), Ignored);
   write();
 }
 
+void UpstreamClient::Shared::Exchange::failConnect(const error_code &Error) {
+  ConnectFailure Kind = connectFailureOf(Error);
+  ++Client_->ConnectFailures_[static_cast<size_t>(Kind)];
+  logRequest(LogCategory::Failure, "upstream_connect_failed",
+             {{"request", LogId_},
+              {"cause", connectFailureName(Kind)},
+              {"error", Error.message()}});
+  fail(Reason::NoUpstream);
+}
+
 // Bytes of the answer that arrived before the time limit may be unread, because
 // this process was busy or suspended. Some may be in a finished read whose
 // handler is queued on the io_context, hence the post behind it.
@@ -580,4 +594,11 @@
   return Shared_->AnswersNotAttributed_;
 }
 
+ConnectFailureCounts UpstreamClient::connectFailures() const {
+  ConnectFailureCounts Counts;
+  std::copy(Shared_->ConnectFailures_.begin(), Shared_->ConnectFailures_.end(),
+            Counts.begin());
+  return Counts;
+}
+
 } // namespace coltsfoot
--- a/src/libtransport/upstreamclient.h
+++ b/src/libtransport/upstreamclient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bytebudget.h"
+#include "connectfailure.h"
 
 #include "coltsfootpoint/time.h"
 #include "coltsfootpoint/verdict.h"
@@ -118,6 +119,11 @@
   /// request with certainty; each also leaves a line `answer_not_attributed`.
   uint64_t answersNotAttributed() const;
 
+  /// Returns how many connections did not come about, by kind; each also leaves
+  /// a line `upstream_connect_failed`. A call that ended while it was
+  /// connecting is not counted.
+  ConnectFailureCounts connectFailures() const;
+
 private:
   struct Shared;
   boost::intrusive_ptr<Shared> Shared_;
--- a/src/libtransport/upstreamclient_test.cpp
+++ b/src/libtransport/upstreamclient_test.cpp
@@ -6,6 +6,7 @@
 
 #include <deque>
 #include <doctest/doctest.h>
+#include <sys/resource.h>
 
 using namespace coltsfoot;
 using namespace std::chrono_literals;
@@ -118,6 +119,11 @@
     return Out.text();
   }
 
+  /// Returns how many connections have failed for this reason.
+  uint64_t failures(ConnectFailure Kind) const {
+    return Client_.connectFailures()[static_cast<size_t>(Kind)];
+  }
+
   std::deque<Outcome> Outcomes_;
   RawListener Server_;
   Workers Workers_;
@@ -771,9 +777,51 @@
   Test.Client_.setTarget({boost::asio::ip::address_v4::loopback(), Port}, 4);
   CHECK(Test.call("/1").text() == "not-run no-upstream");
   CHECK(Test.call("/2", Millis(50)).text() == "not-run deadline-passed");
+  // The connection of the second call was given up, it did not fail.
+  CHECK(Test.failures(ConnectFailure::TimedOut) == 1);
   ::close(FullListener);
 }
 
+namespace {
+
+/// Lets no descriptor be opened while it exists. The limit is 1, as poll()
+/// takes no more descriptors than that.
+class NoDescriptors {
+public:
+  NoDescriptors() {
+    REQUIRE(::getrlimit(RLIMIT_NOFILE, &Before_) == 0);
+    rlimit Lowest = Before_;
+    Lowest.rlim_cur = 1;
+    REQUIRE(::setrlimit(RLIMIT_NOFILE, &Lowest) == 0);
+  }
+  ~NoDescriptors() { ::setrlimit(RLIMIT_NOFILE, &Before_); }
+  NoDescriptors(const NoDescriptors &) = delete;
+  NoDescriptors &operator=(const NoDescriptors &) = delete;
+
+private:
+  rlimit Before_{};
+};
+
+} // namespace
+
+TEST_CASE("failed connections are counted by their cause") {
+  Fixture Test;
+  // The first call opens the descriptors of the event loop itself.
+  CHECK(Test.outcomeOf(OkResponse) == "ran 200 ok");
+  {
+    NoDescriptors Shortage;
+    CHECK(Test.call("/1").text() == "not-run no-upstream");
+  }
+  CHECK(Test.failures(ConnectFailure::LocalShortage) == 1);
+  CHECK(Test.failures(ConnectFailure::Refused) == 0);
+  Test.Server_.close();
+  CHECK(Test.call("/2").text() == "not-run no-upstream");
+  CHECK(Test.failures(ConnectFailure::LocalShortage) == 1);
+  CHECK(Test.failures(ConnectFailure::Refused) == 1);
+  CHECK(Test.failures(ConnectFailure::TimedOut) == 0);
+  CHECK(Test.failures(ConnectFailure::Other) == 0);
+}
+
 TEST_CASE("concurrent calls never get the response of another call") {
   Fixture Test(4);
   std::atomic<bool> Ended = false;
