--- a/src/libcoordination/gate.h
+++ b/src/libcoordination/gate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bytebudget.h"
+#include "connectfailure.h"
 #include "ticketissuer.h"
 
 #include "coltsfootpoint/verdict.h"
@@ -72,7 +73,8 @@
     /// Limit on the memory for the answers of ended calls with a ticket, which
     /// are kept for repeated offers and inquiries.
     size_t KeptAnswerBytes_ = size_t{16} * 1024 * 1024;
-    /// How long an announcement is valid unless it is renewed.
+    /// How long an announcement is valid unless it is renewed. Time for which
+    /// this process is busy or suspended does not count.
     Millis Lease_{3000};
     Millis AttemptTimeout_{10000};
     /// Whether the announced slots are exactly the number of requests that the
@@ -145,6 +147,8 @@
     size_t KeptBytes_ = 0;
     /// See UpstreamClient::answersNotAttributed().
     uint64_t AnswersNotAttributed_ = 0;
+    /// See UpstreamClient::connectFailures().
+    ConnectFailureCounts ConnectFailures_{};
   };
   Figures figures() const;
 
--- a/src/libtransport/upstreamclient.h
+++ b/src/libtransport/upstreamclient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bytebudget.h"
+#include "connectfailure.h"
 
 #include "coltsfootpoint/time.h"
 #include "coltsfootpoint/verdict.h"
@@ -107,15 +108,22 @@
 
   /// Sends a request. The handler is called with Ran and the complete response,
   /// with NotRun if no byte was written, or else with MayHaveRun. The time
-  /// limit covers the wait for a connection, connecting and the response. A
-  /// request that can't be written as a single valid HTTP message gets
-  /// NotRun(BadRequest).
+  /// limit covers the wait for a connection, connecting and the response. What
+  /// the backend server did before a limit passed counts, however late this
+  /// process handles it: a connection that was made, and a response that had
+  /// arrived as a whole. A request that can't be written as a single valid HTTP
+  /// message gets NotRun(BadRequest).
   CallPointer call(UpstreamRequest Request, Millis TimeLimit, Handler OnEnd);
 
   /// Returns how many answers or surplus bytes could not be attributed to a
   /// request with certainty; each also leaves a line `answer_not_attributed`.
   uint64_t answersNotAttributed() const;
 
+  /// Returns how many connections did not come about, by kind; each also leaves
+  /// a line `upstream_connect_failed`. A call that ended while it was
+  /// connecting is not counted.
+  ConnectFailureCounts connectFailures() const;
+
 private:
   struct Shared;
   boost::intrusive_ptr<Shared> Shared_;
--- a/src/libtransport/upstreamclient_test.cpp
+++ b/src/libtransport/upstreamclient_test.cpp
@@ -1,10 +1,12 @@
 #include "upstreamclient.h"
 
 #include "rawsocket.h"
+#include "readycrowd.h"
 #include "upstreamconnections.h"
 
 #include <deque>
 #include <doctest/doctest.h>
+#include <sys/resource.h>
 
 using namespace coltsfoot;
 using namespace std::chrono_literals;
@@ -117,6 +119,11 @@
     return Out.text();
   }
 
+  /// Returns how many connections have failed for this reason.
+  uint64_t failures(ConnectFailure Kind) const {
+    return Client_.connectFailures()[static_cast<size_t>(Kind)];
+  }
+
   std::deque<Outcome> Outcomes_;
   RawListener Server_;
   Workers Workers_;
@@ -770,9 +777,51 @@
   Test.Client_.setTarget({boost::asio::ip::address_v4::loopback(), Port}, 4);
   CHECK(Test.call("/1").text() == "not-run no-upstream");
   CHECK(Test.call("/2", Millis(50)).text() == "not-run deadline-passed");
+  // The connection of the second call was given up, it did not fail.
+  CHECK(Test.failures(ConnectFailure::TimedOut) == 1);
   ::close(FullListener);
 }
 
+namespace {
+
+/// Lets no descriptor be opened while it exists. The limit is 1, as poll()
+/// takes no more descriptors than that.
+class NoDescriptors {
+public:
+  NoDescriptors() {
+    REQUIRE(::getrlimit(RLIMIT_NOFILE, &Before_) == 0);
+    rlimit Lowest = Before_;
+    Lowest.rlim_cur = 1;
+    REQUIRE(::setrlimit(RLIMIT_NOFILE, &Lowest) == 0);
+  }
+  ~NoDescriptors() { ::setrlimit(RLIMIT_NOFILE, &Before_); }
+  NoDescriptors(const NoDescriptors &) = delete;
+  NoDescriptors &operator=(const NoDescriptors &) = delete;
+
+private:
+  rlimit Before_{};
+};
+
+} // namespace
+
+TEST_CASE("failed connections are counted by their cause") {
+  Fixture Test;
+  // The first call opens the descriptors of the event loop itself.
+  CHECK(Test.outcomeOf(OkResponse) == "ran 200 ok");
+  {
+    NoDescriptors Shortage;
+    CHECK(Test.call("/1").text() == "not-run no-upstream");
+  }
+  CHECK(Test.failures(ConnectFailure::LocalShortage) == 1);
+  CHECK(Test.failures(ConnectFailure::Refused) == 0);
+  Test.Server_.close();
+  CHECK(Test.call("/2").text() == "not-run no-upstream");
+  CHECK(Test.failures(ConnectFailure::LocalShortage) == 1);
+  CHECK(Test.failures(ConnectFailure::Refused) == 1);
+  CHECK(Test.failures(ConnectFailure::TimedOut) == 0);
+  CHECK(Test.failures(ConnectFailure::Other) == 0);
+}
+
 TEST_CASE("concurrent calls never get the response of another call") {
   Fixture Test(4);
   std::atomic<bool> Ended = false;
@@ -847,3 +896,93 @@
   CHECK(Connection.hasCarried(std::to_string(Last)));
   CHECK_FALSE(Connection.hasCarried("other"));
 }
+
+namespace {
+
+/// A call on an event loop that runs only while the test lets it run.
+struct SteppedCall {
+  explicit SteppedCall(Millis TimeLimit) {
+    Client_.setTarget(Server_.endpoint(), 1);
+    Out_.Call_ =
+        Client_.call({"GET", "/x", {{"Coltsfoot-Context", "attempt-1"}}, {}},
+                     TimeLimit, [this](Verdict What) {
+                       Out_.Verdict_ = std::move(What);
+                       Out_.Ended_.increment();
+                     });
+  }
+  ~SteppedCall() { Out_.Call_ = nullptr; }
+  SteppedCall(const SteppedCall &) = delete;
+  SteppedCall &operator=(const SteppedCall &) = delete;
+
+  /// Runs single handlers until the backend server has the whole request.
+  /// Returns its head.
+  std::string receiveRequest(RawSocket &Accepted) {
+    std::string Head;
+    waitUntil([&] {
+      Context_.poll_one();
+      Head += Accepted.receive(0ms);
+      return Head.ends_with("\r\n\r\n") || Out_.Ended_.count() > 0;
+    });
+    return Head;
+  }
+  /// Runs the loop until the call ends. Returns its verdict as text.
+  std::string text() {
+    waitUntil([&] {
+      Context_.poll();
+      return Out_.Ended_.count() > 0;
+    });
+    return Out_.text();
+  }
+
+  boost::asio::io_context Context_;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+      WorkGuard_{Context_.get_executor()};
+  RawListener Server_{0};
+  ReadyCrowd Crowd_{Context_};
+  UpstreamClient Client_{Context_, smallLimits()};
+  Outcome Out_;
+};
+
+} // namespace
+
+TEST_CASE("a connection made while the loop was busy counts after its time "
+          "limit") {
+  SteppedCall Test(Millis(60000));
+  SUBCASE("handled before the time limit") { Test.Context_.poll_one(); }
+  SUBCASE("handled after the time limit") {
+    RawSocket Filler = RawSocket::connect(Test.Server_.port());
+    Test.Context_.poll_one();
+    Test.Crowd_.makeReady();
+    Test.Server_.accept();
+  }
+  RawSocket Accepted = Test.Server_.accept();
+  sleepBeyond(smallLimits().ConnectTimeout_);
+  Accepted.send(okTo(Test.receiveRequest(Accepted)));
+  CHECK(Test.text() == "ran 200 ok");
+}
+
+TEST_CASE(
+    "an answer that arrived while the loop was busy counts after the time "
+    "limit of its call") {
+  constexpr Millis TimeLimit(2000);
+  SteppedCall Test(TimeLimit);
+  Test.Context_.poll_one();
+  RawSocket Accepted = Test.Server_.accept();
+  std::string Answer = okTo(Test.receiveRequest(Accepted));
+  std::string Expected = "ran 200 ok";
+  SUBCASE("before the request counts as written") {}
+  SUBCASE("while the answer is awaited") { Test.Context_.poll(); }
+  SUBCASE("handled after the time limit") {
+    Test.Context_.poll();
+    Test.Crowd_.makeReady();
+  }
+  SUBCASE("unfinished") {
+    Test.Context_.poll();
+    Answer.pop_back();
+    Expected = "may-have-run deadline-passed";
+  }
+  REQUIRE(Test.Out_.Ended_.count() == 0);
+  Accepted.send(Answer);
+  sleepBeyond(TimeLimit);
+  CHECK(Test.text() == Expected);
+}
