Log and measure how late the event loop of a node is

Change: LoopMonitor measures every 50 ms how late a timer of its own fires. It logs node_behind and node_caught_up with lag, calls per second, descriptors and processor time, and feeds the histogram coltsfoot_loop_lag_seconds and gauges of the recent and the largest lag. Gauges tell the descriptors in use and their limit. drain_started, drain_ended, drain-cut and gate-failed have lag_ms. No decision reads any of it. The key connections of the two lines is left out until the HTTP servers count their connections.

--- a/src/libcoordination/api.cpp
+++ b/src/libcoordination/api.cpp
@@ -137,12 +137,14 @@
     Metrics_.addReceiveGauges("caller", Parts_.CallerBudget_);
     Metrics_.addReceiveGauges("backend", Parts_.BackendBudget_);
     Metrics_.addReceiveGauges("peer", Parts_.PeerBudget_);
+    Metrics_.addLagGauges(Parts_.Loop_);
   }
 
   void handle(const HttpExchange::Pointer &Exchange);
   std::string localStatus(std::string_view QueryKind,
                           std::string_view Argument);
   void record(const CallRecord &Ended);
+  void recordLag(Millis Lag) { Metrics_.recordLag(Lag); }
   void endWatches() { Resources_.endWatches(); }
 
 private:
@@ -410,6 +412,8 @@
 
 void Api::record(const CallRecord &Ended) { Impl_->record(Ended); }
 
+void Api::recordLag(Millis Lag) { Impl_->recordLag(Lag); }
+
 void Api::endWatches() { Impl_->endWatches(); }
 
 } // namespace coltsfoot
--- a/src/libcoordination/api.h
+++ b/src/libcoordination/api.h
@@ -17,6 +17,7 @@
 class DrainAdmission;
 class Gate;
 class GossipService;
+class LoopMonitor;
 class PeerPool;
 class RequestLedger;
 
@@ -36,6 +37,7 @@
   const ByteBudget &CallerBudget_;
   const ByteBudget &BackendBudget_;
   const ByteBudget &PeerBudget_;
+  const LoopMonitor &Loop_;
   std::string Node_;
   Secret OperatorToken_;
   std::function<std::string()> State_;
@@ -63,6 +65,8 @@
   /// Adds an ended call to the counts of service-level objectives and to the
   /// metrics.
   void record(const CallRecord &Ended);
+  /// Adds a measured lag of the event loop to the metrics.
+  void recordLag(Millis Lag);
   /// Ends the streams of watchers, so that they resume at another node.
   void endWatches();
 
--- a/src/libcoordination/drainsequence.cpp
+++ b/src/libcoordination/drainsequence.cpp
@@ -5,6 +5,7 @@
 #include "entry.h"
 #include "gate.h"
 #include "httpserver.h"
+#include "loopmonitor.h"
 
 #include "coltsfootpoint/log.h"
 
@@ -34,7 +35,8 @@
   Schedule_.emplace(Now, Parts_.Notice_, Parts_.Duration_);
   Parts_.EntryDrain_.begin(*Schedule_);
   Parts_.GateDrain_.begin(*Schedule_);
-  logEvent(LogLevel::Info, "drain_started", {{"node", Node}});
+  logEvent(LogLevel::Info, "drain_started",
+           {{"node", Node}, {"lag_ms", Parts_.Loop_.recentLag().whole()}});
   Calls.disableKeepAlive();
 }
 
@@ -90,7 +92,8 @@
             {"took_ms", (Now - Schedule_->start()).count()},
             {"cut", CutCalls_},
             {"taken", Calls.Taken_},
-            {"refused", Calls.Refused_}});
+            {"refused", Calls.Refused_},
+            {"lag_ms", Parts_.Loop_.recentLag().whole()}});
 }
 
 } // namespace coltsfoot
--- a/src/libcoordination/drainsequence.h
+++ b/src/libcoordination/drainsequence.h
@@ -14,15 +14,17 @@
 class Entry;
 class Gate;
 class HttpServer;
+class LoopMonitor;
 
-/// The parts of a node that a drain stops, and its time limits. All references
-/// must outlive the sequence.
+/// The parts of a node that a drain stops or reads, and its time limits. All
+/// references must outlive the sequence.
 struct DrainParts {
   Gate &Gate_;
   Entry &Entry_;
   Api &Api_;
   DrainAdmission &EntryDrain_;
   DrainAdmission &GateDrain_;
+  const LoopMonitor &Loop_;
   Millis Notice_;
   Millis Duration_;
 };
--- a/src/libcoordination/entrycall.cpp
+++ b/src/libcoordination/entrycall.cpp
@@ -571,6 +571,8 @@
     Self->note("drain-cut",
                "gate=" + Self->LastGate_ + " running_ms=" +
                    std::to_string((Self->now() - Self->Started_).whole()) +
+                   " lag_ms=" +
+                   std::to_string(Self->Parts_->NodeContext_.Lag_().whole()) +
                    Self->drainText());
     Self->abandon(Reason::Leaving);
   });
--- a/src/libcoordination/gate.cpp
+++ b/src/libcoordination/gate.cpp
@@ -664,7 +664,8 @@
                      " verdict=" + std::string(verdictName(CallVerdict)) +
                      " reason=" + std::string(reasonName(Why)) + " " +
                      timingText(*EndedCall) +
-                     admissionStateText(Reply, EndedCall->Route_));
+                     "lag_ms=" + std::to_string(NodeContext_.Lag_().whole()) +
+                     " " + admissionStateText(Reply, EndedCall->Route_));
   } else {
     logRequest(
         LogCategory::Success, "gate-ran",
--- a/src/libcoordination/gate_test.cpp
+++ b/src/libcoordination/gate_test.cpp
@@ -85,6 +85,7 @@
 struct Fixture {
   asio::io_context Context_;
   ManualClock Clock_;
+  Millis Lag_;
   Balancer Balancer_;
   AttemptTable Attempts_{Clock_};
   EntryThreshold Thresholds_;
@@ -127,6 +128,7 @@
     ThisNode.Members_ = [View = std::make_shared<const MemberView>()] {
       return View;
     };
+    ThisNode.Lag_ = [this] { return Lag_; };
     return ThisNode;
   }
 
@@ -256,6 +258,20 @@
   CHECK_FALSE(Fixture.Replies_[2].closed);
 }
 
+TEST_CASE("the line of a failed call tells the lag of the event loop") {
+  Fixture Fixture;
+  Fixture.offer(1, Fixture.ticket("fails"));
+  Fixture.runUntil([&] { return Fixture.Backend_.requests() == 1; });
+  Fixture.Lag_ = Millis(345.6);
+  Fixture.Backend_.answerAll("HTTP/1.1 503 Full\r\nConnection: close\r\n"
+                             "Content-Length: 0\r\n\r\n");
+  Fixture.runUntil([&] { return Fixture.Replies_.count(1) == 1; });
+  auto Noted = Fixture.Ledger_.find("request-1");
+  REQUIRE(Noted.size() == 1);
+  CHECK(Noted[0].Decision_ == "gate-failed");
+  CHECK(Noted[0].Detail_.find(" lag_ms=345 ") != std::string::npos);
+}
+
 TEST_CASE("an offer with the attempt number of a queued one does not replace "
           "it") {
   Fixture Fixture;
--- a/src/libcoordination/node.cpp
+++ b/src/libcoordination/node.cpp
@@ -18,6 +18,7 @@
 #include "gossipservice.h"
 #include "instancemonitor.h"
 #include "logclient.h"
+#include "loopmonitor.h"
 #include "memberview.h"
 #include "monitoredlog.h"
 #include "nodelifecycle.h"
@@ -143,6 +144,7 @@
                     const std::function<void(wire::Frame)> &Answer);
   void answerFrame(uint64_t Connection, const wire::Frame &Message,
                    const std::function<void(wire::Frame)> &Answer);
+  void onCall(const HttpExchange::Pointer &Exchange);
   void onServing(const std::string &Service, int Slots, bool Leaving);
   Reason notServingReason() const;
   bool takesCalls() const;
@@ -171,6 +173,7 @@
   const boost::intrusive_ptr<ByteBudget> PeerBudget_;
   /// The answers that callers have not read yet.
   const boost::intrusive_ptr<ByteBudget> AnswerBudget_;
+  LoopMonitor Loop_;
   PeerSockets Sockets_;
   PeerPool Peers_;
   ConfigService Config_;
@@ -216,7 +219,7 @@
       BackendBudget_(new ByteBudget(AllSettings.Limits_.ReceiveBytes_)),
       PeerBudget_(new ByteBudget(AllSettings.Limits_.ReceiveBytes_)),
       AnswerBudget_(new ByteBudget(AllSettings.Limits_.ReceiveBytes_)),
-      Sockets_(bindPeerSockets(AllSettings)),
+      Loop_(Context, Clock_), Sockets_(bindPeerSockets(AllSettings)),
       Peers_(Context, connectionOptions(),
              asio::ip::make_address(AllSettings.Node_.Address_), hello()),
       Config_(Context, Log_, Clock_,
@@ -250,7 +253,7 @@
              Adapters_.Calls_.get(), &GateDrain_, BackendBudget_}),
       Entry_(entryParts()), Api_(apiParts()),
       Strand_(asio::make_strand(Context)), Timer_(Strand_),
-      Drain_({Gate_, Entry_, Api_, EntryDrain_, GateDrain_,
+      Drain_({Gate_, Entry_, Api_, EntryDrain_, GateDrain_, Loop_,
               AllSettings.Timeouts_.DrainNotice_,
               AllSettings.Timeouts_.Drain_}) {
   tcp::endpoint HttpAddress =
@@ -259,15 +262,14 @@
   Http_ = listen(HttpAddress, [this, SeparateCallListener](
                                   const HttpExchange::Pointer &Exchange) {
     if (!SeparateCallListener && Entry_.isCall(Exchange->request()))
-      Entry_.handle(Exchange);
+      onCall(Exchange);
     else
       Api_.handle(Exchange);
   });
   if (SeparateCallListener)
-    Calls_ = listen(endpointOf(AllSettings.Listen_.Calls_),
-                    [this](const HttpExchange::Pointer &Exchange) {
-                      Entry_.handle(Exchange);
-                    });
+    Calls_ = listen(
+        endpointOf(AllSettings.Listen_.Calls_),
+        [this](const HttpExchange::Pointer &Exchange) { onCall(Exchange); });
   if (!AllSettings.Listen_.Readiness_.empty())
     Readiness_ = listen(endpointOf(AllSettings.Listen_.Readiness_),
                         [this](const HttpExchange::Pointer &Exchange) {
@@ -370,6 +372,7 @@
   ThisNode.Region_ = Settings_.Node_.Region_;
   ThisNode.Config_ = [this] { return Config_.current(); };
   ThisNode.Members_ = [this] { return Sockets_.Udp_->view(); };
+  ThisNode.Lag_ = [this] { return Loop_.recentLag(); };
   return ThisNode;
 }
 
@@ -429,6 +432,7 @@
                  *CallerBudget_,
                  *BackendBudget_,
                  *PeerBudget_,
+                 Loop_,
                  {},
                  {},
                  {},
@@ -477,6 +481,7 @@
   });
   for (HttpServer *Each : servers())
     Each->start();
+  Loop_.start({[this](Millis Lag) { Api_.recordLag(Lag); }, nullptr});
   asio::post(Strand_, [this] { scheduleTick(); });
 }
 
@@ -537,6 +542,8 @@
 void Node::Impl::onPeerFrame(uint64_t Connection,
                              const FrameConnection::Pointer &From,
                              const wire::Frame &Message) {
+  if (Message.__isset.offer)
+    Loop_.countCall();
   answerFrame(Connection, Message, [From](const wire::Frame &Answer) {
     if (Answer.__isset.reply)
       sendReply(*From, Answer);
@@ -578,6 +585,11 @@
   }
 }
 
+void Node::Impl::onCall(const HttpExchange::Pointer &Exchange) {
+  Loop_.countCall();
+  Entry_.handle(Exchange);
+}
+
 // A node without a configuration must not decide on calls. One that has lost
 // the log and every peer can't know whether its configuration is still in
 // force.
@@ -640,6 +652,7 @@
 void Node::Impl::stopAll() {
   for (HttpServer *Each : servers())
     Each->stop();
+  Loop_.stop();
   if (Follower_)
     Follower_->stop();
   Gate_.stop();
--- a/src/libcoordination/nodemetrics.cpp
+++ b/src/libcoordination/nodemetrics.cpp
@@ -3,10 +3,12 @@
 #include "bytebudget.h"
 #include "configservice.h"
 #include "configstate.h"
+#include "descriptors.h"
 #include "drainadmission.h"
 #include "entry.h"
 #include "gate.h"
 #include "gossipservice.h"
+#include "loopmonitor.h"
 #include "memberview.h"
 
 #include "coltsfootpoint/log.h"
@@ -20,6 +22,8 @@
 /// Limit on the label sets of the call counter. Once it is reached, calls with
 /// a new label set are counted under the route `other`.
 constexpr size_t MaxCallKeys = 4096;
+/// The value of a gauge of descriptors that could not be read.
+constexpr int64_t Unknown = -1;
 
 double countMembers(const MemberView &Members, MemberState State) {
   const auto &All = Members.all();
@@ -35,9 +39,13 @@
                          const GossipService &Gossip)
     : RanLatency_(addCallHistogram("ran")),
       NotRunLatency_(addCallHistogram("not-run")),
-      MayHaveRunLatency_(addCallHistogram("may-have-run")) {
+      MayHaveRunLatency_(addCallHistogram("may-have-run")),
+      Lag_(Metrics_.histogram("coltsfoot_loop_lag_seconds",
+                              "How late in seconds a timer of the event loop "
+                              "fires.")) {
   addGateGauges(LocalGate);
   addFleetGauges(Config, Gossip);
+  addDescriptorGauges();
   Metrics_.gauge("coltsfoot_log_lines_left_out",
                  "Log lines dropped since the start of the process.", {},
                  [] { return static_cast<double>(logLinesDropped()); });
@@ -112,6 +120,31 @@
                  [&Budget] { return static_cast<double>(Budget.refusals()); });
 }
 
+void NodeMetrics::addLagGauges(const LoopMonitor &Loop) {
+  Metrics_.gauge("coltsfoot_loop_lag_recent_seconds",
+                 "Largest lag in seconds of the event loop in the last one to "
+                 "two seconds.",
+                 {},
+                 [&Loop] { return Loop.recentLag().count() / MsPerSecond; });
+  Metrics_.gauge("coltsfoot_loop_lag_largest_seconds",
+                 "Largest lag in seconds of the event loop since the start.",
+                 {},
+                 [&Loop] { return Loop.largestLag().count() / MsPerSecond; });
+}
+
+void NodeMetrics::addDescriptorGauges() {
+  Metrics_.gauge(
+      "coltsfoot_descriptors_in_use",
+      "Descriptors that the process has open; -1 if unknown.", {},
+      [] { return static_cast<double>(descriptorsInUse().value_or(Unknown)); });
+  Metrics_.gauge(
+      "coltsfoot_descriptors_limit",
+      "Descriptors that the process may open; -1 if unknown or "
+      "unlimited.",
+      {},
+      [] { return static_cast<double>(descriptorLimit().value_or(Unknown)); });
+}
+
 LatencyHistogram &NodeMetrics::addCallHistogram(std::string_view Verdict) {
   return Metrics_.histogram(
       "coltsfoot_call_seconds",
--- a/src/libcoordination/nodemetrics.h
+++ b/src/libcoordination/nodemetrics.h
@@ -14,13 +14,15 @@
 class DrainAdmission;
 class Gate;
 class GossipService;
+class LoopMonitor;
 struct CallRecord;
 
 /// The metrics of a node: counters of the calls that entered here by service,
 /// route, verdict and reason, histograms of the latency of root calls by
-/// verdict, and gauges of gate, membership, configuration and log. Gauges are
-/// evaluated when the metrics are read. Thread-safe; one mutex guards the table
-/// of call counters, and nothing but Metrics is called while it is held.
+/// verdict, a histogram of the lag of the event loop, and gauges of gate,
+/// membership, configuration, log and descriptors. Gauges are evaluated when
+/// the metrics are read. Thread-safe; one mutex guards the table of call
+/// counters, and nothing but Metrics is called while it is held.
 class NodeMetrics {
 public:
   /// All references must outlive the metrics.
@@ -35,6 +37,12 @@
   /// them were refused.
   void addReceiveGauges(std::string_view Sender, const ByteBudget &Budget);
 
+  /// Adds the recent and the largest lag of the event loop.
+  void addLagGauges(const LoopMonitor &Loop);
+
+  /// Adds a measured lag of the event loop to its histogram.
+  void recordLag(Millis Lag) { Lag_.record(Lag); }
+
   /// Counts a call that has ended and, for a root call, records its latency.
   void record(const CallRecord &Ended);
 
@@ -48,6 +56,7 @@
 
   void addGateGauges(const Gate &LocalGate);
   void addFleetGauges(const ConfigService &Config, const GossipService &Gossip);
+  void addDescriptorGauges();
   LatencyHistogram &addCallHistogram(std::string_view Verdict);
   LatencyHistogram &callHistogram(std::string_view Verdict);
 
@@ -55,6 +64,7 @@
   LatencyHistogram &RanLatency_;
   LatencyHistogram &NotRunLatency_;
   LatencyHistogram &MayHaveRunLatency_;
+  LatencyHistogram &Lag_;
   std::mutex Mutex_; // guards CallCounters_
   std::map<CallKey, Counter *> CallCounters_;
 };
--- a/src/libcoordination/ticketissuer.h
+++ b/src/libcoordination/ticketissuer.h
@@ -18,8 +18,8 @@
 struct Ticket;
 
 /// A node's identity, clock, current configuration and view of the membership,
-/// for the components that make decisions. The functions are thread-safe and
-/// cheap; each call returns the latest snapshot.
+/// for the components that make decisions, and its lag for their log lines. The
+/// functions are thread-safe and cheap; each call returns the latest value.
 struct NodeContext {
   const Clock *Clock_ = nullptr;
   std::string Node_;
@@ -28,6 +28,8 @@
   std::string Region_;
   std::function<std::shared_ptr<const ConfigState>()> Config_;
   std::function<std::shared_ptr<const MemberView>()> Members_;
+  /// See LoopMonitor::recentLag().
+  std::function<Millis()> Lag_ = [] { return Millis(); };
 };
 
 /// Issues and opens the tickets of non-idempotent calls. Thread-safe. The
--- a/testsuite/leaving/leaving_test.cpp
+++ b/testsuite/leaving/leaving_test.cpp
@@ -116,6 +116,7 @@
 void expectGracefulExit(TestNode &Node) {
   std::string Line = Node.process().waitForLine("event=drain_ended", WaitLimit);
   CHECK(field(Line, "cut") == "false");
+  CHECK_FALSE(field(Line, "lag_ms").empty());
   CHECK(Node.process().wait(WaitLimit) == 0);
 }
 
@@ -286,6 +287,29 @@
   CHECK(Shop.runs("long") == 1);
 }
 
+TEST_CASE("a call that the end of a drain cuts is logged with the lag of the "
+          "node") {
+  NodeSpec Spec;
+  Spec.Timeouts_ = "drain_ms = 700\n";
+  Shop Shop(2, 1, Spec);
+  TestNode &Draining = *Shop.Nodes_[1];
+  std::vector<HttpField> Fields = requestFields("shop", "client-1", "cut");
+  Fields.push_back({"X-Work-Ms", "4000"});
+  HttpReply FinalReply;
+  std::thread Caller(
+      [&] { FinalReply = Draining.call("GET", "/items/1", Fields); });
+  waitUntil([&] { return Shop.runs("cut") == 1; }, WaitLimit,
+            "the backend server has started the call");
+  startShutdown(Draining, true);
+  CHECK(Draining.process().wait(WaitLimit) == 0);
+  Caller.join();
+  CHECK(FinalReply.header("Coltsfoot-Verdict") == "may-have-run");
+  std::string Line =
+      Draining.process().waitForLine("event=drain-cut", WaitLimit);
+  CHECK_FALSE(field(Line, "running_ms").empty());
+  CHECK_FALSE(field(Line, "lag_ms").empty());
+}
+
 TEST_CASE("a rolling replacement of all nodes under load loses no request") {
   Shop Shop(4, 3);
   EntryList Entries;
--- a/testsuite/thin_path/thin_path_test.cpp
+++ b/testsuite/thin_path/thin_path_test.cpp
@@ -106,6 +106,47 @@
   CHECK(Shop.runs("book-2") == 1);
 }
 
+TEST_CASE("the metrics tell the lag of the event loop and the descriptors") {
+  Shop Shop;
+  std::string Metrics;
+  auto ValueOf = [&](const std::string &Name) {
+    size_t Found = Metrics.find("\n" + Name + " ");
+    REQUIRE(Found != std::string::npos);
+    return std::stod(Metrics.substr(Found + Name.size() + 2));
+  };
+  waitUntil(
+      [&] {
+        Metrics = Shop.First_->call("GET", "/metrics").Body_;
+        return ValueOf("coltsfoot_loop_lag_seconds_count") > 0;
+      },
+      Millis(15000), "the lag is measured");
+  CHECK(ValueOf("coltsfoot_loop_lag_recent_seconds") >= 0);
+  CHECK(ValueOf("coltsfoot_loop_lag_largest_seconds") >= 0);
+  double InUse = ValueOf("coltsfoot_descriptors_in_use");
+  CHECK(InUse > 0);
+  CHECK(ValueOf("coltsfoot_descriptors_limit") >= InUse);
+}
+
+TEST_CASE("a node that runs only now and then logs that it is behind") {
+  Shop Shop;
+  Process &Late = Shop.Third_->process();
+  const SystemClock Time;
+  waitUntil(
+      [&] {
+        Late.pause();
+        const Millis Paused = Time.now();
+        waitUntil([&] { return Time.now() - Paused > Millis(200); },
+                  Millis(15000), "the node is late");
+        Late.resume();
+        return Late.output().find("event=node_behind") != std::string::npos;
+      },
+      Millis(15000), "the node has logged that it is behind");
+  std::string Line = Late.waitForLine("event=node_behind", Millis(15000));
+  for (const char *Key :
+       {" lag_ms=", " calls_per_s=", " descriptors=", " cores="})
+    CHECK(Line.find(Key) != std::string::npos);
+}
+
 TEST_CASE("burn, metrics and explain report the outcome of calls") {
   Shop Shop;
   Fleet::putResource(*Shop.First_, "objectives/reads",
