--- a/src/libcoordination/api.cpp
+++ b/src/libcoordination/api.cpp
@@ -137,6 +137,7 @@
     Metrics_.addReceiveGauges("caller", Parts_.CallerBudget_);
     Metrics_.addReceiveGauges("backend", Parts_.BackendBudget_);
     Metrics_.addReceiveGauges("peer", Parts_.PeerBudget_);
+    Metrics_.addLagGauges(Parts_.Loop_);
   }
 
   void handle(const HttpExchange::Pointer &Exchange);
@@ -146,6 +147,7 @@
     Metrics_.addListenerGauges(Port, Server);
   }
   void record(const CallRecord &Ended);
+  void recordLag(Millis Lag) { Metrics_.recordLag(Lag); }
   void endWatches() { Resources_.endWatches(); }
 
 private:
@@ -416,6 +418,8 @@
 }
 void Api::record(const CallRecord &Ended) { Impl_->record(Ended); }
 
+void Api::recordLag(Millis Lag) { Impl_->recordLag(Lag); }
+
 void Api::endWatches() { Impl_->endWatches(); }
 
 } // namespace coltsfoot
--- a/src/libcoordination/api.h
+++ b/src/libcoordination/api.h
@@ -17,6 +17,7 @@
 class DrainAdmission;
 class Gate;
 class GossipService;
+class LoopMonitor;
 class PeerPool;
 class RequestLedger;
 
@@ -36,6 +37,7 @@
   const ByteBudget &CallerBudget_;
   const ByteBudget &BackendBudget_;
   const ByteBudget &PeerBudget_;
+  const LoopMonitor &Loop_;
   std::string Node_;
   Secret OperatorToken_;
   std::function<std::string()> State_;
@@ -66,6 +68,8 @@
   /// Shows the connections to one HTTP port in the metrics. To be called before
   /// the first request; the server has to outlive the last one.
   void showListener(std::string_view Port, const HttpServer &Server);
+  /// Adds a measured lag of the event loop to the metrics.
+  void recordLag(Millis Lag);
   /// Ends the streams of watchers, so that they resume at another node.
   void endWatches();
 
--- a/src/libcoordination/nodemetrics.cpp
+++ b/src/libcoordination/nodemetrics.cpp
@@ -4,11 +4,13 @@
 #include "configservice.h"
 #include "configstate.h"
 #include "connectfailure.h"
+#include "descriptors.h"
 #include "drainadmission.h"
 #include "entry.h"
 #include "gate.h"
 #include "gossipservice.h"
 #include "httpserver.h"
+#include "loopmonitor.h"
 #include "memberview.h"
 
 #include "coltsfootpoint/log.h"
@@ -22,6 +24,8 @@
 /// Limit on the label sets of the call counter. Once it is reached, calls with
 /// a new label set are counted under the route `other`.
 constexpr size_t MaxCallKeys = 4096;
+/// The value of a gauge of descriptors that could not be read.
+constexpr int64_t Unknown = -1;
 
 double countMembers(const MemberView &Members, MemberState State) {
   const auto &All = Members.all();
@@ -37,9 +41,13 @@
                          const GossipService &Gossip)
     : RanLatency_(addCallHistogram("ran")),
       NotRunLatency_(addCallHistogram("not-run")),
-      MayHaveRunLatency_(addCallHistogram("may-have-run")) {
+      MayHaveRunLatency_(addCallHistogram("may-have-run")),
+      Lag_(Metrics_.histogram("coltsfoot_loop_lag_seconds",
+                              "How late in seconds a timer of the event loop "
+                              "fires.")) {
   addGateGauges(LocalGate);
   addFleetGauges(Config, Gossip);
+  addDescriptorGauges();
   Metrics_.gauge("coltsfoot_log_lines_left_out",
                  "Log lines dropped since the start of the process.", {},
                  [] { return static_cast<double>(logLinesDropped()); });
@@ -145,44 +153,69 @@
       &HttpServer::Figures::AcceptFailures_);
   Add("callers_left", "Requests not handled because their callers had left.",
       &HttpServer::Figures::CallersLeft_);
-}
+  void NodeMetrics::addLagGauges(const LoopMonitor &Loop) {
+    Metrics_.gauge(
+        "coltsfoot_loop_lag_recent_seconds",
+        "Largest lag in seconds of the event loop in the last one to "
+        "two seconds.",
+        {}, [&Loop] { return Loop.recentLag().count() / MsPerSecond; });
+    Metrics_.gauge("coltsfoot_loop_lag_largest_seconds",
+                   "Largest lag in seconds of the event loop since the start.",
+                   {},
+                   [&Loop] { return Loop.largestLag().count() / MsPerSecond; });
+  }
 
-LatencyHistogram &NodeMetrics::addCallHistogram(std::string_view Verdict) {
-  return Metrics_.histogram(
-      "coltsfoot_call_seconds",
-      "Duration in seconds of calls that entered at this node, "
-      "without nested calls.",
-      {{"verdict", std::string(Verdict)}});
-}
+  void NodeMetrics::addDescriptorGauges() {
+    Metrics_.gauge(
+        "coltsfoot_descriptors_in_use",
+        "Descriptors that the process has open; -1 if unknown.", {}, [] {
+          return static_cast<double>(descriptorsInUse().value_or(Unknown));
+        });
+    Metrics_.gauge("coltsfoot_descriptors_limit",
+                   "Descriptors that the process may open; -1 if unknown or "
+                   "unlimited.",
+                   {}, [] {
+                     return static_cast<double>(
+                         descriptorLimit().value_or(Unknown));
+                   });
+  }
 
-LatencyHistogram &NodeMetrics::callHistogram(std::string_view Verdict) {
-  if (Verdict == "ran")
-    return RanLatency_;
-  return Verdict == "not-run" ? NotRunLatency_ : MayHaveRunLatency_;
-}
+  LatencyHistogram &NodeMetrics::addCallHistogram(std::string_view Verdict) {
+    return Metrics_.histogram(
+        "coltsfoot_call_seconds",
+        "Duration in seconds of calls that entered at this node, "
+        "without nested calls.",
+        {{"verdict", std::string(Verdict)}});
+  }
 
-void NodeMetrics::record(const CallRecord &Ended) {
-  if (Ended.Root_)
-    callHistogram(Ended.Verdict_).record(Ended.Latency_);
-  CallKey Key{Ended.Service_, Ended.Route_, std::string(Ended.Verdict_),
-              std::string(Ended.Reason_)};
-  std::lock_guard<std::mutex> Lock(Mutex_);
-  auto Found = CallCounters_.find(Key);
-  if (Found == CallCounters_.end()) {
-    if (CallCounters_.size() >= MaxCallKeys)
-      std::get<1>(Key) = "other";
-    const auto &[Service, Route, Verdict, Reason] = Key;
-    Counter &Added =
-        Metrics_.counter("coltsfoot_calls_total",
-                         "Ended calls that entered at this node, nested calls "
-                         "included.",
-                         {{"service", Service},
-                          {"route", Route},
-                          {"verdict", Verdict},
-                          {"reason", Reason}});
-    Found = CallCounters_.emplace(std::move(Key), &Added).first;
+  LatencyHistogram &NodeMetrics::callHistogram(std::string_view Verdict) {
+    if (Verdict == "ran")
+      return RanLatency_;
+    return Verdict == "not-run" ? NotRunLatency_ : MayHaveRunLatency_;
+  }
+
+  void NodeMetrics::record(const CallRecord &Ended) {
+    if (Ended.Root_)
+      callHistogram(Ended.Verdict_).record(Ended.Latency_);
+    CallKey Key{Ended.Service_, Ended.Route_, std::string(Ended.Verdict_),
+                std::string(Ended.Reason_)};
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    auto Found = CallCounters_.find(Key);
+    if (Found == CallCounters_.end()) {
+      if (CallCounters_.size() >= MaxCallKeys)
+        std::get<1>(Key) = "other";
+      const auto &[Service, Route, Verdict, Reason] = Key;
+      Counter &Added = Metrics_.counter(
+          "coltsfoot_calls_total",
+          "Ended calls that entered at this node, nested calls "
+          "included.",
+          {{"service", Service},
+           {"route", Route},
+           {"verdict", Verdict},
+           {"reason", Reason}});
+      Found = CallCounters_.emplace(std::move(Key), &Added).first;
+    }
+    Found->second->add();
   }
-  Found->second->add();
-}
 
 } // namespace coltsfoot
