--- a/src/libcoordination/nodemetrics.cpp
+++ b/src/libcoordination/nodemetrics.cpp
@@ -153,69 +153,69 @@
       &HttpServer::Figures::AcceptFailures_);
   Add("callers_left", "Requests not handled because their callers had left.",
       &HttpServer::Figures::CallersLeft_);
-  void NodeMetrics::addLagGauges(const LoopMonitor &Loop) {
-    Metrics_.gauge(
-        "coltsfoot_loop_lag_recent_seconds",
-        "Largest lag in seconds of the event loop in the last one to "
-        "two seconds.",
-        {}, [&Loop] { return Loop.recentLag().count() / MsPerSecond; });
-    Metrics_.gauge("coltsfoot_loop_lag_largest_seconds",
-                   "Largest lag in seconds of the event loop since the start.",
-                   {},
-                   [&Loop] { return Loop.largestLag().count() / MsPerSecond; });
-  }
+}
 
-  void NodeMetrics::addDescriptorGauges() {
-    Metrics_.gauge(
-        "coltsfoot_descriptors_in_use",
-        "Descriptors that the process has open; -1 if unknown.", {}, [] {
-          return static_cast<double>(descriptorsInUse().value_or(Unknown));
-        });
-    Metrics_.gauge("coltsfoot_descriptors_limit",
-                   "Descriptors that the process may open; -1 if unknown or "
-                   "unlimited.",
-                   {}, [] {
-                     return static_cast<double>(
-                         descriptorLimit().value_or(Unknown));
-                   });
-  }
+void NodeMetrics::addLagGauges(const LoopMonitor &Loop) {
+  Metrics_.gauge("coltsfoot_loop_lag_recent_seconds",
+                 "Largest lag in seconds of the event loop in the last one to "
+                 "two seconds.",
+                 {},
+                 [&Loop] { return Loop.recentLag().count() / MsPerSecond; });
+  Metrics_.gauge("coltsfoot_loop_lag_largest_seconds",
+                 "Largest lag in seconds of the event loop since the start.",
+                 {},
+                 [&Loop] { return Loop.largestLag().count() / MsPerSecond; });
+}
 
-  LatencyHistogram &NodeMetrics::addCallHistogram(std::string_view Verdict) {
-    return Metrics_.histogram(
-        "coltsfoot_call_seconds",
-        "Duration in seconds of calls that entered at this node, "
-        "without nested calls.",
-        {{"verdict", std::string(Verdict)}});
-  }
+void NodeMetrics::addDescriptorGauges() {
+  Metrics_.gauge(
+      "coltsfoot_descriptors_in_use",
+      "Descriptors that the process has open; -1 if unknown.", {},
+      [] { return static_cast<double>(descriptorsInUse().value_or(Unknown)); });
+  Metrics_.gauge(
+      "coltsfoot_descriptors_limit",
+      "Descriptors that the process may open; -1 if unknown or "
+      "unlimited.",
+      {},
+      [] { return static_cast<double>(descriptorLimit().value_or(Unknown)); });
+}
 
-  LatencyHistogram &NodeMetrics::callHistogram(std::string_view Verdict) {
-    if (Verdict == "ran")
-      return RanLatency_;
-    return Verdict == "not-run" ? NotRunLatency_ : MayHaveRunLatency_;
-  }
+LatencyHistogram &NodeMetrics::addCallHistogram(std::string_view Verdict) {
+  return Metrics_.histogram(
+      "coltsfoot_call_seconds",
+      "Duration in seconds of calls that entered at this node, "
+      "without nested calls.",
+      {{"verdict", std::string(Verdict)}});
+}
+
+LatencyHistogram &NodeMetrics::callHistogram(std::string_view Verdict) {
+  if (Verdict == "ran")
+    return RanLatency_;
+  return Verdict == "not-run" ? NotRunLatency_ : MayHaveRunLatency_;
+}
 
-  void NodeMetrics::record(const CallRecord &Ended) {
-    if (Ended.Root_)
-      callHistogram(Ended.Verdict_).record(Ended.Latency_);
-    CallKey Key{Ended.Service_, Ended.Route_, std::string(Ended.Verdict_),
-                std::string(Ended.Reason_)};
-    std::lock_guard<std::mutex> Lock(Mutex_);
-    auto Found = CallCounters_.find(Key);
-    if (Found == CallCounters_.end()) {
-      if (CallCounters_.size() >= MaxCallKeys)
-        std::get<1>(Key) = "other";
-      const auto &[Service, Route, Verdict, Reason] = Key;
-      Counter &Added = Metrics_.counter(
-          "coltsfoot_calls_total",
-          "Ended calls that entered at this node, nested calls "
-          "included.",
-          {{"service", Service},
-           {"route", Route},
-           {"verdict", Verdict},
-           {"reason", Reason}});
-      Found = CallCounters_.emplace(std::move(Key), &Added).first;
-    }
-    Found->second->add();
+void NodeMetrics::record(const CallRecord &Ended) {
+  if (Ended.Root_)
+    callHistogram(Ended.Verdict_).record(Ended.Latency_);
+  CallKey Key{Ended.Service_, Ended.Route_, std::string(Ended.Verdict_),
+              std::string(Ended.Reason_)};
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  auto Found = CallCounters_.find(Key);
+  if (Found == CallCounters_.end()) {
+    if (CallCounters_.size() >= MaxCallKeys)
+      std::get<1>(Key) = "other";
+    const auto &[Service, Route, Verdict, Reason] = Key;
+    Counter &Added =
+        Metrics_.counter("coltsfoot_calls_total",
+                         "Ended calls that entered at this node, nested calls "
+                         "included.",
+                         {{"service", Service},
+                          {"route", Route},
+                          {"verdict", Verdict},
+                          {"reason", Reason}});
+    Found = CallCounters_.emplace(std::move(Key), &Added).first;
   }
+  Found->second->add();
+}
 
 } // namespace coltsfoot
