--- a/testsuite/common/loadclient.cpp
+++ b/testsuite/common/loadclient.cpp
@@ -86,6 +86,7 @@
 
 private:
   void write() {
+    Connected_ = true;
     Stream_->expires_after(toChrono(Timeout_));
     http::async_write(
         *Stream_, Request_,
@@ -107,6 +108,7 @@
   void end(bool Complete) {
     LoadResult Result;
     Result.Latency_ = Clock_.now() - StartTime_;
+    Result.Connected_ = Connected_;
     if (Complete) {
       Result.Status_ = static_cast<int>(Response_.result_int());
       for (const auto &Field : Response_)
@@ -132,6 +134,7 @@
   http::response<http::string_body> Response_;
   beast::flat_buffer Buffer_;
   Stream Stream_;
+  bool Connected_ = false;
 };
 
 } // namespace
--- a/testsuite/common/loadclient.h
+++ b/testsuite/common/loadclient.h
@@ -28,6 +28,9 @@
   std::vector<HttpField> Fields_;
   std::string Body_;
   Millis Latency_;
+  /// Whether there was a connection to the server. Without one, no byte of the
+  /// request was sent.
+  bool Connected_ = false;
 
   /// Returns the first value of a header field, whose name is compared without
   /// regard to case; empty when the field is absent.
