Do not close an idle connection whose request has been read

What callers saw: a request on a kept connection got no answer, and the connection ended, while new callers made the node close idle connections.

Cause: the event loop reads a socket before it runs the handler of the read. closeIfIdle(), or the idle time-out with several workers, ran between the two, found the session idle and the socket empty, and closed it; the handler then dropped the bytes. One worker suffices: the new connection and the request only need to be found in the same turn of the loop.

Change: the pending read is cancelled, and the connection is closed only when its handler reports that it was. A read that has its bytes already is not cancelled and goes on.

The idle time-out with several workers has no test of its own.

--- a/src/libtransport/httpserversession.cpp
+++ b/src/libtransport/httpserversession.cpp
@@ -364,15 +364,31 @@
   asio::post(executor(), [Self = Pointer(this)] {
     bool Unused =
         Self->Phase_ == Phase::Idle || Self->Phase_ == Phase::Lingering;
-    // What has arrived meanwhile is read next: a request, or input without
-    // whose reading the connection would be reset.
-    if (!Unused || inputState(Self->Socket_) == InputState::Bytes)
-      return;
-    ++Self->Server_->IdleClosed_;
-    Self->close();
+    if (Unused)
+      Self->closeUnlessRead(true);
   });
 }
 
+// The bytes of a request may have been read already, with the handler of the
+// read still queued. The socket can't tell this, but the handler can: a cancel
+// has no effect on that read then, and the handler gets the bytes.
+void HttpServerSession::closeUnlessRead(bool MakesRoom) {
+  CloseRequested_ = true;
+  ClosesForRoom_ = MakesRoom;
+  error_code Ignored;
+  Socket_.cancel(Ignored);
+}
+
+// What has arrived meanwhile is read: a request, or input without whose reading
+// the connection would be reset.
+void HttpServerSession::onReadCancelled() {
+  if (inputState(Socket_) == InputState::Bytes)
+    return read();
+  if (ClosesForRoom_)
+    ++Server_->IdleClosed_;
+  close();
+}
+
 // The idle time-out applies until the first byte of a request arrives. From
 // then on the complete request must arrive within the receive time-out.
 void HttpServerSession::awaitRequest() {
@@ -401,9 +417,12 @@
       asio::buffer(ReadBuffer_),
       [Self = Pointer(this)](const error_code &Error, size_t Size) {
         Self->Reading_ = false;
+        bool CloseRequested = std::exchange(Self->CloseRequested_, false);
         if (Self->Phase_ == Phase::Closed)
           return;
-        if (Error)
+        if (CloseRequested && Error == asio::error::operation_aborted)
+          Self->onReadCancelled();
+        else if (Error)
           Self->onInputEnd();
         else
           Self->onRead(Size);
@@ -763,6 +782,7 @@
   case Phase::Streaming:
     return abortStream();
   case Phase::Idle:
+    return closeUnlessRead(false);
   case Phase::Lingering:
     return close();
   case Phase::Working:
--- a/src/libtransport/httpserversession.h
+++ b/src/libtransport/httpserversession.h
@@ -90,6 +90,8 @@
   void writeNextPiece();
   void abortStream();
   void linger();
+  void closeUnlessRead(bool MakesRoom);
+  void onReadCancelled();
   void close();
   void startTimer(Millis Wait);
   void cancelTimer();
@@ -107,6 +109,9 @@
   bool ServedBefore_ = false;
   bool Reading_ = false;
   bool InputEnded_ = false;
+  /// Whether the connection is to close when its pending read is cancelled.
+  bool CloseRequested_ = false;
+  bool ClosesForRoom_ = false;
   std::array<char, ReadBufferBytes> ReadBuffer_;
   std::string Input_;
   ByteBudget::Reservation Received_; ///< Input_ and the body in Message_.
--- a/src/libtransport/idleconnections_test.cpp
+++ b/src/libtransport/idleconnections_test.cpp
@@ -147,3 +147,25 @@
   CHECK(waitUntil([&] { return Test.Server_.figures().CallersLeft_ == 1; }));
   CHECK(Test.Arrived_.count() == 1);
 }
+
+TEST_CASE("a request that arrives together with a new caller is answered") {
+  Fixture Test(limits(1, 1));
+  std::string Ignored;
+  RawSocket Idle = Test.idleCaller(Ignored);
+  // The only worker is blocked, so that it finds the new connection and the
+  // request at the same time, and asks the connection to close before it has
+  // handled the bytes that it has read there.
+  EventCounter Busy;
+  EventCounter Free;
+  boost::asio::post(Test.Workers_.context(), [&] {
+    Busy.increment();
+    Free.wait();
+  });
+  REQUIRE(Busy.wait());
+  RawSocket New = Test.caller();
+  Idle.send(Request);
+  New.send(Request);
+  Free.increment();
+  CHECK(isOk(Idle.receiveAnswer()));
+  CHECK(isOk(New.receiveAnswer()));
+}
