Serve pipelined requests that were read when the server stops

Cause: once the server had stopped, the next response closed its connection, also when a further request of the caller had been read already and waited behind it. That request got no answer. While the server only announces the close, and above the limit of kept connections, such a request was served.

Change: stop() is no exception to this. A caller that pipelines without end is bounded by the end of the drain.

--- a/src/libtransport/httpserver.h
+++ b/src/libtransport/httpserver.h
@@ -136,8 +136,9 @@
   /// connections are still accepted.
   void disableKeepAlive();
   /// Stops accepting connections and ends the streams. The requests in
-  /// progress, and one more request on each idle connection, get a response
-  /// with `Connection: close`.
+  /// progress, those that were read behind them, and one more request on each
+  /// idle connection get a response; the last one of each connection has
+  /// `Connection: close`.
   void stop();
   /// Returns the bound port.
   uint16_t port() const;
--- a/src/libtransport/httpserversession.cpp
+++ b/src/libtransport/httpserversession.cpp
@@ -647,10 +647,9 @@
 // Bytes of a further request that have been read belong to a caller who can't
 // tell that they were; that request is served before the connection closes.
 bool HttpServerSession::keepsOpen() const {
-  if (!Message_->KeepAlive_ || Server_->Stopped_)
-    return false;
-  bool Closes = Server_->KeepAliveDisabled_ || Server_->crowded();
-  return !Closes || !Input_.empty();
+  bool Closes =
+      Server_->Stopped_ || Server_->KeepAliveDisabled_ || Server_->crowded();
+  return Message_->KeepAlive_ && (!Closes || !Input_.empty());
 }
 
 void HttpServerSession::finishResponse(bool KeepAlive) {
--- a/src/libtransport/idleconnections_test.cpp
+++ b/src/libtransport/idleconnections_test.cpp
@@ -169,3 +169,18 @@
   CHECK(isOk(Idle.receiveAnswer()));
   CHECK(isOk(New.receiveAnswer()));
 }
+
+TEST_CASE("requests that were read are served when the server stops") {
+  Fixture Test(limits(100, 100));
+  RawSocket Caller = Test.caller();
+  std::string Both = "GET /held HTTP/1.1\r\nHost: a\r\n\r\n";
+  Both += Request;
+  Caller.send(Both);
+  REQUIRE(Test.Arrived_.wait());
+  Test.Server_.stop();
+  Test.Held_->respond({200, {}, "held"});
+  CHECK(Caller.receiveAnswer().ends_with("held"));
+  std::string Last = Caller.receiveAnswer();
+  CHECK(Last.ends_with("/a"));
+  CHECK(closes(Last));
+}
