Accept the whole backlog at a stop although descriptors are short

What callers saw: with no file descriptor left, a node that stopped reset the connections that waited to be accepted, whatever their requests; nothing said so.

Cause: acceptBacklog() ended at the first failure, and the listening socket was closed.

No new connections come in the meantime, as their first packets are dropped.

--- a/src/libtransport/httpserver.cpp
+++ b/src/libtransport/httpserver.cpp
@@ -62,6 +62,13 @@
   ::setsockopt(Listener, SOL_SOCKET, SO_ATTACH_FILTER, &Filter, sizeof Filter);
 }
 
+bool isShortage(const error_code &Error) {
+  return Error == boost::system::errc::too_many_files_open ||
+         Error == boost::system::errc::too_many_files_open_in_system ||
+         Error == boost::system::errc::no_buffer_space ||
+         Error == boost::system::errc::not_enough_memory;
+}
+
 } // namespace
 
 std::string_view HttpRequest::field(std::string_view Name) const {
@@ -83,7 +90,9 @@
   void onAccepted(tcp::socket Socket);
   bool makeRoom();
   void onAcceptFailed(const error_code &Error);
-  void acceptBacklog();
+  void freeDescriptors(const error_code &Error);
+  error_code acceptBacklog();
+  void acceptBacklogAfter(Millis Delay);
   void retryAcceptLater();
   void stopAccepting();
 
@@ -137,9 +146,14 @@
   return true;
 }
 
+void HttpServer::Shared::onAcceptFailed(const error_code &Error) {
+  freeDescriptors(Error);
+  retryAcceptLater();
+}
+
 // Accepting fails, for example, while no file descriptors are left; idle
 // connections then hold most of them.
-void HttpServer::Shared::onAcceptFailed(const error_code &Error) {
+void HttpServer::Shared::freeDescriptors(const error_code &Error) {
   ++AcceptFailures_;
   Millis Now = Clock_.now();
   if (!FailureLogged_ || Now - *FailureLogged_ >= AcceptFailureLogInterval) {
@@ -152,12 +166,11 @@
   }
   for (int I = 0; I < ClosedAfterAcceptFailure; ++I)
     closeLongestIdle(Millis(0));
-  retryAcceptLater();
 }
 
 // Accepts the connections that were established before the stop, so that their
-// requests are served.
-void HttpServer::Shared::acceptBacklog() {
+// requests are served. Returns why no further one was accepted.
+error_code HttpServer::Shared::acceptBacklog() {
   error_code Failure;
   Acceptor_.non_blocking(true, Failure);
   while (!Failure) {
@@ -166,6 +179,7 @@
     if (!Failure)
       onAccepted(std::move(Socket));
   }
+  return Failure;
 }
 
 // The delay prevents a busy loop.
@@ -180,10 +194,20 @@
 
 void HttpServer::Shared::stopAccepting() {
   dropNewConnections(Acceptor_.native_handle());
-  AcceptTimer_.expires_after(toChrono(HandshakeGracePeriod));
+  acceptBacklogAfter(HandshakeGracePeriod);
+}
+
+// Closing the listening socket resets what it still holds. While descriptors
+// are short, it stays open until the others have been accepted.
+void HttpServer::Shared::acceptBacklogAfter(Millis Delay) {
+  AcceptTimer_.expires_after(toChrono(Delay));
   AcceptTimer_.async_wait(
       [Self = boost::intrusive_ptr<Shared>(this)](const error_code &) {
-        Self->acceptBacklog();
+        error_code End = Self->acceptBacklog();
+        if (isShortage(End)) {
+          Self->freeDescriptors(End);
+          return Self->acceptBacklogAfter(AcceptRetryDelay);
+        }
         error_code Ignored;
         Self->Acceptor_.close(Ignored);
       });
--- a/src/libtransport/idleconnections_test.cpp
+++ b/src/libtransport/idleconnections_test.cpp
@@ -2,10 +2,13 @@
 
 #include "rawsocket.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <doctest/doctest.h>
 #include <mutex>
+#include <sys/resource.h>
 #include <thread>
+#include <unistd.h>
 #include <vector>
 
 using namespace coltsfoot;
@@ -57,6 +60,41 @@
   HttpServer Server_;
 };
 
+/// Leaves the process few free file descriptors as long as it exists.
+class DescriptorShortage {
+public:
+  explicit DescriptorShortage(size_t Free) {
+    rlimit Few{};
+    ::getrlimit(RLIMIT_NOFILE, &Few);
+    Former_ = Few;
+    Few.rlim_cur = std::min<rlim_t>(Few.rlim_cur, MaxDescriptors);
+    ::setrlimit(RLIMIT_NOFILE, &Few);
+    int Copy = ::dup(STDERR_FILENO);
+    for (; Copy >= 0; Copy = ::dup(STDERR_FILENO))
+      Used_.push_back(Copy);
+    for (; Free > 0 && !Used_.empty(); --Free)
+      release();
+  }
+  ~DescriptorShortage() {
+    while (!Used_.empty())
+      release();
+    ::setrlimit(RLIMIT_NOFILE, &Former_);
+  }
+  DescriptorShortage(const DescriptorShortage &) = delete;
+  DescriptorShortage &operator=(const DescriptorShortage &) = delete;
+
+private:
+  static constexpr rlim_t MaxDescriptors = 256;
+
+  void release() {
+    ::close(Used_.back());
+    Used_.pop_back();
+  }
+
+  rlimit Former_{};
+  std::vector<int> Used_;
+};
+
 bool isOk(const std::string &Response) {
   return Response.starts_with("HTTP/1.1 200 ");
 }
@@ -184,3 +222,33 @@
   CHECK(Last.ends_with("/a"));
   CHECK(closes(Last));
 }
+
+TEST_CASE("requests that lie unread at a stop are served although descriptors "
+          "are short") {
+  constexpr int Callers = 6;
+  Fixture Test(limits(100, 100));
+  EventCounter Busy;
+  EventCounter Free;
+  boost::asio::post(Test.Workers_.context(), [&] {
+    Busy.increment();
+    Free.wait();
+  });
+  REQUIRE(Busy.wait());
+  std::vector<RawSocket> Waiting;
+  for (int I = 0; I < Callers; ++I) {
+    Waiting.push_back(Test.caller());
+    Waiting.back().send(Request);
+  }
+  Test.Server_.stop();
+  int Answered = 0;
+  {
+    DescriptorShortage Shortage(2);
+    Free.increment();
+    // Each caller that has its answer leaves its descriptors to another one.
+    for (RawSocket &Each : Waiting) {
+      Answered += isOk(Each.receiveAnswer()) ? 1 : 0;
+      Each.close();
+    }
+  }
+  CHECK(Answered == Callers);
+}
