Test that a late event loop does not close a connection with a request

The idle time-out closed a connection without a look whether a request waited in its socket. When the loop is late, it looks at its timers after the first 128 ready sockets, so requests on the others got no answer. Since an idle connection is closed only if nothing has arrived, they are served.

--- a/src/libtransport/idleconnections_test.cpp
+++ b/src/libtransport/idleconnections_test.cpp
@@ -208,6 +208,36 @@
   CHECK(isOk(New.receiveAnswer()));
 }
 
+TEST_CASE("a request that waits in the socket is answered although the idle "
+          "time-out has passed") {
+  // More than one turn of the event loop reads from its sockets, and it looks
+  // at the timers after the first one.
+  constexpr size_t Callers = 300;
+  HttpServer::Options Limits = limits(2 * Callers, 2 * Callers);
+  Limits.IdleTimeout_ = Millis(1000);
+  Fixture Test(Limits);
+  std::vector<RawSocket> Idle;
+  while (Idle.size() < Callers)
+    Idle.push_back(Test.caller());
+  REQUIRE(waitUntil(
+      [&] { return Test.Server_.figures().Connections_ == Callers; }));
+  EventCounter Busy;
+  EventCounter Free;
+  boost::asio::post(Test.Workers_.context(), [&] {
+    Busy.increment();
+    Free.wait();
+  });
+  REQUIRE(Busy.wait());
+  std::this_thread::sleep_for(std::chrono::milliseconds(1200));
+  for (RawSocket &Each : Idle)
+    Each.send(Request);
+  Free.increment();
+  size_t Answered = 0;
+  for (RawSocket &Each : Idle)
+    Answered += isOk(Each.receiveAnswer()) ? 1 : 0;
+  CHECK(Answered == Callers);
+}
+
 TEST_CASE("requests that were read are served when the server stops") {
   Fixture Test(limits(100, 100));
   RawSocket Caller = Test.caller();
