--- a/src/libtransport/idleconnections_test.cpp
+++ b/src/libtransport/idleconnections_test.cpp
@@ -2,10 +2,13 @@
 
 #include "rawsocket.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <doctest/doctest.h>
 #include <mutex>
+#include <sys/resource.h>
 #include <thread>
+#include <unistd.h>
 #include <vector>
 
 using namespace coltsfoot;
@@ -57,6 +60,41 @@
   HttpServer Server_;
 };
 
+/// Leaves the process few free file descriptors as long as it exists.
+class DescriptorShortage {
+public:
+  explicit DescriptorShortage(size_t Free) {
+    rlimit Few{};
+    ::getrlimit(RLIMIT_NOFILE, &Few);
+    Former_ = Few;
+    Few.rlim_cur = std::min<rlim_t>(Few.rlim_cur, MaxDescriptors);
+    ::setrlimit(RLIMIT_NOFILE, &Few);
+    int Copy = ::dup(STDERR_FILENO);
+    for (; Copy >= 0; Copy = ::dup(STDERR_FILENO))
+      Used_.push_back(Copy);
+    for (; Free > 0 && !Used_.empty(); --Free)
+      release();
+  }
+  ~DescriptorShortage() {
+    while (!Used_.empty())
+      release();
+    ::setrlimit(RLIMIT_NOFILE, &Former_);
+  }
+  DescriptorShortage(const DescriptorShortage &) = delete;
+  DescriptorShortage &operator=(const DescriptorShortage &) = delete;
+
+private:
+  static constexpr rlim_t MaxDescriptors = 256;
+
+  void release() {
+    ::close(Used_.back());
+    Used_.pop_back();
+  }
+
+  rlimit Former_{};
+  std::vector<int> Used_;
+};
+
 bool isOk(const std::string &Response) {
   return Response.starts_with("HTTP/1.1 200 ");
 }
@@ -147,3 +185,100 @@
   CHECK(waitUntil([&] { return Test.Server_.figures().CallersLeft_ == 1; }));
   CHECK(Test.Arrived_.count() == 1);
 }
+
+TEST_CASE("a request that arrives together with a new caller is answered") {
+  Fixture Test(limits(1, 1));
+  std::string Ignored;
+  RawSocket Idle = Test.idleCaller(Ignored);
+  // The only worker is blocked, so that it finds the new connection and the
+  // request at the same time, and asks the connection to close before it has
+  // handled the bytes that it has read there.
+  EventCounter Busy;
+  EventCounter Free;
+  boost::asio::post(Test.Workers_.context(), [&] {
+    Busy.increment();
+    Free.wait();
+  });
+  REQUIRE(Busy.wait());
+  RawSocket New = Test.caller();
+  Idle.send(Request);
+  New.send(Request);
+  Free.increment();
+  CHECK(isOk(Idle.receiveAnswer()));
+  CHECK(isOk(New.receiveAnswer()));
+}
+
+TEST_CASE("a request that waits in the socket is answered although the idle "
+          "time-out has passed") {
+  // More than one turn of the event loop reads from its sockets, and it looks
+  // at the timers after the first one.
+  constexpr size_t Callers = 300;
+  HttpServer::Options Limits = limits(2 * Callers, 2 * Callers);
+  Limits.IdleTimeout_ = Millis(1000);
+  Fixture Test(Limits);
+  std::vector<RawSocket> Idle;
+  while (Idle.size() < Callers)
+    Idle.push_back(Test.caller());
+  REQUIRE(waitUntil(
+      [&] { return Test.Server_.figures().Connections_ == Callers; }));
+  EventCounter Busy;
+  EventCounter Free;
+  boost::asio::post(Test.Workers_.context(), [&] {
+    Busy.increment();
+    Free.wait();
+  });
+  REQUIRE(Busy.wait());
+  std::this_thread::sleep_for(std::chrono::milliseconds(1200));
+  for (RawSocket &Each : Idle)
+    Each.send(Request);
+  Free.increment();
+  size_t Answered = 0;
+  for (RawSocket &Each : Idle)
+    Answered += isOk(Each.receiveAnswer()) ? 1 : 0;
+  CHECK(Answered == Callers);
+}
+
+TEST_CASE("requests that were read are served when the server stops") {
+  Fixture Test(limits(100, 100));
+  RawSocket Caller = Test.caller();
+  std::string Both = "GET /held HTTP/1.1\r\nHost: a\r\n\r\n";
+  Both += Request;
+  Caller.send(Both);
+  REQUIRE(Test.Arrived_.wait());
+  Test.Server_.stop();
+  Test.Held_->respond({200, {}, "held"});
+  CHECK(Caller.receiveAnswer().ends_with("held"));
+  std::string Last = Caller.receiveAnswer();
+  CHECK(Last.ends_with("/a"));
+  CHECK(closes(Last));
+}
+
+TEST_CASE("requests that lie unread at a stop are served although descriptors "
+          "are short") {
+  constexpr int Callers = 6;
+  Fixture Test(limits(100, 100));
+  EventCounter Busy;
+  EventCounter Free;
+  boost::asio::post(Test.Workers_.context(), [&] {
+    Busy.increment();
+    Free.wait();
+  });
+  REQUIRE(Busy.wait());
+  std::vector<RawSocket> Waiting;
+  for (int I = 0; I < Callers; ++I) {
+    Waiting.push_back(Test.caller());
+    Waiting.back().send(Request);
+  }
+  Test.Server_.stop();
+  int Answered = 0;
+  {
+    DescriptorShortage Shortage(2);
+    Free.increment();
+    // Each caller that has its answer leaves its descriptors to another one.
+    for (RawSocket &Each : Waiting) {
+      Answered += isOk(Each.receiveAnswer()) ? 1 : 0;
+      Each.close();
+    }
+  }
+  CHECK(Answered == Callers);
+}
