--- a/src/libtransport/idleconnections_test.cpp
+++ b/src/libtransport/idleconnections_test.cpp
@@ -32,10 +32,11 @@
         Server_(Workers_.context(),
                 {boost::asio::ip::address_v4::loopback(), 0}, Limits,
                 [this](HttpExchange::Pointer Exchange) {
-                  Arrived_.increment();
-                  if (Exchange->request().Target_ == "/held")
+                  bool Held = Exchange->request().Target_ == "/held";
+                  if (Held)
                     Held_ = std::move(Exchange);
-                  else
+                  Arrived_.increment();
+                  if (!Held)
                     Exchange->respond({200, {}, Exchange->request().Target_});
                 }) {
     Server_.start();
