Leave a new connection time for its first request

Cause: it counted as idle from its accept.

Change: it may be closed 200 ms after its accept; until then the newer connection is refused with 503, not run.

--- a/src/libtransport/httpserversession.cpp
+++ b/src/libtransport/httpserversession.cpp
@@ -27,6 +27,9 @@
 constexpr size_t MaxChunkHeaderBytes = size_t{4} * 1024;
 constexpr size_t MaxLingerBytes = size_t{8} * 1024 * 1024;
 constexpr Millis LingerTimeout{1000};
+/// How long a new connection is not closed in favour of another, as its first
+/// request is likely to be on the way.
+constexpr Millis FirstRequestTime{200};
 /// Smaller responses do not count against Options::AnswerBudget_, so that slow
 /// readers of large ones do not keep them from other callers.
 constexpr size_t UncountedResponseBytes = size_t{64} * 1024;
@@ -318,10 +321,17 @@
   HttpServerSession::Pointer Longest;
   {
     std::lock_guard<std::mutex> Lock(Mutex_);
-    if (Idle_.empty() || Clock_.now() - Idle_.front().idleSince() < MinIdle)
+    Millis Now = Clock_.now();
+    auto Found =
+        std::find_if(Idle_.begin(), Idle_.end(), [&](const auto &Each) {
+          return Now - Each.idleSince() >=
+                 (Each.servedBefore() ? MinIdle
+                                      : std::max(MinIdle, FirstRequestTime));
+        });
+    if (Found == Idle_.end())
       return false;
-    Longest = &Idle_.front();
-    Idle_.pop_front();
+    Longest = &*Found;
+    Idle_.erase(Found);
   }
   Longest->closeIfIdle();
   return true;
--- a/src/libtransport/httpserversession.h
+++ b/src/libtransport/httpserversession.h
@@ -54,6 +54,9 @@
   /// When the connection became idle. HttpServerState guards it.
   Millis idleSince() const { return IdleSince_; }
   void setIdleSince(Millis Time) { IdleSince_ = Time; }
+  /// Whether a request has been handled on the connection. Does not change
+  /// while the connection is in the list of idle ones.
+  bool servedBefore() const { return ServedBefore_; }
 
   auto executor() { return Socket_.get_executor(); }
   void sendResponse(const Answer &Reply);
@@ -158,7 +161,8 @@
   /// Removes a session from the list of idle ones, if it is in it.
   void removeIdle(HttpServerSession &Session);
   /// Asks the session that has been idle longest, and for at least MinIdle, to
-  /// close. Returns false if there is none.
+  /// close. A new connection is left some time for its first request. Returns
+  /// false if there is no such session.
   bool closeLongestIdle(Millis MinIdle);
   /// Returns whether there are so many connections that a response should
   /// close its own.
--- a/src/libtransport/idleconnections_test.cpp
+++ b/src/libtransport/idleconnections_test.cpp
@@ -283,3 +283,14 @@
   }
   CHECK(Answered == Callers);
 }
+
+TEST_CASE(
+    "a new connection is not closed before its first request can arrive") {
+  Fixture Test(limits(1, 1));
+  RawSocket First = Test.caller();
+  REQUIRE(waitUntil([&] { return Test.Server_.figures().Connections_ == 1; }));
+  RawSocket Second = Test.caller();
+  CHECK(Second.receiveAll().starts_with("HTTP/1.1 503 "));
+  First.send(Request);
+  CHECK(isOk(First.receiveAnswer()));
+}
