Wait longer for connections that are half open at a stop

By reading, found by the review: a caller whose round trip is longer than 2 ms had its connection reset, with the first request that it sent, when the node closed its listening socket. No test shows the reset; those of stops pass.

--- a/src/libtransport/httpserver.cpp
+++ b/src/libtransport/httpserver.cpp
@@ -30,8 +30,8 @@
 /// Options::Callers_.
 constexpr Millis LongIdle{5000};
 /// How long connections that are half open at a stop have to complete their TCP
-/// handshake. This is longer than a round trip within an availability zone.
-constexpr Millis HandshakeGracePeriod{2};
+/// handshake. This is longer than a round trip between a caller and its region.
+constexpr Millis HandshakeGracePeriod{50};
 constexpr std::string_view TooManyCallersResponse =
     "HTTP/1.1 503 Service Unavailable\r\n"
     "Coltsfoot-Verdict: not-run\r\nRetry-After: 1\r\n"
