--- a/src/libtransport/httpserver.h
+++ b/src/libtransport/httpserver.h
@@ -74,8 +74,8 @@
 /// Options::Callers_ it takes the place of the one that has been idle longest;
 /// if none is idle, it is refused with 503.
 ///
-/// A request whose caller has left before it was read is not handled, where
-/// this can be told: see HttpServerSession.
+/// A request whose caller has left before it was read is not handled if it is
+/// the first of its connection.
 ///
 /// A caller abandons its request by closing the connection. A caller that shuts
 /// down only its sending direction is treated the same way: the server can't
