--- a/src/libtransport/idleconnections_test.cpp
+++ b/src/libtransport/idleconnections_test.cpp
@@ -32,12 +32,13 @@
         Server_(Workers_.context(),
                 {boost::asio::ip::address_v4::loopback(), 0}, Limits,
                 [this](HttpExchange::Pointer Exchange) {
-                  bool Held = Exchange->request().Target_ == "/held";
-                  if (Held)
-                    Held_ = std::move(Exchange);
-                  Arrived_.increment();
-                  if (!Held)
+                  if (Exchange->request().Target_ != "/held") {
+                    Arrived_.increment();
                     Exchange->respond({200, {}, Exchange->request().Target_});
+                    return;
+                  }
+                  Held_ = std::move(Exchange);
+                  Arrived_.increment();
                 }) {
     Server_.start();
   }
