Do not search all idle connections when one is accepted

Cause: since a new connection is left time for its first request, the search for a connection to close went through all of some 2,000 idle ones whenever the longest idle one was too young, under a lock, at each accept.

Change: the list is in the order of age, so the search ends at the first connection that is too young.

The tests of idle connections pass; none measures the time of the search.

--- a/src/libtransport/httpserversession.cpp
+++ b/src/libtransport/httpserversession.cpp
@@ -322,16 +322,19 @@
   {
     std::lock_guard<std::mutex> Lock(Mutex_);
     Millis Now = Clock_.now();
-    auto Found =
-        std::find_if(Idle_.begin(), Idle_.end(), [&](const auto &Each) {
-          return Now - Each.idleSince() >=
-                 (Each.servedBefore() ? MinIdle
-                                      : std::max(MinIdle, FirstRequestTime));
-        });
-    if (Found == Idle_.end())
+    // The list is in the order of age, so that the search is short.
+    for (HttpServerSession &Each : Idle_) {
+      Millis Age = Now - Each.idleSince();
+      if (Age < MinIdle)
+        break;
+      if (!Each.servedBefore() && Age < FirstRequestTime)
+        continue;
+      Longest = &Each;
+      break;
+    }
+    if (!Longest)
       return false;
-    Longest = &*Found;
-    Idle_.erase(Found);
+    Idle_.erase(Idle_.iterator_to(*Longest));
   }
   Longest->closeIfIdle();
   return true;
