Spend the retry budget by rank and by the calls that a run still needs

A request needs four calls there, one after the other, and tokens went to whoever asked first: the first call of a tree took as many as the last, although nine in ten such trees fail later. A quarter of the allowance was never earned, earnings fell with the requests just when retries were needed, and each node saved three tokens whatever the size of the fleet: 582 of an allowance of 213 at 194 nodes.

Change: retryReserve() leaves a part of the saved tokens to more urgent ranks and, within a rank, to runs that need fewer further calls; CallCounts learns how many a run makes. A request earns a quarter of its tokens at once and the rest a window later. What a node saves is its share of half of the slack, by the number of nodes it knows, and what it earned in the last two slots; less than a token is drawn for. Offers carry the rank of the root and whether they repeat a call, so that nested calls of a repetition are charged. retries.budget_slack and budget_window_ms are new; coltsfoot_retries_total and retry=no-token in call-ended tell who got tokens.

Ruled out, in the model: preferring requests that their callers can't repeat (fewer trees end well), fewer roots (see DESIGN.md).

--- a/src/include/coltsfootpoint/settings.h
+++ b/src/include/coltsfootpoint/settings.h
@@ -60,6 +60,8 @@
 struct RetrySettings {
   double BudgetShare_ = 0;
   double BudgetSaved_ = 0;
+  double BudgetSlack_ = 0;
+  Millis BudgetWindow_;
   bool operator==(const RetrySettings &) const = default;
 };
 
--- a/src/libcoordination/api.cpp
+++ b/src/libcoordination/api.cpp
@@ -147,6 +147,7 @@
     Metrics_.addListenerGauges(Port, Server);
   }
   void record(const CallRecord &Ended);
+  void recordRetry(const RetryRecord &Asked) { Metrics_.recordRetry(Asked); }
   void recordLag(Millis Lag) { Metrics_.recordLag(Lag); }
   void endWatches() { Resources_.endWatches(); }
 
@@ -418,6 +419,8 @@
 }
 void Api::record(const CallRecord &Ended) { Impl_->record(Ended); }
 
+void Api::recordRetry(const RetryRecord &Asked) { Impl_->recordRetry(Asked); }
+
 void Api::recordLag(Millis Lag) { Impl_->recordLag(Lag); }
 
 void Api::endWatches() { Impl_->endWatches(); }
--- a/src/libcoordination/api.h
+++ b/src/libcoordination/api.h
@@ -65,6 +65,9 @@
   /// Adds an ended call to the counts of service-level objectives and to the
   /// metrics.
   void record(const CallRecord &Ended);
+  /// Adds a further attempt that the retry budget granted or refused to the
+  /// metrics.
+  void recordRetry(const RetryRecord &Asked);
   /// Shows the connections to one HTTP port in the metrics. To be called before
   /// the first request; the server has to outlive the last one.
   void showListener(std::string_view Port, const HttpServer &Server);
--- a/src/libcoordination/entry.cpp
+++ b/src/libcoordination/entry.cpp
@@ -202,7 +202,10 @@
   Request_.Bucket_ = admissionBucketOf(Request_.RequestId_);
   readParent(Metadata);
   checkDrain();
-  Parts_.Budget_.earn(Request_.Service_);
+  if (Request_.ParentRepeated_)
+    Parts_.Budget_.charge(Request_.Service_, 1, Now_);
+  else
+    Parts_.Budget_.earn(Request_.Service_, Now_);
   checkThresholds();
   if (!Request_.Route_.Idempotent_)
     issueExclusiveTicket();
@@ -221,6 +224,7 @@
   Request_.Route_.Idempotent_ = MatchedRoute->Idempotent_;
   Idempotent_ = MatchedRoute->Idempotent_;
   Request_.RankOrder_ = 1 + MatchedRoute->Order_;
+  Request_.RootRankOrder_ = MatchedRoute->Order_;
   Request_.Credits_ = MatchedRoute->Attempts_ - 1;
   Request_.Objective_ = MatchedRoute->Objective_;
   Millis Timeout = MatchedRoute->Timeout_;
@@ -240,6 +244,10 @@
     return;
   Request_.Depth_ = Parent->Depth_ + 1;
   Request_.RankOrder_ = NestedRankOrder;
+  Request_.RootRankOrder_ = Parent->RootRankOrder_;
+  Request_.ParentAttempt_ = Parent->AttemptKey_;
+  Request_.ParentRoute_ = Parent->RouteKey_;
+  Request_.ParentRepeated_ = Parent->Repeated_;
   Request_.Client_ = Parent->Client_;
   Request_.Bucket_ = Parent->Bucket_;
   Request_.Deadline_ = std::min(Request_.Deadline_, Parent->Deadline_);
--- a/src/libcoordination/entry.h
+++ b/src/libcoordination/entry.h
@@ -14,6 +14,7 @@
 
 class AttemptTable;
 class Balancer;
+class CallCounts;
 class CallDialect;
 class DrainAdmission;
 class EntryThreshold;
@@ -38,6 +39,13 @@
   bool Root_ = true; ///< False for a nested call.
 };
 
+/// A call that needed a further attempt which the retry budget pays for.
+struct RetryRecord {
+  std::string Service_;
+  int RootRankOrder_ = 0;
+  bool Granted_ = false;
+};
+
 /// What an entry and its calls depend on. Everything that is held by reference
 /// or pointer must outlive the entry.
 struct EntryParts {
@@ -47,6 +55,7 @@
   Balancer &Balancer_;
   EntryThreshold &Thresholds_;
   AttemptTable &Attempts_;
+  const CallCounts &CallCounts_;
   PeerPool &Peers_;
   RequestLedger &Ledger_;
   PolicyKind Policy_;
@@ -60,6 +69,9 @@
   std::function<Reason()> RefusalReason_;
   /// Called once for every call that has ended; may be empty.
   std::function<void(const CallRecord &)> OnEnd_;
+  /// Called for each attempt that the retry budget granted or refused; may be
+  /// empty.
+  std::function<void(const RetryRecord &)> OnRetry_;
 };
 
 /// Accepts calls from external callers and from the backend server of this VM,
--- a/src/libcoordination/entrycall.cpp
+++ b/src/libcoordination/entrycall.cpp
@@ -1,6 +1,7 @@
 #include "entrycall.h"
 
 #include "attempttable.h"
+#include "callcounts.h"
 #include "calldialect.h"
 #include "callwire.h"
 #include "coltsfoot_types.h"
@@ -20,6 +21,7 @@
 
 #include <algorithm>
 #include <boost/asio/dispatch.hpp>
+#include <cstdio>
 #include <random>
 #include <span>
 
@@ -73,6 +75,12 @@
          std::find(Names.begin(), Names.end(), Lower) != Names.end();
 }
 
+std::string oneDecimal(double Value) {
+  std::array<char, 32> Text;
+  std::snprintf(Text.data(), Text.size(), "%.1f", Value);
+  return Text.data();
+}
+
 std::string gateText(const NodeRef &Gate) { return "gate=" + Gate.Node_; }
 
 } // namespace
@@ -197,6 +205,8 @@
           ? std::max<int64_t>(1,
                               (Started_ + Request_.Objective_ - now()).whole())
           : 0);
+  Offer.root_rank_order = Request_.RootRankOrder_;
+  Offer.repeated = Repeated_ || Request_.ParentRepeated_;
   const CallDialect *Dialect = Parts_->Dialect_;
   for (const HttpField &Field :
        Dialect ? Dialect->forwardedFields(Incoming, Parts_->OwnService_())
@@ -374,11 +384,45 @@
 bool EntryCall::spendRetry() {
   if (Credits_.held() <= 0)
     return false;
-  if (Parts_->Dialect_ && !Parts_->Budget_.spend(Request_.Service_))
+  if (Parts_->Dialect_ && !spendToken())
     return false;
   return Credits_.spendOne();
 }
 
+bool EntryCall::spendToken() {
+  RetryCase Case = retryCase();
+  double Reserve = retryReserve(Case);
+  RetryBudget &Budget = Parts_->Budget_;
+  bool Granted =
+      Budget.spend(Request_.Service_, Reserve, now(), threadRandomGenerator());
+  Repeated_ = Repeated_ || Granted;
+  if (!Granted) {
+    RetryBudget::Balance Left = Budget.balance(Request_.Service_, now());
+    RetryRefusal_ = " retry=no-token tokens=" + oneDecimal(Left.Tokens_) +
+                    " token_limit=" + oneDecimal(Left.Limit_) +
+                    " reserve=" + oneDecimal(Reserve * Left.Limit_) +
+                    " remaining_calls=" + std::to_string(Case.RemainingCalls_);
+  }
+  if (Parts_->OnRetry_)
+    Parts_->OnRetry_({Request_.Service_, Request_.RootRankOrder_, Granted});
+  return Granted;
+}
+
+/// Returns how urgent a further attempt is. How many calls the parent still
+/// needs is known from its earlier runs and from those that ended well in this
+/// one.
+RetryCase EntryCall::retryCase() const {
+  RetryCase Case{Request_.RootRankOrder_, 1};
+  if (Request_.ParentAttempt_.empty())
+    return Case;
+  std::string Key = routeKey(Request_.Service_, Request_.Route_.Name_);
+  RanCalls Ran = Parts_->Attempts_.ranCalls(Request_.ParentAttempt_);
+  auto Found = Ran.find(Key);
+  Case.RemainingCalls_ = Parts_->CallCounts_.remaining(
+      Request_.ParentRoute_, Key, Found == Ran.end() ? 0 : Found->second);
+  return Case;
+}
+
 void EntryCall::offerCandidate(size_t Candidate) {
   if (ClosingReason_)
     return inquire(Candidate);
@@ -644,6 +688,12 @@
   Exchange_->onAbandoned(nullptr);
   if (!Request_.ParentKey_.empty())
     Parts_->Attempts_.endNested(Request_.ParentKey_, Credits_.held());
+  const Ran *Answered = std::get_if<Ran>(&Outcome);
+  if (!Request_.ParentAttempt_.empty() && Answered != nullptr &&
+      Answered->Answer_.Status_ < FirstServerError)
+    Parts_->Attempts_.countRan(
+        Request_.ParentAttempt_,
+        routeKey(Request_.Service_, Request_.Route_.Name_));
   if (!std::holds_alternative<Ran>(Outcome)) {
     note("call-ended",
          "route=" + Request_.Route_.Name_ +
@@ -651,7 +701,8 @@
              std::string(reasonName(reasonOf(Outcome))) + " gate=" + LastGate_ +
              " gates_tried=" + std::to_string(TriedGates_.size()) +
              " took_ms=" + std::to_string((now() - Started_).whole()) +
-             drainText() + " credits_left=" + std::to_string(Credits_.held()));
+             drainText() + RetryRefusal_ +
+             " credits_left=" + std::to_string(Credits_.held()));
   } else {
     logRequest(LogCategory::Success, "call-ended",
                {{"request", Request_.RequestId_},
--- a/src/libcoordination/entrycall.h
+++ b/src/libcoordination/entrycall.h
@@ -4,6 +4,7 @@
 #include "entry.h"
 #include "peerpool.h"
 #include "resource.h"
+#include "retryreserve.h"
 #include "ticket.h"
 
 #include <array>
@@ -73,8 +74,17 @@
   /// Whether the call is not to be run: its candidates are asked to close the
   /// ticket, and only an answer that one of them holds already is passed on.
   bool CloseTicket_ = false;
-  /// The key of the parent call in the attempt table; empty for root calls.
+  /// The key of the parent call in the attempt table, to which the credits go
+  /// back; empty for root calls and with a call dialect.
   std::string ParentKey_;
+  /// With a call dialect, the key of the parent call in the attempt table and
+  /// the key of its route; empty for root calls.
+  std::string ParentAttempt_;
+  std::string ParentRoute_;
+  /// See ParentCall::Repeated_.
+  bool ParentRepeated_ = false;
+  /// Order of the rank of the root request, without that of nested calls.
+  int RootRankOrder_ = 0;
   /// Service and step name of a nested non-idempotent call; else empty.
   std::string StepKey_;
   std::shared_ptr<StepOffers> StepOffers_;
@@ -171,6 +181,8 @@
   void record(const Verdict &Outcome, int Status);
   bool canStillEnd() const;
   bool spendRetry();
+  bool spendToken();
+  RetryCase retryCase() const;
   void note(std::string_view Event, const std::string &Detail) const;
   std::string drainText() const;
   Millis now() const;
@@ -210,6 +222,10 @@
   std::optional<size_t> CandidateToRetry_;
   int RetryAfterMs_ = 0;
   std::vector<NodeRef> TriedGates_;
+  /// Whether a further attempt was paid from the retry budget.
+  bool Repeated_ = false;
+  /// The state of the retry budget when it refused an attempt, as log text.
+  std::string RetryRefusal_;
   /// Why the latest gate that refused the call did so.
   std::optional<Reason> LastRefusal_;
   /// The node to which the latest message was sent; empty before the first.
--- a/src/libcoordination/gate.cpp
+++ b/src/libcoordination/gate.cpp
@@ -2,6 +2,7 @@
 
 #include "admissionqueue.h"
 #include "attempttable.h"
+#include "callcounts.h"
 #include "calldialect.h"
 #include "callwire.h"
 #include "coltsfoot_types.h"
@@ -75,12 +76,12 @@
 public:
   Impl(asio::io_context &Context, NodeContext ThisNode,
        const TicketIssuer &Issuer, AttemptTable &Attempts,
-       EntryThreshold &Thresholds, RequestLedger &Ledger, PolicyKind Policy,
-       Options Limits)
+       EntryThreshold &Thresholds, CallCounts &Counts, RequestLedger &Ledger,
+       PolicyKind Policy, Options Limits)
       : NodeContext_(std::move(ThisNode)), TicketIssuer_(Issuer),
-        Attempts_(Attempts), Thresholds_(Thresholds), Ledger_(Ledger),
-        Options_(Limits), Strand_(asio::make_strand(Context)), Timer_(Strand_),
-        Upstream_(Context, upstreamOptions(Limits)),
+        Attempts_(Attempts), Thresholds_(Thresholds), CallCounts_(Counts),
+        Ledger_(Ledger), Options_(Limits), Strand_(asio::make_strand(Context)),
+        Timer_(Strand_), Upstream_(Context, upstreamOptions(Limits)),
         Tickets_(*NodeContext_.Clock_,
                  {Limits.TicketEntries_, Limits.KeptAnswerBytes_}),
         Queue_(*NodeContext_.Clock_, Policy,
@@ -180,6 +181,7 @@
   const TicketIssuer &TicketIssuer_;
   AttemptTable &Attempts_;
   EntryThreshold &Thresholds_;
+  CallCounts &CallCounts_;
   RequestLedger &Ledger_;
   const Options Options_;
   asio::strand<asio::io_context::executor_type> Strand_;
@@ -538,6 +540,9 @@
   Parent.Idempotent_ = !StartedCall->Ticket_;
   Parent.Protected_ = StartedCall->Request_.Protected_;
   Parent.Deadline_ = StartedCall->Request_.Deadline_;
+  Parent.RouteKey_ = StartedCall->RouteKey_;
+  Parent.RootRankOrder_ = Offered.root_rank_order;
+  Parent.Repeated_ = Offered.repeated;
   // With a dialect, nested calls name their parent by its request id only. A
   // request id that the attempt table already holds would be ambiguous, so such
   // a call gets a random key.
@@ -714,6 +719,8 @@
       (Answered == nullptr || Answered->Answer_.Status_ >= FirstServerError))
     return;
   Thresholds_.learn(Ended.RouteKey_, Called);
+  if (Answered != nullptr && Answered->Answer_.Status_ < FirstServerError)
+    CallCounts_.learn(Ended.RouteKey_, Attempts_.ranCalls(Ended.AttemptKey_));
 }
 
 wire::Reply Gate::Impl::newReply(int64_t Attempt, std::string_view Kind,
@@ -848,10 +855,10 @@
 
 Gate::Gate(asio::io_context &Context, NodeContext ThisNode,
            const TicketIssuer &Issuer, AttemptTable &Attempts,
-           EntryThreshold &Thresholds, RequestLedger &Ledger, PolicyKind Policy,
-           Options Limits)
+           EntryThreshold &Thresholds, CallCounts &Counts,
+           RequestLedger &Ledger, PolicyKind Policy, Options Limits)
     : Impl_(std::make_unique<Impl>(Context, std::move(ThisNode), Issuer,
-                                   Attempts, Thresholds, Ledger, Policy,
+                                   Attempts, Thresholds, Counts, Ledger, Policy,
                                    Limits)) {}
 
 Gate::~Gate() = default;
--- a/src/libcoordination/gate.h
+++ b/src/libcoordination/gate.h
@@ -15,6 +15,7 @@
 namespace coltsfoot {
 
 class AttemptTable;
+class CallCounts;
 class CallDialect;
 class DrainAdmission;
 class EntryThreshold;
@@ -96,8 +97,8 @@
 
   Gate(boost::asio::io_context &Context, NodeContext ThisNode,
        const TicketIssuer &Issuer, AttemptTable &Attempts,
-       EntryThreshold &Thresholds, RequestLedger &Ledger, PolicyKind Policy,
-       Options Limits);
+       EntryThreshold &Thresholds, CallCounts &Counts, RequestLedger &Ledger,
+       PolicyKind Policy, Options Limits);
   ~Gate();
   Gate(const Gate &) = delete;
   Gate &operator=(const Gate &) = delete;
--- a/src/libcoordination/gate_test.cpp
+++ b/src/libcoordination/gate_test.cpp
@@ -2,6 +2,7 @@
 
 #include "attempttable.h"
 #include "balancer.h"
+#include "callcounts.h"
 #include "coltsfoot_types.h"
 #include "configstate.h"
 #include "drainadmission.h"
@@ -89,6 +90,7 @@
   Balancer Balancer_;
   AttemptTable Attempts_{Clock_};
   EntryThreshold Thresholds_;
+  CallCounts CallCounts_;
   RequestLedger Ledger_{Clock_};
   TicketIssuer TicketIssuer_{nodeContext(), SealingKeys("key"), Balancer_};
   DrainAdmission Drain_{Clock_};
@@ -98,7 +100,8 @@
 
   explicit Fixture(int QueueLimit = Gate::Options().QueueLimit_)
       : Gate_(Context_, nodeContext(), TicketIssuer_, Attempts_, Thresholds_,
-              Ledger_, PolicyKind::Static, gateOptions(QueueLimit)) {
+              CallCounts_, Ledger_, PolicyKind::Static,
+              gateOptions(QueueLimit)) {
     Gate_.start([](const std::string &, int, bool) {});
     announce("shop", Backend_);
   }
@@ -170,6 +173,25 @@
     });
   }
 
+  /// Offers a repetition of a call with a ticket of its own.
+  void offerRepeated(int64_t Attempt, int RootRankOrder) {
+    wire::Offer Offer;
+    Offer.attempt = Attempt;
+    Offer.request_id = "request-" + std::to_string(Attempt);
+    Offer.service_name = "shop";
+    Offer.method = "POST";
+    Offer.target = "/bookings";
+    Offer.remaining_ms = static_cast<int32_t>(OfferTime.whole());
+    Offer.client = "client";
+    Offer.ticket = ticket("repeated");
+    Offer.route = "book";
+    Offer.root_rank_order = RootRankOrder;
+    Offer.repeated = true;
+    Gate_.offer(1, Offer, [this, Attempt](wire::Reply Reply) {
+      Replies_[Attempt] = std::move(Reply);
+    });
+  }
+
   void inquire(int64_t Attempt, const std::string &Ticket) {
     wire::Inquiry Inquiry;
     Inquiry.attempt = Attempt;
@@ -401,3 +423,30 @@
   }
   CHECK(!Test.Gate_.figures().Serving_);
 }
+
+// Nested calls of a repetition are extra arrivals of the services they call.
+TEST_CASE(
+    "a running call knows the rank of its root and that it is a repetition") {
+  Fixture Fixture;
+  Fixture.offerRepeated(1, 2);
+  Fixture.runUntil([&] { return Fixture.Backend_.requests() == 1; });
+  auto Parent = Fixture.Attempts_.find(Fixture.Backend_.latestContext());
+  REQUIRE(Parent);
+  CHECK(Parent->RootRankOrder_ == 2);
+  CHECK(Parent->Repeated_);
+  CHECK(Parent->RouteKey_ == routeKey("shop", "book"));
+}
+
+TEST_CASE("the nested calls of a run that ended well are learned") {
+  Fixture Fixture;
+  Fixture.offer(1, Fixture.ticket("parent"));
+  Fixture.runUntil([&] { return Fixture.Backend_.requests() == 1; });
+  std::string Key = Fixture.Backend_.latestContext();
+  Fixture.Attempts_.addCalledRoute(Key, "roster");
+  for (int I = 0; I < 3; ++I)
+    Fixture.Attempts_.countRan(Key, "roster");
+  Fixture.Backend_.answerAll();
+  Fixture.runUntil([&] { return Fixture.Replies_.size() == 1; });
+  CHECK(Fixture.CallCounts_.remaining(routeKey("shop", "book"), "roster", 0) ==
+        3);
+}
--- a/src/libcoordination/node.cpp
+++ b/src/libcoordination/node.cpp
@@ -4,6 +4,7 @@
 #include "api.h"
 #include "attempttable.h"
 #include "bytebudget.h"
+#include "callcounts.h"
 #include "callwire.h"
 #include "codec.h"
 #include "coltsfoot_types.h"
@@ -102,6 +103,18 @@
   return Peers;
 }
 
+RetryBudget::Options budgetOptions(const RetrySettings &Retries) {
+  // The rest covers the tokens that were saved when a window begins and the
+  // deviations of grants that are drawn at random.
+  constexpr double SpentShare = 0.95;
+  RetryBudget::Options Options;
+  Options.TokensPerRequest_ = SpentShare * Retries.BudgetShare_;
+  Options.MaxTokens_ = Retries.BudgetSaved_;
+  Options.FleetTokens_ = Retries.BudgetSlack_;
+  Options.Window_ = Retries.BudgetWindow_;
+  return Options;
+}
+
 /// The two sockets of a node for other nodes, TCP and UDP, which share one port
 /// number.
 struct PeerSockets {
@@ -187,6 +200,7 @@
   Balancer Balancer_;
   EntryThreshold Thresholds_;
   AttemptTable Attempts_;
+  CallCounts CallCounts_;
   RequestLedger Ledger_;
   RetryBudget Budget_;
   DrainAdmission EntryDrain_{Clock_};
@@ -246,11 +260,10 @@
               AllSettings.Node_.Region_},
              AllSettings.LogService_.Retention_),
       Attempts_(Clock_), Ledger_(Clock_),
-      Budget_({AllSettings.Retries_.BudgetShare_,
-               AllSettings.Retries_.BudgetSaved_}),
+      Budget_(budgetOptions(AllSettings.Retries_)),
       TicketIssuer_(nodeContext(), ticketKeys(AllSettings), Balancer_),
       Gate_(Context, nodeContext(), TicketIssuer_, Attempts_, Thresholds_,
-            Ledger_, Policy_,
+            CallCounts_, Ledger_, Policy_,
             {AllSettings.Limits_.Queue_,
              static_cast<size_t>(AllSettings.Limits_.TicketEntries_),
              AllSettings.Limits_.KeptAnswerBytes_, AllSettings.Timeouts_.Lease_,
@@ -427,24 +440,27 @@
 }
 
 EntryParts Node::Impl::entryParts() {
-  return EntryParts{Context_,
-                    nodeContext(),
-                    TicketIssuer_,
-                    Balancer_,
-                    Thresholds_,
-                    Attempts_,
-                    Peers_,
-                    Ledger_,
-                    Policy_,
-                    Budget_,
-                    EntryDrain_,
-                    Adapters_.Calls_.get(),
-                    [this] {
-                      const std::string &Configured = Settings_.Node_.Service_;
-                      return Configured.empty() ? Gate_.service() : Configured;
-                    },
-                    [this] { return notServingReason(); },
-                    [this](const CallRecord &Record) { Api_.record(Record); }};
+  return EntryParts{
+      Context_,
+      nodeContext(),
+      TicketIssuer_,
+      Balancer_,
+      Thresholds_,
+      Attempts_,
+      CallCounts_,
+      Peers_,
+      Ledger_,
+      Policy_,
+      Budget_,
+      EntryDrain_,
+      Adapters_.Calls_.get(),
+      [this] {
+        const std::string &Configured = Settings_.Node_.Service_;
+        return Configured.empty() ? Gate_.service() : Configured;
+      },
+      [this] { return notServingReason(); },
+      [this](const CallRecord &Record) { Api_.record(Record); },
+      [this](const RetryRecord &Record) { Api_.recordRetry(Record); }};
 }
 
 ApiParts Node::Impl::apiParts() {
@@ -653,6 +669,7 @@
 void Node::Impl::tick() {
   scheduleTick();
   updateIsolation();
+  Budget_.setFleetSize(Sockets_.Udp_->view()->presentCount());
   if (Config_.ready() && Lifecycle_.startServing()) {
     State_ = Lifecycle_.state();
     logEvent(LogLevel::Info, "serving",
--- a/src/libcoordination/nodemetrics.cpp
+++ b/src/libcoordination/nodemetrics.cpp
@@ -218,4 +218,25 @@
   Found->second->add();
 }
 
+void NodeMetrics::recordRetry(const RetryRecord &Asked) {
+  RetryKey Key{Asked.Service_, Asked.RootRankOrder_,
+               Asked.Granted_ ? "spent" : "no-token"};
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  auto Found = RetryCounters_.find(Key);
+  if (Found == RetryCounters_.end()) {
+    if (RetryCounters_.size() >= MaxCallKeys)
+      std::get<0>(Key) = "other";
+    const auto &[Service, Rank, Result] = Key;
+    Counter &Added =
+        Metrics_.counter("coltsfoot_retries_total",
+                         "Further attempts that the retry budget granted or "
+                         "refused, by the rank of the root request.",
+                         {{"service", Service},
+                          {"rank", std::to_string(Rank)},
+                          {"result", std::string(Result)}});
+    Found = RetryCounters_.emplace(std::move(Key), &Added).first;
+  }
+  Found->second->add();
+}
+
 } // namespace coltsfoot
--- a/src/libcoordination/nodemetrics.h
+++ b/src/libcoordination/nodemetrics.h
@@ -17,6 +17,7 @@
 class HttpServer;
 class LoopMonitor;
 struct CallRecord;
+struct RetryRecord;
 
 /// The metrics of a node: counters of the calls that entered here by service,
 /// route, verdict and reason, histograms of the latency of root calls by
@@ -50,6 +51,9 @@
   /// Counts a call that has ended and, for a root call, records its latency.
   void record(const CallRecord &Ended);
 
+  /// Counts a further attempt that the retry budget granted or refused.
+  void recordRetry(const RetryRecord &Asked);
+
   /// Returns all metrics in the Prometheus text format.
   std::string text() const { return Metrics_.prometheusText(); }
 
@@ -69,8 +73,12 @@
   LatencyHistogram &NotRunLatency_;
   LatencyHistogram &MayHaveRunLatency_;
   LatencyHistogram &Lag_;
-  std::mutex Mutex_; // guards CallCounters_
+  /// Service, order of the rank, and result.
+  using RetryKey = std::tuple<std::string, int, std::string_view>;
+
+  std::mutex Mutex_; // guards CallCounters_ and RetryCounters_
   std::map<CallKey, Counter *> CallCounters_;
+  std::map<RetryKey, Counter *> RetryCounters_;
 };
 
 } // namespace coltsfoot
--- a/src/libprotocol/coltsfoot.thrift
+++ b/src/libprotocol/coltsfoot.thrift
@@ -44,6 +44,9 @@
   15: i32 rank_order
   16: bool protected_call // set on the call's route or inherited from its parent
   17: i32 objective_ms    // remaining time of the latency objective; 0 for none
+  18: i32 root_rank_order // order of the rank of the root request; 0 is the most urgent
+  19: bool repeated       // an earlier attempt of the call, or of a call above it, was paid
+                          // from the retry budget, so that nested calls are extra arrivals too
 }
 
 // What the gate's admission control would refuse at present: every rank less
--- a/src/libprotocol/gen-cpp/coltsfoot_types.cpp
+++ b/src/libprotocol/gen-cpp/coltsfoot_types.cpp
@@ -408,6 +408,14 @@
 void Offer::__set_objective_ms(const int32_t val) {
   this->objective_ms = val;
 }
+
+void Offer::__set_root_rank_order(const int32_t val) {
+  this->root_rank_order = val;
+}
+
+void Offer::__set_repeated(const bool val) {
+  this->repeated = val;
+}
 std::ostream& operator<<(std::ostream& out, const Offer& obj)
 {
   obj.printTo(out);
@@ -584,6 +592,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->root_rank_order);
+          this->__isset.root_rank_order = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->repeated);
+          this->__isset.repeated = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -677,6 +701,14 @@
   xfer += oprot->writeI32(this->objective_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("root_rank_order", ::apache::thrift::protocol::T_I32, 18);
+  xfer += oprot->writeI32(this->root_rank_order);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("repeated", ::apache::thrift::protocol::T_BOOL, 19);
+  xfer += oprot->writeBool(this->repeated);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -701,6 +733,8 @@
   swap(a.rank_order, b.rank_order);
   swap(a.protected_call, b.protected_call);
   swap(a.objective_ms, b.objective_ms);
+  swap(a.root_rank_order, b.root_rank_order);
+  swap(a.repeated, b.repeated);
   swap(a.__isset, b.__isset);
 }
 
@@ -722,6 +756,8 @@
   rank_order = other14.rank_order;
   protected_call = other14.protected_call;
   objective_ms = other14.objective_ms;
+  root_rank_order = other14.root_rank_order;
+  repeated = other14.repeated;
   __isset = other14.__isset;
 }
 Offer::Offer(Offer&& other15) noexcept {
@@ -742,6 +778,8 @@
   rank_order = other15.rank_order;
   protected_call = other15.protected_call;
   objective_ms = other15.objective_ms;
+  root_rank_order = other15.root_rank_order;
+  repeated = other15.repeated;
   __isset = other15.__isset;
 }
 Offer& Offer::operator=(const Offer& other16) {
@@ -762,6 +800,8 @@
   rank_order = other16.rank_order;
   protected_call = other16.protected_call;
   objective_ms = other16.objective_ms;
+  root_rank_order = other16.root_rank_order;
+  repeated = other16.repeated;
   __isset = other16.__isset;
   return *this;
 }
@@ -783,6 +823,8 @@
   rank_order = other17.rank_order;
   protected_call = other17.protected_call;
   objective_ms = other17.objective_ms;
+  root_rank_order = other17.root_rank_order;
+  repeated = other17.repeated;
   __isset = other17.__isset;
   return *this;
 }
@@ -806,6 +848,8 @@
   out << ", " << "rank_order=" << to_string(rank_order);
   out << ", " << "protected_call=" << to_string(protected_call);
   out << ", " << "objective_ms=" << to_string(objective_ms);
+  out << ", " << "root_rank_order=" << to_string(root_rank_order);
+  out << ", " << "repeated=" << to_string(repeated);
   out << ")";
 }
 
--- a/src/libprotocol/gen-cpp/coltsfoot_types.h
+++ b/src/libprotocol/gen-cpp/coltsfoot_types.h
@@ -195,7 +195,7 @@
 std::ostream& operator<<(std::ostream& out, const Hello& obj);
 
 typedef struct _Offer__isset {
-  _Offer__isset() : attempt(false), request_id(false), service_name(false), method(false), target(false), fields(false), body(false), remaining_ms(false), credits(false), client(false), bucket(false), depth(false), ticket(false), route(false), rank_order(false), protected_call(false), objective_ms(false) {}
+  _Offer__isset() : attempt(false), request_id(false), service_name(false), method(false), target(false), fields(false), body(false), remaining_ms(false), credits(false), client(false), bucket(false), depth(false), ticket(false), route(false), rank_order(false), protected_call(false), objective_ms(false), root_rank_order(false), repeated(false) {}
   bool attempt :1;
   bool request_id :1;
   bool service_name :1;
@@ -213,6 +213,8 @@
   bool rank_order :1;
   bool protected_call :1;
   bool objective_ms :1;
+  bool root_rank_order :1;
+  bool repeated :1;
 } _Offer__isset;
 
 class Offer : public virtual ::apache::thrift::TBase {
@@ -238,7 +240,9 @@
           route(),
           rank_order(0),
           protected_call(0),
-          objective_ms(0) {
+          objective_ms(0),
+          root_rank_order(0),
+          repeated(0) {
   }
 
   virtual ~Offer() noexcept;
@@ -259,6 +263,8 @@
   int32_t rank_order;
   bool protected_call;
   int32_t objective_ms;
+  int32_t root_rank_order;
+  bool repeated;
 
   _Offer__isset __isset;
 
@@ -296,6 +302,10 @@
 
   void __set_objective_ms(const int32_t val);
 
+  void __set_root_rank_order(const int32_t val);
+
+  void __set_repeated(const bool val);
+
   bool operator == (const Offer & rhs) const
   {
     if (!(attempt == rhs.attempt))
@@ -332,6 +342,10 @@
       return false;
     if (!(objective_ms == rhs.objective_ms))
       return false;
+    if (!(root_rank_order == rhs.root_rank_order))
+      return false;
+    if (!(repeated == rhs.repeated))
+      return false;
     return true;
   }
   bool operator != (const Offer &rhs) const {
--- a/src/libstate/attempttable.cpp
+++ b/src/libstate/attempttable.cpp
@@ -32,6 +32,7 @@
   CreditPool Credits_;
   std::map<std::string, Step, std::less<>> Steps_;
   std::set<std::string> CalledRoutes_;
+  RanCalls RanCalls_;
   std::vector<std::function<void()>> CloseHandlers_;
   std::optional<Millis> EndedAt_;
   intrusive::list_member_hook<> EndedHook_; // Linked once it has ended.
@@ -142,6 +143,18 @@
   return {Found->CalledRoutes_.begin(), Found->CalledRoutes_.end()};
 }
 
+void AttemptTable::countRan(std::string_view Key, std::string_view Route) {
+  std::lock_guard Lock(State_->Mutex_);
+  if (Parent *Found = State_->findOpen(Key))
+    ++Found->RanCalls_.try_emplace(std::string(Route)).first->second;
+}
+
+RanCalls AttemptTable::ranCalls(std::string_view Key) const {
+  std::lock_guard Lock(State_->Mutex_);
+  const Parent *Found = State_->findOpen(Key);
+  return Found == nullptr ? RanCalls() : Found->RanCalls_;
+}
+
 void AttemptTable::endNested(std::string_view Key, int Unspent) {
   std::lock_guard Lock(State_->Mutex_);
   if (Parent *Found = State_->findOpen(Key))
@@ -213,6 +226,7 @@
     State_->Ended_.push_back(*Found);
     Found->Steps_.clear();
     Found->CalledRoutes_.clear();
+    Found->RanCalls_.clear();
     Handlers.swap(Found->CloseHandlers_);
     RemainingCredits = Found->Credits_.held();
   }
--- a/src/libstate/attempttable.h
+++ b/src/libstate/attempttable.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -30,7 +31,12 @@
   int RankOrder_ = 0;
   bool Idempotent_ = true;
   bool Protected_ = false;
-  Millis Deadline_; ///< Compared with Clock::now().
+  Millis Deadline_;       ///< Compared with Clock::now().
+  std::string RouteKey_;  ///< See routeKey().
+  int RootRankOrder_ = 0; ///< Of the rank of the root request.
+  /// Whether this run, or one above it, is an extra arrival of a request that
+  /// arrived before.
+  bool Repeated_ = false;
   bool operator==(const ParentCall &) const = default;
 };
 
@@ -50,6 +56,9 @@
 
 using NestedStartResult = std::variant<NestedGranted, NestedRefused>;
 
+/// How many nested calls have ended well, by the key of their route.
+using RanCalls = std::map<std::string, int, std::less<>>;
+
 /// How long the entry of an ended parent is kept, so that late nested calls are
 /// refused as Cancelled instead of BadRequest.
 constexpr Millis EndedParentRetention = Millis(10'000);
@@ -95,6 +104,13 @@
   /// duplicates.
   std::vector<std::string> calledRoutes(std::string_view Key) const;
 
+  /// Records that a nested call of this route has ended well. Has no effect
+  /// once the parent has ended.
+  void countRan(std::string_view Key, std::string_view Route);
+  /// Returns how many nested calls of each route have ended well, by the key of
+  /// the route; empty for a parent that is unknown or has ended.
+  RanCalls ranCalls(std::string_view Key) const;
+
   /// Gives the unspent credits of a nested call back to its parent. Call it at
   /// most once for each NestedGranted, with at most the credits that were lent.
   /// Has no effect once the parent has ended.
--- a/src/libstate/attempttable_test.cpp
+++ b/src/libstate/attempttable_test.cpp
@@ -206,3 +206,19 @@
   CHECK_FALSE(Table.tryOpen(Call, 2));
   CHECK(Table.close("key") == 1);
 }
+
+TEST_CASE("nested calls that ended well are counted by route until the parent "
+          "ends") {
+  ManualClock TimeSource;
+  AttemptTable Table(TimeSource);
+  Table.open(parentCall("k"), 3);
+  Table.countRan("k", "roster");
+  Table.countRan("k", "roster");
+  Table.countRan("k", "status");
+  Table.countRan("other", "roster");
+  CHECK(Table.ranCalls("k") == RanCalls{{"roster", 2}, {"status", 1}});
+  CHECK(Table.ranCalls("other").empty());
+  Table.close("k");
+  Table.countRan("k", "roster");
+  CHECK(Table.ranCalls("k").empty());
+}
--- a/src/libutil/settingstable.cpp
+++ b/src/libutil/settingstable.cpp
@@ -146,6 +146,15 @@
     SettingEntry{"retries", "budget_saved", "share",
                  "most retries that one node accumulates for a service",
                  number<Retries, &R::BudgetSaved_>(2, 0, 1e6)},
+    SettingEntry{"retries", "budget_slack", "share",
+                 "most retries for a service in a window beyond budget_share, "
+                 "over all nodes; 0 for no limit but budget_saved",
+                 number<Retries, &R::BudgetSlack_>(0, 0, 1e9)},
+    SettingEntry{
+        "retries", "budget_window_ms", "ms",
+        "length of the windows in which the retries for a service "
+        "are bounded",
+        number<Retries, &R::BudgetWindow_>(10 * SecondMs, SecondMs, MinuteMs)},
 
     SettingEntry{"log_service", "address", "",
                  "ip:port of the log service; required without "
