--- a/testsuite/platform/silent_upstream_test.cpp
+++ b/testsuite/platform/silent_upstream_test.cpp
@@ -86,6 +86,7 @@
   std::vector<int> callAtOnce(PlatformMachine &Entry, int Count,
                               const std::string &Prefix) {
     std::vector<std::future<int>> Sent;
+    Sent.reserve(size_t(Count));
     for (int I = 0; I < Count; ++I)
       Sent.push_back(std::async(std::launch::async, [&Entry, Prefix, I] {
         try {
@@ -96,6 +97,7 @@
         }
       }));
     std::vector<int> Statuses;
+    Statuses.reserve(Sent.size());
     for (auto &Each : Sent)
       Statuses.push_back(Each.get());
     return Statuses;
@@ -161,6 +163,7 @@
   constexpr int Unanswered = 4;
   constexpr Millis Deadline(1500);
   std::vector<std::future<HttpReply>> Sent;
+  Sent.reserve(Unanswered);
   for (int I = 0; I < Unanswered; ++I)
     Sent.push_back(std::async(std::launch::async, [&Entry, Deadline, I] {
       std::string Id = "silent-" + std::to_string(I);
