Make the list of a service's gates once for each view of the membership

Cause: every call built the list of all gates of its service two or three times, with copies of their names and zones and a locked look-up of each in a map; the admission thresholds used its length alone.

Change: TicketIssuer keeps the list of each service for the present view.

--- a/src/libcoordination/entry.cpp
+++ b/src/libcoordination/entry.cpp
@@ -508,7 +508,7 @@
   Query.Protected_ = Request_.Protected_;
   Query.RankFloor_ = Config_->rank(Request_.Route_.Rank_).Floor_;
   Query.GateCount_ =
-      static_cast<int>(Parts_.TicketIssuer_.gatesOf(Request_.Service_).size());
+      static_cast<int>(Parts_.TicketIssuer_.gatesOf(Request_.Service_)->size());
   if (!Parts_.Thresholds_.wouldRefuse(Query, Now_, threadRandomGenerator()))
     return;
   refuseUnsent(Reason::Overload, "refused by the entry's admission threshold");
--- a/src/libcoordination/entrycall.cpp
+++ b/src/libcoordination/entrycall.cpp
@@ -308,13 +308,13 @@
 }
 
 void EntryCall::offerNextGate() {
-  std::vector<GateInfo> Gates =
+  TicketIssuer::GateList Gates =
       Parts_->TicketIssuer_.gatesOf(Request_.Service_);
   std::span<const NodeRef> Exclude = TriedGates_;
   if (Parts_->Policy_ == PolicyKind::None)
     Exclude = {};
   auto Chosen = Parts_->Balancer_.pick(
-      Gates, Parts_->TicketIssuer_.pickContext(Request_.Service_), Exclude,
+      *Gates, Parts_->TicketIssuer_.pickContext(Request_.Service_), Exclude,
       threadRandomGenerator());
   if (!Chosen)
     return end(NotRun{LastRefusal_.value_or(Reason::NoUpstream)});
--- a/src/libcoordination/ticketissuer.cpp
+++ b/src/libcoordination/ticketissuer.cpp
@@ -11,38 +11,71 @@
 
 namespace coltsfoot {
 
-/// The time at which this node first saw each gate, for the startup ramp. A
-/// gate found soon after the first lookup was probably running before this node
-/// started, so it is not treated as new.
-struct TicketIssuer::FirstSeen {
-  std::mutex Mutex_;
-  std::map<NodeRef, Millis> Times_;
-  std::optional<Millis> Start_;
+/// The gates of each service in the latest view of the membership.
+///
+/// Also keeps the time at which this node first saw each gate, for the startup
+/// ramp. A gate found soon after the first lookup was probably running before
+/// this node started, so it is not treated as new.
+struct TicketIssuer::GateTable {
+  GateList gatesOf(std::string_view Service,
+                   const std::shared_ptr<const MemberView> &Members,
+                   Millis Now) {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    if (Members != View_) {
+      Lists_.clear();
+      View_ = Members;
+    }
+    auto Found = Lists_.find(Service);
+    if (Found == Lists_.end())
+      Found = Lists_.emplace(Service, makeList(Service, Now)).first;
+    return Found->second;
+  }
+
+private:
+  GateList makeList(std::string_view Service, Millis Now) {
+    const std::vector<MemberPtr> &Members = View_->gatesOf(Service);
+    std::vector<GateInfo> Gates;
+    Gates.reserve(Members.size());
+    for (const MemberPtr &Each : Members) {
+      const Member &Gate = Each->Member_;
+      NodeRef Ref{Gate.Node_, Gate.Incarnation_};
+      Millis FirstSeen = firstSeen(Ref, Now);
+      Gates.push_back({std::move(Ref), Gate.Zone_, Gate.Region_,
+                       std::max(1, Gate.Slots_),
+                       Gate.State_ == MemberState::Leaving, FirstSeen});
+    }
+    return std::make_shared<const std::vector<GateInfo>>(std::move(Gates));
+  }
 
-  Millis getOrRecord(const NodeRef &Gate, Millis Now) {
+  Millis firstSeen(const NodeRef &Gate, Millis Now) {
     constexpr Millis StartupPeriod(5000);
     constexpr Millis EstablishedOffset(-3'600'000);
-    std::lock_guard<std::mutex> Lock(Mutex_);
     if (!Start_)
       Start_ = Now;
     Millis Seen = Now - *Start_ < StartupPeriod ? Now + EstablishedOffset : Now;
-    return Times_.try_emplace(Gate, Seen).first->second;
+    return FirstSeen_.try_emplace(Gate, Seen).first->second;
   }
+
+  std::mutex Mutex_; // guards the members below
+  std::shared_ptr<const MemberView> View_;
+  std::map<std::string, GateList, std::less<>> Lists_;
+  std::map<NodeRef, Millis> FirstSeen_;
+  std::optional<Millis> Start_;
 };
 
 TicketIssuer::TicketIssuer(NodeContext ThisNode, SealingKeys Keys,
                            const Balancer &GateBalancer)
     : NodeContext_(std::move(ThisNode)), Keys_(std::move(Keys)),
-      Balancer_(GateBalancer), FirstSeen_(std::make_shared<FirstSeen>()) {}
+      Balancer_(GateBalancer), Gates_(std::make_shared<GateTable>()) {}
 
 std::optional<std::string>
 TicketIssuer::issue(std::string_view Service, std::string_view Route,
                     std::string_view Client,
                     std::span<const NodeRef> Exclude) const {
   auto Config = NodeContext_.Config_();
-  std::vector<GateInfo> Gates = gatesOf(Service);
+  GateList Gates = gatesOf(Service);
   std::vector<NodeRef> Candidates =
-      Balancer_.pickCandidates(Gates, pickContext(Service), Exclude,
+      Balancer_.pickCandidates(*Gates, pickContext(Service), Exclude,
                                threadRandomGenerator(), MaxCandidates);
   if (Candidates.empty())
     return {};
@@ -61,19 +94,9 @@
   return openTicket(Text, Keys_);
 }
 
-std::vector<GateInfo> TicketIssuer::gatesOf(std::string_view Service) const {
-  std::vector<GateInfo> Gates;
-  Millis Now = NodeContext_.Clock_->now();
-  auto Members = NodeContext_.Members_();
-  for (const auto &GateMember : Members->gatesOf(Service)) {
-    NodeRef Ref{GateMember->Member_.Node_, GateMember->Member_.Incarnation_};
-    Gates.push_back({Ref, GateMember->Member_.Zone_,
-                     GateMember->Member_.Region_,
-                     std::max(1, GateMember->Member_.Slots_),
-                     GateMember->Member_.State_ == MemberState::Leaving,
-                     FirstSeen_->getOrRecord(Ref, Now)});
-  }
-  return Gates;
+TicketIssuer::GateList TicketIssuer::gatesOf(std::string_view Service) const {
+  return Gates_->gatesOf(Service, NodeContext_.Members_(),
+                         NodeContext_.Clock_->now());
 }
 
 Balancer::PickContext
--- a/src/libcoordination/ticketissuer.h
+++ b/src/libcoordination/ticketissuer.h
@@ -54,8 +54,11 @@
   /// Returns the keys that seal tickets; retry tokens are sealed with them too.
   const SealingKeys &keys() const { return Keys_; }
 
-  /// Returns the known gates of a service as input for the balancer.
-  std::vector<GateInfo> gatesOf(std::string_view Service) const;
+  using GateList = std::shared_ptr<const std::vector<GateInfo>>;
+
+  /// Returns the known gates of a service as input for the balancer; never
+  /// null. The list is made once for each view of the membership.
+  GateList gatesOf(std::string_view Service) const;
 
   /// Returns this node's zone and region, the current time and the service's
   /// startup ramp, for the balancer.
@@ -65,8 +68,8 @@
   const NodeContext NodeContext_;
   const SealingKeys Keys_;
   const Balancer &Balancer_;
-  struct FirstSeen;
-  std::shared_ptr<FirstSeen> FirstSeen_;
+  struct GateTable;
+  std::shared_ptr<GateTable> Gates_;
 };
 
 } // namespace coltsfoot
