Test restarts after a server left and after a configuration was replaced

Tried with real nodes: the node beside a server that left, and another entry, are killed and started again; all nodes are killed and started again after a new configuration.

--- a/testsuite/platform/platform_test.cpp
+++ b/testsuite/platform/platform_test.cpp
@@ -520,3 +520,51 @@
     Site.waitForNextRun(Site.machine(1), Site.machine(3));
   }
 }
+
+TEST_CASE("an upstream that has left gets no calls after nodes are killed and "
+          "started again") {
+  Site Site;
+  Site.startWithConfig(platformConfiguration(3, "alpha"));
+  Site.machine(1).report("draining");
+  Site.machine(1).upstream().setHealthStatus(503);
+  for (int Number : {1, 3}) {
+    Site.machine(Number).stop(SIGKILL);
+    Site.machine(Number).start();
+  }
+  Site.machine(3).report();
+  for (int Number : {1, 3})
+    waitUntil([&] { return Site.machine(Number).ready(); }, WaitLimit,
+              "the node is ready again");
+  Site.machine(3).callUntilStatus(200, "/safe/again");
+  for (int I = 0; I < 60; ++I) {
+    Site.machine(1 + I % 3).call("GET", "/safe/x", "left-");
+    Site.machine(1 + I % 3).call("POST", "/once/x",
+                                 "left-" + std::to_string(I));
+  }
+  CHECK(Site.machine(1).runs("left-").empty());
+  CHECK_FALSE(Site.machine(2).runs("left-").empty());
+}
+
+TEST_CASE("an earlier configuration is not in force again after all nodes are "
+          "killed and started again") {
+  Site Site;
+  Site.startWithConfig(platformConfiguration(3, "alpha"));
+  Site.store().put("config", platformConfiguration(4, "beta"));
+  Site.waitUntilMovedToBeta();
+  for (int Number : {1, 2, 3})
+    Site.machine(Number).signalStop(SIGKILL);
+  for (int Number : {1, 2, 3}) {
+    Site.machine(Number).waitStopped();
+    Site.machine(Number).start();
+    Site.machine(Number).report();
+  }
+  for (int Entry : {1, 2, 3})
+    waitUntil(
+        [&] {
+          return Site.machine(Entry).call("GET", "/safe/x", "anew-").Status_ ==
+                 200;
+        },
+        WaitLimit, "calls are answered again");
+  CHECK(Site.machine(1).runs("anew-").empty());
+  CHECK(Site.machine(2).runs("anew-").empty());
+}
