Give a resumed node time to read before it counts as isolated

Cause: the tick compared the time since the last datagram and the last answer of the log with isolation_ms before what had arrived meanwhile was read. The node's log shows isolated log_silence_ms=3355.828, entry-refused reason=isolated 12 ms later, and a member heard 7 ms later. Change: the decision is a value type of its own, Isolation. Updates that are all late decide as before, so a node that is always behind is still isolated.

--- a/src/libcoordination/node.cpp
+++ b/src/libcoordination/node.cpp
@@ -19,6 +19,7 @@
 #include "gate.h"
 #include "gossipservice.h"
 #include "instancemonitor.h"
+#include "isolation.h"
 #include "logclient.h"
 #include "loopmonitor.h"
 #include "memberview.h"
@@ -222,6 +223,7 @@
   asio::steady_timer Timer_;
   NodeLifecycle Lifecycle_;
   std::atomic<NodeLifecycle::State> State_ = NodeLifecycle::State::Joining;
+  Isolation Isolation_{Settings_.Membership_.Isolation_};
   std::atomic<bool> Isolated_ = false;
   DrainSequence Drain_;
   std::function<void()> Stopped_;
@@ -647,9 +649,8 @@
 }
 
 void Node::Impl::updateIsolation() {
-  Millis MaxSilence = Settings_.Membership_.Isolation_;
-  bool NowIsolated = Log_.silence() > MaxSilence &&
-                     Sockets_.Udp_->status().Silence_ > MaxSilence;
+  Millis Silence = std::min(Log_.silence(), Sockets_.Udp_->status().Silence_);
+  bool NowIsolated = Isolation_.update(Clock_.now(), Silence);
   if (Isolated_.exchange(NowIsolated) == NowIsolated)
     return;
   logEvent(LogLevel::Warning, NowIsolated ? "isolated" : "isolation_ended",
