--- a/testsuite/common/loadclient.cpp
+++ b/testsuite/common/loadclient.cpp
@@ -61,8 +61,12 @@
     Request_.target(Request.Target_);
     Request_.version(11);
     Request_.set(http::field::host, Request.Ip_);
-    for (const HttpField &Field : Request.Fields_)
-      Request_.insert(Field.Name_, Field.Value_);
+    for (const HttpField &Field : Request.Fields_) {
+      if (beast::iequals(Field.Name_, "Host"))
+        Request_.set(http::field::host, Field.Value_);
+      else
+        Request_.insert(Field.Name_, Field.Value_);
+    }
     Request_.body() = std::move(Request.Body_);
     Request_.prepare_payload();
   }
