--- a/src/cmake/Dependencies.cmake
+++ b/src/cmake/Dependencies.cmake
@@ -17,8 +17,12 @@
 
 # Compile options and libraries that every target of the project shares.
 add_library(coltsfoot_options INTERFACE)
-target_compile_options(coltsfoot_options INTERFACE -Wall -Wextra -Werror
+target_compile_options(coltsfoot_options INTERFACE -Wall -Wextra
                        -Wno-missing-field-initializers)
+option(COLTSFOOT_WERROR "Treat warnings as errors; for developers" OFF)
+if(COLTSFOOT_WERROR)
+  target_compile_options(coltsfoot_options INTERFACE -Werror)
+endif()
 target_compile_definitions(coltsfoot_options INTERFACE BOOST_LOG_DYN_LINK
                            BOOST_ASIO_NO_DEPRECATED
                            # Compiled once, in src/libutil/asioimpl.cpp.
