Avoid nodes that fell silent together once one of them is noticed

Ejection needs three failures of each gate and stops at a third of the gates; gossip needs more than two seconds. Change: a connection that ends as silent or unanswered makes the pool ask all others for a sign of life, at most every 500 ms. A log line peers_doubted. Calls that were sent before remain may-have-run. Shown: e2e.process_death, five of eight gates fall silent at once, 12 calls a second: from 1.3 s after the cut no call takes 450 ms.

--- a/src/libcoordination/entrycall.cpp
+++ b/src/libcoordination/entrycall.cpp
@@ -60,6 +60,17 @@
   return NoRoom ? AttemptResult::Refused : AttemptResult::Failed;
 }
 
+/// Returns whether a list of processes, in which incarnation 0 stands for any,
+/// contains the gate.
+bool isAmong(const std::vector<NodeRef> &Processes, const NodeRef &Gate) {
+  return std::any_of(Processes.begin(), Processes.end(),
+                     [&](const NodeRef &Each) {
+                       return Each.Node_ == Gate.Node_ &&
+                              (Each.Incarnation_ == 0 ||
+                               Each.Incarnation_ == Gate.Incarnation_);
+                     });
+}
+
 /// Returns whether a field is a hop-by-hop field of HTTP or one of this
 /// system's own; these are not forwarded.
 bool isHopByHopField(std::string_view Name) {
@@ -307,15 +318,33 @@
   return Parts_->Policy_ == PolicyKind::None ? 0 : Credits_.lend();
 }
 
+/// Returns a gate for the next attempt: one that was not tried and is not in
+/// doubt, else one that was not tried.
+std::optional<NodeRef>
+EntryCall::pickGate(std::span<const GateInfo> Gates) const {
+  auto Pick = [&](std::span<const NodeRef> Exclude) {
+    return Parts_->Balancer_.pick(
+        Gates, Parts_->TicketIssuer_.pickContext(Request_.Service_), Exclude,
+        threadRandomGenerator());
+  };
+  if (Parts_->Policy_ == PolicyKind::None)
+    return Pick({});
+  PeerPool::NodeList Doubtful = Parts_->Peers_.doubtful();
+  if (!Doubtful->empty()) {
+    std::vector<NodeRef> Exclude = TriedGates_;
+    for (const GateInfo &Gate : Gates)
+      if (isAmong(*Doubtful, Gate.Ref_))
+        Exclude.push_back(Gate.Ref_);
+    if (auto Chosen = Pick(Exclude))
+      return Chosen;
+  }
+  return Pick(TriedGates_);
+}
+
 void EntryCall::offerNextGate() {
   TicketIssuer::GateList Gates =
       Parts_->TicketIssuer_.gatesOf(Request_.Service_);
-  std::span<const NodeRef> Exclude = TriedGates_;
-  if (Parts_->Policy_ == PolicyKind::None)
-    Exclude = {};
-  auto Chosen = Parts_->Balancer_.pick(
-      *Gates, Parts_->TicketIssuer_.pickContext(Request_.Service_), Exclude,
-      threadRandomGenerator());
+  auto Chosen = pickGate(*Gates);
   if (!Chosen)
     return end(NotRun{LastRefusal_.value_or(Reason::NoUpstream)});
   TriedGates_.push_back(*Chosen);
--- a/src/libcoordination/entrycall.h
+++ b/src/libcoordination/entrycall.h
@@ -144,6 +144,7 @@
 
 private:
   int lend();
+  std::optional<NodeRef> pickGate(std::span<const GateInfo> Gates) const;
   void offerNextGate();
   void onGateReply(const NodeRef &Gate, const wire::Reply &Reply);
   void onOfferLost(const NodeRef &Gate, const MessageLost &Lost);
--- a/src/libcoordination/peerpool.cpp
+++ b/src/libcoordination/peerpool.cpp
@@ -2,6 +2,8 @@
 
 #include "codec.h"
 #include "coltsfoot_types.h"
+#include "peerdoubt.h"
+#include "timer.h"
 
 #include "coltsfootpoint/log.h"
 
@@ -18,6 +20,10 @@
 
 namespace {
 
+/// While connections are lost as silent, the others are probed this often.
+constexpr Millis ProbeInterval(500);
+constexpr Millis DoubtCheckInterval(50);
+
 /// Parses `ip:port`; returns nothing if it is malformed.
 std::optional<tcp::endpoint> parseEndpoint(std::string_view Node) {
   size_t Colon = Node.rfind(':');
@@ -134,6 +140,23 @@
     OnEnd(MessageLost{false, false, CloseCause::Local});
   }
 
+  void probe() {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    if (Connection_ && Open_)
+      Connection_->probe();
+  }
+
+  /// Returns the process if it is doubtful.
+  std::optional<NodeRef> doubt(Millis Now) {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    PeerSigns Signs{{}, LostSilent_};
+    if (Connection_ && Open_)
+      Signs.ProbeSent_ = Connection_->probeUnansweredSince();
+    if (!isDoubtful(Signs, Now))
+      return {};
+    return NodeRef{Node_, Incarnation_};
+  }
+
   void close() {
     std::unique_lock<std::mutex> Lock(Mutex_);
     Closed_ = true;
@@ -213,6 +236,7 @@
     {
       std::lock_guard<std::mutex> Lock(Mutex_);
       Open_ = true;
+      LostSilent_.reset();
       Incarnation_ = static_cast<Incarnation>(Hello.incarnation);
       auto Ready = std::move(Unsent_);
       Unsent_.clear();
@@ -248,11 +272,17 @@
       return;
     Connection_ = nullptr;
     Open_ = false;
+    bool Silent =
+        Cause == CloseCause::Silent || Cause == CloseCause::Unanswered;
+    if (Silent)
+      LostSilent_ = Pool_.Clock_.now();
     auto Unsent = std::move(Unsent_);
     Unsent_.clear();
     auto Sent = std::move(Unanswered_);
     Unanswered_.clear();
     Lock.unlock();
+    if (Silent)
+      Pool_.onSilent();
     for (auto &[Number, Entry] : Unsent)
       Entry.OnEnd_(MessageLost{false, false, Cause});
     for (auto &[Number, OnEnd] : Sent)
@@ -271,6 +301,7 @@
   bool Open_ = false;
   bool Closed_ = false;
   Incarnation Incarnation_ = 0;
+  std::optional<Millis> LostSilent_; ///< See PeerSigns.
   std::map<int64_t, UnsentMessage> Unsent_;
   std::unordered_map<int64_t, Handler> Unanswered_;
 };
@@ -279,7 +310,8 @@
                    asio::ip::address SourceAddress, wire::Hello Self)
     : Context_(Context), Options_(Limits),
       SourceAddress_(std::move(SourceAddress)),
-      Self_(std::make_unique<wire::Hello>(std::move(Self))) {}
+      Self_(std::make_unique<wire::Hello>(std::move(Self))),
+      DoubtTimer_(asio::make_strand(Context)) {}
 
 PeerPool::~PeerPool() {
   close();
@@ -353,15 +385,86 @@
     To->cancel(Number);
 }
 
+std::vector<std::shared_ptr<PeerPool::NodeConnection>>
+PeerPool::connections() const {
+  std::vector<std::shared_ptr<NodeConnection>> Found;
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  for (const auto &[Node, To] : Connections_)
+    Found.push_back(To);
+  return Found;
+}
+
+PeerPool::NodeList PeerPool::doubtful() const {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  return Doubtful_;
+}
+
+// Called when nothing has come from one node for too long.
+void PeerPool::onSilent() {
+  bool Probes = false;
+  bool StartsChecks = false;
+  {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    if (Closed_)
+      return;
+    Millis Now = Clock_.now();
+    Probes = !LastProbe_ || Now - *LastProbe_ >= ProbeInterval;
+    if (Probes)
+      LastProbe_ = Now;
+    StartsChecks = !std::exchange(ChecksDoubts_, true);
+  }
+  if (Probes)
+    for (const std::shared_ptr<NodeConnection> &To : connections())
+      To->probe();
+  updateDoubts();
+  if (StartsChecks)
+    scheduleDoubtCheck();
+}
+
+void PeerPool::updateDoubts() {
+  Millis Now = Clock_.now();
+  auto Found = std::make_shared<std::vector<NodeRef>>();
+  for (const std::shared_ptr<NodeConnection> &To : connections())
+    if (std::optional<NodeRef> Doubted = To->doubt(Now))
+      Found->push_back(std::move(*Doubted));
+  size_t Before = 0;
+  size_t After = Found->size();
+  {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    Before = Doubtful_->size();
+    Doubtful_ = std::move(Found);
+  }
+  if ((Before == 0) != (After == 0))
+    logEvent(LogLevel::Info, "peers_doubted", {{"count", int64_t(After)}});
+}
+
+void PeerPool::scheduleDoubtCheck() {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  if (Closed_)
+    return;
+  DoubtTimer_.expires_after(toChrono(DoubtCheckInterval));
+  DoubtTimer_.async_wait([this](const boost::system::error_code &Error) {
+    if (Error)
+      return;
+    updateDoubts();
+    {
+      std::lock_guard<std::mutex> Lock(Mutex_);
+      bool Recent = Clock_.now() - *LastProbe_ < ProbeInterval;
+      ChecksDoubts_ = Recent || !Doubtful_->empty();
+      if (!ChecksDoubts_)
+        return;
+    }
+    scheduleDoubtCheck();
+  });
+}
+
 void PeerPool::close() {
-  std::vector<std::shared_ptr<NodeConnection>> Connections;
   {
     std::lock_guard<std::mutex> Lock(Mutex_);
     Closed_ = true;
-    for (auto &[Node, To] : Connections_)
-      Connections.push_back(To);
+    DoubtTimer_.cancel();
   }
-  for (const std::shared_ptr<NodeConnection> &To : Connections)
+  for (const std::shared_ptr<NodeConnection> &To : connections())
     To->close();
 }
 
--- a/src/libcoordination/peerpool.h
+++ b/src/libcoordination/peerpool.h
@@ -5,6 +5,7 @@
 #include "coltsfootpoint/ids.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
 #include <memory>
@@ -12,6 +13,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace coltsfoot {
 
@@ -38,6 +40,10 @@
 /// back until the other node's Hello has arrived, which tells the incarnation
 /// of its process; a message for another incarnation is not sent.
 ///
+/// When nothing comes from one node, the pool asks all others that it is
+/// connected to for a sign of life, because many nodes may have been lost at
+/// the same moment.
+///
 /// Thread-safe. Lock order: the pool's mutex before a connection's mutex.
 /// Handlers are called with neither held, exactly once each unless forget() was
 /// called for the message.
@@ -83,6 +89,12 @@
   /// message that is still held back ends as lost and is not sent.
   void cancel(const std::string &Node, int64_t Number);
 
+  using NodeList = std::shared_ptr<const std::vector<NodeRef>>;
+  /// Returns the processes that new calls should avoid; see isDoubtful(). The
+  /// incarnation is 0 for a node that this one was never connected to. Never
+  /// null.
+  NodeList doubtful() const;
+
   /// Closes all connections. Every message without an answer ends as lost, as
   /// do all later messages.
   void close();
@@ -92,6 +104,10 @@
   std::shared_ptr<NodeConnection>
   getOrCreateConnection(const std::string &Node);
   std::shared_ptr<NodeConnection> findConnection(const std::string &Node);
+  std::vector<std::shared_ptr<NodeConnection>> connections() const;
+  void onSilent();
+  void updateDoubts();
+  void scheduleDoubtCheck();
 
   boost::asio::io_context &Context_;
   const FrameConnection::Options Options_;
@@ -99,10 +115,15 @@
   const std::unique_ptr<wire::Hello> Self_;
   LocalHandler LocalHandler_;
   std::atomic<int64_t> LastNumber_ = 0;
-  std::mutex Mutex_; // guards the two members below
+  const SystemClock Clock_;
+  mutable std::mutex Mutex_; // guards the members below
   std::map<std::string, std::shared_ptr<NodeConnection>, std::less<>>
       Connections_;
   bool Closed_ = false;
+  NodeList Doubtful_ = std::make_shared<const std::vector<NodeRef>>();
+  std::optional<Millis> LastProbe_;
+  bool ChecksDoubts_ = false;
+  boost::asio::steady_timer DoubtTimer_;
 };
 
 } // namespace coltsfoot
--- a/src/libtransport/frameconnection.cpp
+++ b/src/libtransport/frameconnection.cpp
@@ -262,6 +262,7 @@
 
 void FrameConnection::onRead(size_t Size) {
   LastReceiveTime_ = Clock_.now();
+  ProbeSentMs_ = NoProbe;
   if (Size >= ReadChunk_)
     ReadChunk_ = std::min(ReadChunk_ * 2, MaxReadBytes);
   ReadBufferUsed_ += Size;
@@ -400,17 +401,35 @@
   }
   LimitChecked_ = false;
   bool Open = StateMachine_.state() == ConnectionLifecycle::State::Open;
-  if (Open && Now - LastReceiveTime_ >= Options_.Heartbeat_ * 0.9) {
-    wire::Heartbeat HeartbeatRequest;
-    HeartbeatRequest.__set_sequence(++HeartbeatSequence_);
-    HeartbeatRequest.__set_answer(false);
-    wire::Frame Message;
-    Message.__set_heartbeat(HeartbeatRequest);
-    send(Message);
-  }
+  if (Open && Now - LastReceiveTime_ >= Options_.Heartbeat_ * 0.9)
+    sendHeartbeatRequest();
   armTimer();
 }
 
+void FrameConnection::sendHeartbeatRequest() {
+  wire::Heartbeat Request;
+  Request.__set_sequence(++HeartbeatSequence_);
+  Request.__set_answer(false);
+  wire::Frame Message;
+  Message.__set_heartbeat(Request);
+  send(Message);
+}
+
+void FrameConnection::probe() {
+  asio::post(Socket_.get_executor(), [Self = Pointer(this)] {
+    if (Self->StateMachine_.state() != ConnectionLifecycle::State::Open ||
+        Self->ProbeSentMs_ >= 0)
+      return;
+    Self->ProbeSentMs_ = Self->Clock_.now().count();
+    Self->sendHeartbeatRequest();
+  });
+}
+
+std::optional<Millis> FrameConnection::probeUnansweredSince() const {
+  double Sent = ProbeSentMs_;
+  return Sent < 0 ? std::nullopt : std::optional(Millis(Sent));
+}
+
 std::optional<CloseCause> FrameConnection::overdueCause(Millis Now) const {
   if (StateMachine_.state() != ConnectionLifecycle::State::Open)
     return Now - StartTime_ >= Options_.Connect_
--- a/src/libtransport/frameconnection.h
+++ b/src/libtransport/frameconnection.h
@@ -117,6 +117,12 @@
   /// Sets whether the caller awaits replies. While it does, the connection
   /// closes after Options::Silent_ without a received byte.
   void setAwaitingReplies(bool AwaitingReplies);
+  /// Asks the other side for a sign of life, unless an earlier probe is still
+  /// unanswered. Does nothing before the handshake.
+  void probe();
+  /// Returns when the oldest probe was sent after which nothing was received;
+  /// nothing if there is none.
+  std::optional<Millis> probeUnansweredSince() const;
   /// Closes the connection with CloseCause::Local.
   void close();
   /// Returns whether bytes may have been handed to the operating system.
@@ -138,6 +144,7 @@
   void onTimer();
   std::optional<CloseCause> overdueCause(Millis Now) const;
   bool hasUnhandledInput(Millis Now);
+  void sendHeartbeatRequest();
   void finish(CloseCause Cause);
 
   struct LocalHello;
@@ -165,6 +172,11 @@
   std::atomic<bool> AwaitingReplies_ = false;
   std::atomic<bool> TimerIsShort_ = false;
   std::atomic<bool> HasWritten_ = false;
+  /// The time of the oldest unanswered probe in milliseconds; negative if there
+  /// is none.
+  std::atomic<double> ProbeSentMs_ = NoProbe;
+
+  static constexpr double NoProbe = -1;
 
   struct QueuedFrame {
     int64_t Number_ = 0;
--- a/testsuite/process_death/process_death_test.cpp
+++ b/testsuite/process_death/process_death_test.cpp
@@ -249,6 +249,50 @@
   Shop.checkOutcomes();
 }
 
+TEST_CASE(
+    "once one of several gates that fell silent together is noticed, calls "
+    "avoid all of them") {
+  constexpr size_t Gates = 8;
+  constexpr size_t SilentGates = 5;
+  constexpr int CallCount = 40;
+  /// The silence limit of a connection, the time to answer a probe and a margin
+  /// for a busy machine.
+  constexpr Millis Noticed(1300);
+  /// Far less than the silence limit of a connection.
+  constexpr Millis AnswerLimit(450);
+  BookingFleet Shop(slowBackendOptions(5, Gates));
+  // So many calls reach each gate and open all connections.
+  for (int I = 0; I < 200; ++I) {
+    ShopRequest Read;
+    Read.Tag_ = "before-" + std::to_string(I);
+    Shop.send(Shop.entry(0), Read);
+  }
+  const SystemClock Time;
+  Millis Cut = Time.now();
+  for (size_t I = 0; I < SilentGates; ++I)
+    Shop.proxy(I).blackhole(Direction::Both, ConnectionSet::All);
+  std::vector<std::future<std::pair<Millis, Millis>>> Sent;
+  for (int I = 0; I < CallCount; ++I) {
+    Sent.push_back(std::async(std::launch::async, [&, I] {
+      ShopRequest Read;
+      Read.Tag_ = "silent-half-" + std::to_string(I);
+      Millis Start = Time.now();
+      Shop.send(Shop.entry(0), Read);
+      return std::pair(Start, Time.now());
+    }));
+    std::this_thread::sleep_for(std::chrono::milliseconds(80));
+  }
+  for (auto &Each : Sent) {
+    auto [Start, End] = Each.get();
+    INFO("sent " << (Start - Cut).count() << " ms after the cut");
+    if (Start - Cut > Noticed)
+      CHECK((End - Start).count() < AnswerLimit.count());
+  }
+  for (size_t I = 0; I < SilentGates; ++I)
+    Shop.proxy(I).heal();
+  Shop.checkOutcomes();
+}
+
 TEST_CASE("reads refused as not run while a gate is killed have not run") {
   BookingFleet Shop(slowBackendOptions(30, 2));
   std::vector<std::future<ShopOutcome>> Sent;
