Keep nodes in doubt out of new tickets while others can take the calls

The issuer asks for the doubted processes as the entry does; both use withDoubted. Shown: ticketissuer_test (two gates, one in doubt: only the other is a candidate; both in doubt: both). state_test, coordination_test and e2e.process_death passed.

--- a/src/libcoordination/entrycall.cpp
+++ b/src/libcoordination/entrycall.cpp
@@ -7,6 +7,7 @@
 #include "coltsfoot_types.h"
 #include "drainadmission.h"
 #include "entrythreshold.h"
+#include "peerdoubt.h"
 #include "peerpool.h"
 #include "pendingcalls.h"
 #include "policy.h"
@@ -60,17 +61,6 @@
   return NoRoom ? AttemptResult::Refused : AttemptResult::Failed;
 }
 
-/// Returns whether a list of processes, in which incarnation 0 stands for any,
-/// contains the gate.
-bool isAmong(const std::vector<NodeRef> &Processes, const NodeRef &Gate) {
-  return std::any_of(Processes.begin(), Processes.end(),
-                     [&](const NodeRef &Each) {
-                       return Each.Node_ == Gate.Node_ &&
-                              (Each.Incarnation_ == 0 ||
-                               Each.Incarnation_ == Gate.Incarnation_);
-                     });
-}
-
 /// Returns whether a field is a hop-by-hop field of HTTP or one of this
 /// system's own; these are not forwarded.
 bool isHopByHopField(std::string_view Name) {
@@ -329,15 +319,10 @@
   };
   if (Parts_->Policy_ == PolicyKind::None)
     return Pick({});
-  PeerPool::NodeList Doubtful = Parts_->Peers_.doubtful();
-  if (!Doubtful->empty()) {
-    std::vector<NodeRef> Exclude = TriedGates_;
-    for (const GateInfo &Gate : Gates)
-      if (isAmong(*Doubtful, Gate.Ref_))
-        Exclude.push_back(Gate.Ref_);
-    if (auto Chosen = Pick(Exclude))
+  PeerPool::NodeList Doubted = Parts_->Peers_.doubtful();
+  if (!Doubted->empty())
+    if (auto Chosen = Pick(withDoubted(TriedGates_, Gates, *Doubted)))
       return Chosen;
-  }
   return Pick(TriedGates_);
 }
 
--- a/src/libcoordination/node.cpp
+++ b/src/libcoordination/node.cpp
@@ -416,6 +416,7 @@
   ThisNode.Region_ = Settings_.Node_.Region_;
   ThisNode.Config_ = [this] { return Config_.current(); };
   ThisNode.Members_ = [this] { return Sockets_.Udp_->view(); };
+  ThisNode.Doubted_ = [this] { return Peers_.doubtful(); };
   ThisNode.Lag_ = [this] { return Loop_.recentLag(); };
   return ThisNode;
 }
--- a/src/libcoordination/ticketissuer.cpp
+++ b/src/libcoordination/ticketissuer.cpp
@@ -2,6 +2,7 @@
 
 #include "configstate.h"
 #include "memberview.h"
+#include "peerdoubt.h"
 #include "randomgenerator.h"
 #include "ticket.h"
 
@@ -73,10 +74,7 @@
                     std::string_view Client,
                     std::span<const NodeRef> Exclude) const {
   auto Config = NodeContext_.Config_();
-  GateList Gates = gatesOf(Service);
-  std::vector<NodeRef> Candidates =
-      Balancer_.pickCandidates(*Gates, pickContext(Service), Exclude,
-                               threadRandomGenerator(), MaxCandidates);
+  std::vector<NodeRef> Candidates = candidates(Service, Exclude);
   if (Candidates.empty())
     return {};
   Ticket Issued;
@@ -90,6 +88,22 @@
   return sealTicket(Issued, Keys_);
 }
 
+std::vector<NodeRef>
+TicketIssuer::candidates(std::string_view Service,
+                         std::span<const NodeRef> Exclude) const {
+  GateList Gates = gatesOf(Service);
+  auto Pick = [&](std::span<const NodeRef> Excluded) {
+    return Balancer_.pickCandidates(*Gates, pickContext(Service), Excluded,
+                                    threadRandomGenerator(), MaxCandidates);
+  };
+  auto Doubted = NodeContext_.Doubted_();
+  if (!Doubted->empty())
+    if (auto Chosen = Pick(withDoubted(Exclude, *Gates, *Doubted));
+        !Chosen.empty())
+      return Chosen;
+  return Pick(Exclude);
+}
+
 std::optional<Ticket> TicketIssuer::open(std::string_view Text) const {
   return openTicket(Text, Keys_);
 }
--- a/src/libcoordination/ticketissuer.h
+++ b/src/libcoordination/ticketissuer.h
@@ -28,6 +28,10 @@
   std::string Region_;
   std::function<std::shared_ptr<const ConfigState>()> Config_;
   std::function<std::shared_ptr<const MemberView>()> Members_;
+  /// See PeerPool::doubtful().
+  std::function<std::shared_ptr<const std::vector<NodeRef>>()> Doubted_ = [] {
+    return std::make_shared<const std::vector<NodeRef>>();
+  };
   /// See LoopMonitor::recentLag().
   std::function<Millis()> Lag_ = [] { return Millis(); };
 };
@@ -41,7 +45,7 @@
 
   /// Returns the text of a new ticket, or nothing if the balancer finds no
   /// candidate among the gates of the service. Gates in Exclude are never
-  /// candidates.
+  /// candidates, those in doubt only if there are no others.
   std::optional<std::string> issue(std::string_view Service,
                                    std::string_view Route,
                                    std::string_view Client,
@@ -65,6 +69,9 @@
   Balancer::PickContext pickContext(std::string_view Service) const;
 
 private:
+  std::vector<NodeRef> candidates(std::string_view Service,
+                                  std::span<const NodeRef> Exclude) const;
+
   const NodeContext NodeContext_;
   const SealingKeys Keys_;
   const Balancer &Balancer_;
--- a/src/libcoordination/ticketissuer_test.cpp
+++ b/src/libcoordination/ticketissuer_test.cpp
@@ -2,6 +2,7 @@
 
 #include "configstate.h"
 #include "memberview.h"
+#include "ticket.h"
 
 #include <doctest/doctest.h>
 
@@ -32,6 +33,7 @@
       return Config;
     };
     ThisNode.Members_ = [this] { return View_; };
+    ThisNode.Doubted_ = [this] { return Doubted_; };
     return ThisNode;
   }
 
@@ -47,6 +49,8 @@
     View_ = std::make_shared<MemberView>(Table_);
   }
 
+  std::shared_ptr<const std::vector<NodeRef>> Doubted_ =
+      std::make_shared<const std::vector<NodeRef>>();
   int64_t Generation_ = 0;
 };
 
@@ -70,6 +74,24 @@
   CHECK(Fixture.Issuer_.gatesOf("ledger") == First);
 }
 
+TEST_CASE("a gate in doubt is a candidate only if there is no other") {
+  Fixture Fixture;
+  Fixture.addGate("10.0.0.2:1", MemberState::Alive);
+  Fixture.addGate("10.0.0.3:1", MemberState::Alive);
+  auto Doubt = [&](std::vector<NodeRef> Gates) {
+    Fixture.Doubted_ =
+        std::make_shared<const std::vector<NodeRef>>(std::move(Gates));
+    auto Text = Fixture.Issuer_.issue("ledger", "book", "client");
+    REQUIRE(Text);
+    return Fixture.Issuer_.open(*Text)->Candidates_;
+  };
+  NodeRef First{"10.0.0.2:1", 1};
+  NodeRef Second{"10.0.0.3:1", 1};
+  CHECK(Doubt({}).size() == 2);
+  CHECK(Doubt({First}) == std::vector<NodeRef>{Second});
+  CHECK(Doubt({First, Second}).size() == 2);
+}
+
 TEST_CASE("a gate that is seen later than the start is new until it is old") {
   Fixture Fixture;
   Fixture.addGate("10.0.0.2:1", MemberState::Alive);
--- a/src/libstate/peerdoubt.h
+++ b/src/libstate/peerdoubt.h
@@ -1,8 +1,13 @@
 #pragma once
 
+#include "balancer.h"
+
+#include "coltsfootpoint/ids.h"
 #include "coltsfootpoint/time.h"
 
 #include <optional>
+#include <span>
+#include <vector>
 
 namespace coltsfoot {
 
@@ -29,4 +34,10 @@
 /// is lost with it.
 bool isDoubtful(const PeerSigns &Signs, Millis Now);
 
+/// Returns Exclude and those of the gates that are among the doubted processes,
+/// in which incarnation 0 stands for any.
+std::vector<NodeRef> withDoubted(std::span<const NodeRef> Exclude,
+                                 std::span<const GateInfo> Gates,
+                                 std::span<const NodeRef> Doubted);
+
 } // namespace coltsfoot
--- a/src/libstate/peerdoubt_test.cpp
+++ b/src/libstate/peerdoubt_test.cpp
@@ -17,3 +17,12 @@
   CHECK(isDoubtful({{}, Lost}, Lost));
   CHECK_FALSE(isDoubtful({{}, Lost}, Lost + SilentDoubtTime));
 }
+
+TEST_CASE("only gates of the doubted processes are excluded") {
+  std::vector<GateInfo> Gates = {
+      {{"a", 1}, "z", "r"}, {{"b", 2}, "z", "r"}, {{"c", 3}, "z", "r"}};
+  std::vector<NodeRef> Tried = {{"x", 9}};
+  std::vector<NodeRef> Doubted = {{"a", 1}, {"b", 1}, {"c", 0}, {"d", 4}};
+  CHECK(withDoubted(Tried, Gates, Doubted) ==
+        std::vector<NodeRef>{{"x", 9}, {"a", 1}, {"c", 3}});
+}
