--- a/src/libcoordination/entry.h
+++ b/src/libcoordination/entry.h
@@ -98,7 +98,6 @@
   void cutPending();
 
 private:
-  class RequestReader;
   struct StepOfferTable;
   std::shared_ptr<StepOffers> stepOffers(const std::string &ParentKey,
                                          const std::string &Serial);
