Bound the probes that follow a silent connection

Before, a node asked all others at once every 500 ms while connections were lost as silent; on 6,400 nodes that all lag this alone would take more than a node may spend. Now at most 256 a second, the others next.

--- a/src/libcoordination/peerpool.cpp
+++ b/src/libcoordination/peerpool.cpp
@@ -7,6 +7,7 @@
 
 #include "coltsfootpoint/log.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/strand.hpp>
 #include <charconv>
@@ -21,7 +22,10 @@
 namespace {
 
 /// While connections are lost as silent, the others are probed this often.
-constexpr Millis ProbeInterval(500);
+constexpr Millis ProbeInterval(1000);
+/// The most connections that are probed at once, so that the work of a node
+/// doesn't grow with the fleet; the next probes go to the others.
+constexpr size_t MaxProbes = 256;
 constexpr Millis DoubtCheckInterval(50);
 
 /// Parses `ip:port`; returns nothing if it is malformed.
@@ -414,13 +418,20 @@
     StartsChecks = !std::exchange(ChecksDoubts_, true);
   }
   if (Probes)
-    for (const std::shared_ptr<NodeConnection> &To : connections())
-      To->probe();
+    probeOthers();
   updateDoubts();
   if (StartsChecks)
     scheduleDoubtCheck();
 }
 
+void PeerPool::probeOthers() {
+  std::vector<std::shared_ptr<NodeConnection>> All = connections();
+  size_t Count = std::min(All.size(), MaxProbes);
+  for (size_t I = 0; I < Count; ++I)
+    All[(FirstProbed_ + I) % All.size()]->probe();
+  FirstProbed_ += Count;
+}
+
 void PeerPool::updateDoubts() {
   Millis Now = Clock_.now();
   auto Found = std::make_shared<std::vector<NodeRef>>();
--- a/src/libcoordination/peerpool.h
+++ b/src/libcoordination/peerpool.h
@@ -4,6 +4,7 @@
 
 #include "coltsfootpoint/ids.h"
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
@@ -106,6 +107,7 @@
   std::shared_ptr<NodeConnection> findConnection(const std::string &Node);
   std::vector<std::shared_ptr<NodeConnection>> connections() const;
   void onSilent();
+  void probeOthers();
   void updateDoubts();
   void scheduleDoubtCheck();
 
@@ -123,6 +125,7 @@
   NodeList Doubtful_ = std::make_shared<const std::vector<NodeRef>>();
   std::optional<Millis> LastProbe_;
   bool ChecksDoubts_ = false;
+  std::atomic<size_t> FirstProbed_ = 0; ///< See MaxProbes.
   boost::asio::steady_timer DoubtTimer_;
 };
 
