Log the tokens that a retry needed instead of a part of them

The line of a retry without a token printed reserve times limit, while the decision compares with 1 + reserve x (limit - 1). One function computes it for both; the key is needed. state_test and e2e.retry_budget passed.

--- a/src/libcoordination/entrycall.cpp
+++ b/src/libcoordination/entrycall.cpp
@@ -413,8 +413,8 @@
   if (!Granted) {
     RetryBudget::Balance Left = Budget.balance(Request_.Service_, now());
     RetryRefusal_ = " retry=no-token tokens=" + oneDecimal(Left.Tokens_) +
-                    " token_limit=" + oneDecimal(Left.Limit_) +
-                    " reserve=" + oneDecimal(Reserve * Left.Limit_) +
+                    " token_limit=" + oneDecimal(Left.Limit_) + " needed=" +
+                    oneDecimal(RetryBudget::needed(Reserve, Left.Limit_)) +
                     " remaining_calls=" + std::to_string(Case.RemainingCalls_);
   }
   if (Parts_->OnRetry_)
--- a/src/libstate/retrybudget.cpp
+++ b/src/libstate/retrybudget.cpp
@@ -84,12 +84,15 @@
   Earning.Tokens_ = std::min(Earning.Tokens_, limit(Earning, Index));
 }
 
+double RetryBudget::needed(double Reserve, double Limit) {
+  return Limit < 1 ? Reserve * Limit : 1 + Reserve * (Limit - 1);
+}
+
 bool RetryBudget::spend(std::string_view Service, double Reserve, Millis Now,
                         Generator &Random) {
   std::lock_guard Lock(Mutex_);
   Bucket &Spending = bucketAt(Service, Now);
-  double Limit = limit(Spending, slotIndex(Now));
-  double Needed = Limit < 1 ? Reserve * Limit : 1 + Reserve * (Limit - 1);
+  double Needed = needed(Reserve, limit(Spending, slotIndex(Now)));
   if (Spending.Tokens_ <= 0 || Spending.Tokens_ < Needed)
     return false;
   if (Spending.Tokens_ >= 1) {
--- a/src/libstate/retrybudget.h
+++ b/src/libstate/retrybudget.h
@@ -70,6 +70,9 @@
   /// balance that has to stay for more urgent requests.
   bool spend(std::string_view Service, double Reserve, Millis Now,
              Generator &Random);
+  /// Returns how many tokens spend() needs to find for this reserve while a
+  /// service may hold Limit tokens at most.
+  static double needed(double Reserve, double Limit);
   /// Takes tokens for extra arrivals that can no longer be prevented. A
   /// shortfall becomes debt.
   void charge(std::string_view Service, double Tokens, Millis Now);
