Log by which way a configuration came and since when a node was behind

The logs could not tell whether a late change came from the store or from a peer, how old that request was, or which peers were asked in vain. config_adopted now has from, request_ms and behind_ms, config_source_lost the age of its request; config_peer_asked and config_peer_failed are new, and so is the metric coltsfoot_config_known_version, on which an alert can be set. No logic changed.

--- a/src/libcoordination/configfollower.cpp
+++ b/src/libcoordination/configfollower.cpp
@@ -57,6 +57,7 @@
   const asio::strand<asio::io_context::executor_type> Strand_;
   asio::steady_timer Timer_;
   Millis RetryDelay_;
+  Millis Sent_; ///< When the request in progress was sent.
   bool Running_ = false;
   PollPace Pace_;
   /// Whether Position_ is valid: the newest configuration has been read since
@@ -84,7 +85,8 @@
   };
   Millis Wait =
       Config_.isLogReader() ? Options_.ReaderWait_ : Options_.FollowWait_;
-  Pace_.onRequest(Clock_.now(), HasPosition_ ? Wait : Millis());
+  Sent_ = Clock_.now();
+  Pace_.onRequest(Sent_, HasPosition_ ? Wait : Millis());
   if (HasPosition_)
     Source_.fetchAfter(Position_, Wait, std::move(Done));
   else
@@ -169,7 +171,8 @@
   }
   try {
     Config_.adopt(
-        ConfigState::fromResources(NewConfig.Version_, NewConfig.Resources_));
+        ConfigState::fromResources(NewConfig.Version_, NewConfig.Resources_),
+        {"source", Clock_.now() - Sent_});
     return true;
   } catch (const std::exception &Error) {
     logEvent(LogLevel::Warning, "config_passed_over",
@@ -195,7 +198,8 @@
 
 void ConfigFollower::Impl::onSourceDown(const std::string &Why) {
   if (!std::exchange(SourceDown_, true))
-    logEvent(LogLevel::Warning, "config_source_lost", {{"why", Why}});
+    logEvent(LogLevel::Warning, "config_source_lost",
+             {{"why", Why}, {"request_ms", (Clock_.now() - Sent_).whole()}});
 }
 
 void ConfigFollower::Impl::onSourceUp() {
--- a/src/libcoordination/configservice.cpp
+++ b/src/libcoordination/configservice.cpp
@@ -137,9 +137,11 @@
   void submit(Change Value, Handler Done);
   void onPeerRecords(std::vector<LogRecord> Records);
   void onPeerOffset(int64_t NextOffset);
-  void onPeerSnapshot(const std::string &Snapshot);
+  void onPeerSnapshot(const std::string &Snapshot, const ConfigOrigin &Origin);
   void onPeersQueried();
-  void adopt(const std::shared_ptr<const ConfigState> &State);
+  void adopt(const std::shared_ptr<const ConfigState> &State,
+             const ConfigOrigin &Origin);
+  int64_t knownOffset() const { return KnownOffset_; }
 
 private:
   struct PendingChange {
@@ -170,6 +172,8 @@
   void publish(std::shared_ptr<const ConfigState> State,
                std::span<const LogRecord> Records);
   int64_t next() const { return State_->nextOffset(); }
+  void noteOffsets();
+  Millis behindFor() const;
 
   // Fills gaps from peers.
   int64_t highestKnownOffset() const {
@@ -224,6 +228,9 @@
   /// if there was none or if a second one came at the same offset.
   int64_t TrimmedAtOffset_ = -1;
   int64_t PeerOffset_ = 0;
+  /// Since when a peer has been known to be ahead of this node.
+  std::optional<Millis> BehindSince_;
+  std::atomic<int64_t> KnownOffset_ = 0;
   bool GapTimerArmed_ = false;
   ReorderBuffer OutOfOrder_;
   std::map<std::string, PendingChange, std::less<>> PendingChanges_;
@@ -430,14 +437,18 @@
   onStateUpdated();
 }
 
-void ConfigService::Impl::adopt(
-    const std::shared_ptr<const ConfigState> &State) {
+void ConfigService::Impl::adopt(const std::shared_ptr<const ConfigState> &State,
+                                const ConfigOrigin &Origin) {
   if (State->nextOffset() == next() && State->digest() != State_->digest())
     logEvent(LogLevel::Error, "config_divergence", {{"next", next()}});
   if (State->nextOffset() <= next())
     return;
   logEvent(LogLevel::Info, "config_adopted",
-           {{"before", next()}, {"next", State->nextOffset()}});
+           {{"before", next()},
+            {"next", State->nextOffset()},
+            {"from", Origin.From_},
+            {"request_ms", Origin.Waited_.whole()},
+            {"behind_ms", behindFor().whole()}});
   publish(State, {});
   onStateUpdated();
   // Buffered records may now continue the configuration.
@@ -456,6 +467,7 @@
 
 void ConfigService::Impl::onStateUpdated() {
   std::shared_ptr<const ConfigState> State = State_;
+  noteOffsets();
   if (OnChange_)
     OnChange_(*State);
   finishKnownChanges();
@@ -484,12 +496,27 @@
 
 void ConfigService::Impl::onPeerOffset(int64_t NextOffset) {
   PeerOffset_ = std::max(PeerOffset_, NextOffset);
+  noteOffsets();
   armGapTimer(Settings_.GapDelay_);
 }
 
-void ConfigService::Impl::onPeerSnapshot(const std::string &Snapshot) {
+/// Updates what is known of this node's lag behind its peers.
+void ConfigService::Impl::noteOffsets() {
+  KnownOffset_ = std::max(PeerOffset_, next());
+  if (next() >= PeerOffset_)
+    BehindSince_.reset();
+  else if (!BehindSince_)
+    BehindSince_ = Clock_.now();
+}
+
+Millis ConfigService::Impl::behindFor() const {
+  return BehindSince_ ? Clock_.now() - *BehindSince_ : Millis();
+}
+
+void ConfigService::Impl::onPeerSnapshot(const std::string &Snapshot,
+                                         const ConfigOrigin &Origin) {
   try {
-    adopt(ConfigState::restore(Snapshot));
+    adopt(ConfigState::restore(Snapshot), Origin);
   } catch (const std::invalid_argument &Error) {
     logEvent(LogLevel::Warning, "config_peer_snapshot_damaged",
              {{"why", Error.what()}});
@@ -694,7 +721,7 @@
     NewestSnapshotOffset_ = Record.State_->nextOffset();
     NewestSnapshotWallTime_ = Record.WrittenWallTime_;
   }
-  adopt(Record.State_);
+  adopt(Record.State_, {"snapshot"});
 }
 
 void ConfigService::Impl::writeSnapshot() {
@@ -772,17 +799,21 @@
 
 std::string ConfigService::snapshot() const { return current()->snapshot(); }
 
-void ConfigService::adopt(std::shared_ptr<const ConfigState> State) {
-  Impl_->runOnStrand(
-      [State = std::move(State)](Impl &Self) { Self.adopt(State); });
+void ConfigService::adopt(std::shared_ptr<const ConfigState> State,
+                          ConfigOrigin Origin) {
+  Impl_->runOnStrand([State = std::move(State), Origin = std::move(Origin)](
+                         Impl &Self) { Self.adopt(State, Origin); });
 }
 
-void ConfigService::onPeerSnapshot(std::string Snapshot) {
-  Impl_->runOnStrand([Snapshot = std::move(Snapshot)](Impl &Self) {
-    Self.onPeerSnapshot(Snapshot);
-  });
+void ConfigService::onPeerSnapshot(std::string Snapshot, ConfigOrigin Origin) {
+  Impl_->runOnStrand(
+      [Snapshot = std::move(Snapshot), Origin = std::move(Origin)](Impl &Self) {
+        Self.onPeerSnapshot(Snapshot, Origin);
+      });
 }
 
+int64_t ConfigService::knownOffset() const { return Impl_->knownOffset(); }
+
 bool ConfigService::isLogReader() const { return Impl_->isLogReader(); }
 
 bool ConfigService::ready() const { return Impl_->ready(); }
--- a/src/libcoordination/configservice.h
+++ b/src/libcoordination/configservice.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coltsfootpoint/time.h"
+#include "configorigin.h"
 #include "configstate.h"
 
 #include <cstdint>
@@ -126,11 +127,15 @@
 
   /// Replaces the configuration by a complete one; one that is not newer is
   /// ignored.
-  void adopt(std::shared_ptr<const ConfigState> State);
+  void adopt(std::shared_ptr<const ConfigState> State, ConfigOrigin Origin);
 
   /// Replaces the configuration by a peer's snapshot; one that is damaged or
   /// not newer is ignored.
-  void onPeerSnapshot(std::string Snapshot);
+  void onPeerSnapshot(std::string Snapshot, ConfigOrigin Origin);
+
+  /// Returns the highest offset that any node is known to have applied up to,
+  /// or that of this node if there is no higher one.
+  int64_t knownOffset() const;
 
   /// Returns whether the configuration is current enough to serve calls: the
   /// end of the log was reached once, or the peers have been asked and their
--- a/src/libcoordination/configsync.cpp
+++ b/src/libcoordination/configsync.cpp
@@ -7,6 +7,7 @@
 #include "peerpool.h"
 
 #include "coltsfootpoint/ids.h"
+#include "coltsfootpoint/log.h"
 
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
@@ -130,29 +131,38 @@
   Fetch.from_offset = From;
   wire::Frame Message;
   Message.__set_config_fetch(Fetch);
+  logEvent(LogLevel::Info, "config_peer_asked",
+           {{"peer", Peer}, {"next", From}, {"known", Config_.knownOffset()}});
   Peers_.call(Peer, Peers_.reserve(), std::move(Message), {},
-              [this, Peer, AtStart](PeerResult Result) {
-                asio::dispatch(Strand_, [this, Peer, AtStart,
+              [this, Peer, AtStart, Sent = Clock_.now()](PeerResult Result) {
+                asio::dispatch(Strand_, [this, Peer, AtStart, Sent,
                                          Result = std::move(Result)] {
+                  ConfigOrigin Origin{Peer, Clock_.now() - Sent};
                   const auto *Answer =
                       std::get_if<std::shared_ptr<const wire::Frame>>(&Result);
                   // A peer that did not answer may be asked again.
                   if (!Answer) {
+                    const auto &Lost = std::get<MessageLost>(Result);
+                    logEvent(LogLevel::Info, "config_peer_failed",
+                             {{"peer", Peer},
+                              {"cause", closeCauseName(Lost.Cause_)},
+                              {"request_ms", Origin.Waited_.whole()}});
                     QueriedPeers_.erase(Peer);
                     if (AheadPeer_ == Peer)
                       AheadPeer_.clear();
                     return;
                   }
-                  onBatch((*Answer)->config_batch);
+                  onBatch((*Answer)->config_batch, Origin);
                   if (AtStart)
                     AnsweredPeers_.insert(Peer);
                 });
               });
 }
 
-void ConfigSync::onBatch(const wire::ConfigBatch &Batch) {
+void ConfigSync::onBatch(const wire::ConfigBatch &Batch,
+                         const ConfigOrigin &Origin) {
   if (!Batch.snapshot.empty())
-    Config_.onPeerSnapshot(Batch.snapshot);
+    Config_.onPeerSnapshot(Batch.snapshot, Origin);
   std::vector<LogRecord> Records;
   for (const wire::ConfigRecord &Record : Batch.records)
     Records.push_back({Record.offset, Record.data});
--- a/src/libcoordination/configsync.h
+++ b/src/libcoordination/configsync.h
@@ -2,6 +2,8 @@
 
 #include "configservice.h"
 
+#include "coltsfootpoint/time.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
@@ -54,13 +56,14 @@
   /// none is known.
   std::string peerAhead(int64_t Offset) const;
   void fetch(const std::string &Peer, int64_t From, bool AtStart);
-  void onBatch(const wire::ConfigBatch &Batch);
+  void onBatch(const wire::ConfigBatch &Batch, const ConfigOrigin &Origin);
 
   ConfigService &Config_;
   GossipService &Gossip_;
   PeerPool &Peers_;
   const std::string Node_;
   const std::string Zone_;
+  const SystemClock Clock_;
   boost::asio::strand<boost::asio::io_context::executor_type> Strand_;
   boost::asio::steady_timer Timer_;
   std::string AheadPeer_;
--- a/src/libcoordination/nodemetrics.cpp
+++ b/src/libcoordination/nodemetrics.cpp
@@ -102,6 +102,10 @@
                  "Version of the configuration in force.", {}, [&Config] {
                    return static_cast<double>(Config.current()->nextOffset());
                  });
+  Metrics_.gauge(
+      "coltsfoot_config_known_version",
+      "Newest version of the configuration that any node is known to have.", {},
+      [&Config] { return static_cast<double>(Config.knownOffset()); });
 }
 
 void NodeMetrics::addDrainGauges(std::string_view Part,
--- a/testsuite/config_service/config_service_test.cpp
+++ b/testsuite/config_service/config_service_test.cpp
@@ -233,7 +233,7 @@
   REQUIRE(waitFor([&] { return !Node.fetchOffsets().empty(); }));
   CHECK_FALSE(Node.service().ready());
   CHECK(Node.service().current()->nextOffset() == 0);
-  Node.service().onPeerSnapshot(Peer->snapshot());
+  Node.service().onPeerSnapshot(Peer->snapshot(), {"peer"});
   REQUIRE(waitFor([&] { return Node.service().ready(); }));
   REQUIRE(Node.waitForOffset(12));
   CHECK(Node.service().current()->get(ResourceKind::RetryPolicy, "n11"));
@@ -385,13 +385,13 @@
   REQUIRE(Node.startAndWaitReady());
   uint64_t Digest = Node.service().current()->digest();
   auto Old = ConfigState().apply(makeRecords(0, 3));
-  Node.service().onPeerSnapshot(Old->snapshot());
-  Node.service().onPeerSnapshot("damaged");
+  Node.service().onPeerSnapshot(Old->snapshot(), {"peer"});
+  Node.service().onPeerSnapshot("damaged", {"peer"});
   Node.service().onPeerRecords(makeRecords(0, 4));
   waitUntilProcessed(Node);
   CHECK(Node.service().current()->digest() == Digest);
   auto New = ConfigState().apply(makeRecords(0, 8));
-  Node.service().onPeerSnapshot(New->snapshot());
+  Node.service().onPeerSnapshot(New->snapshot(), {"peer"});
   waitUntilProcessed(Node);
   CHECK(Node.service().current()->digest() == New->digest());
   CHECK_FALSE(Node.service().hasRecordsFrom(5));
