--- a/testsuite/common/platformmachine.cpp
+++ b/testsuite/common/platformmachine.cpp
@@ -64,7 +64,7 @@
          QuotedEndpoint(CallPort) + "readiness = " + QuotedEndpoint(ReadyPort) +
          "reports = " + QuotedEndpoint(ReportPort) +
          "[log_service]\naddress = \"" + MachineOptions.Store_ +
-         "\"\nread_wait_ms = 500\n[membership]\npeers = [\"" +
+         "\"\n" + MachineOptions.LogService_ + "[membership]\npeers = [\"" +
          platformAddress(1) +
          ":1\"]\npeers_port = " + std::to_string(PeerPort) +
          "\n[limits]\nslots = \"exact\"\n" + MachineOptions.Limits_ +
