Keep a request that hangs at the store from blocking a node's own way

Callers saw a confirmed change handled as an older version says, for up to a request's whole time limit at a node that its peers had not told.

Cause: one connection, one request at a time, and a request that was sent to a store which lost it ends by its time limit alone: 2.5 s at a log reader and 31.5 s at any other node, then up to 1.5 s of delay. The class: a request that hangs across the return of what it waits for.

Change: SourcePolling (pure) decides. A source that did not answer is asked without a wait, so the limit is 1.5 s. A long request is given up when the node becomes a log reader. News of a version that the request should have brought gives it up after 300 ms (doubled while that is too short, as the source may be slow; not counted while the process was paused) and ends a retry delay. Readers ask again after 0.25 to 0.75 s at most, other nodes after up to 6 s, since peers are their first way.

Evidence: e2e.config_delay, second case, failed before on the one of four nodes that is no log reader (nothing in 15 s, bound 3 s).

--- a/src/libcoordination/configfollower.cpp
+++ b/src/libcoordination/configfollower.cpp
@@ -9,6 +9,7 @@
 #include "coltsfootpoint/verdict.h"
 
 #include <algorithm>
+#include <atomic>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
@@ -23,7 +24,7 @@
        const Clock &Time, Options Settings)
       : Options_(Settings), Source_(Source), Config_(Config), Clock_(Time),
         Strand_(asio::make_strand(Context)), Timer_(Strand_),
-        RetryDelay_(Settings.RetryMin_) {}
+        CheckTimer_(Strand_), Polling_(Settings.Polling_) {}
 
   void start() {
     asio::post(Strand_, [Self = shared_from_this()] {
@@ -36,9 +37,17 @@
     asio::post(Strand_, [Self = shared_from_this()] {
       Self->Running_ = false;
       Self->Timer_.cancel();
+      Self->CheckTimer_.cancel();
     });
   }
 
+  void onNewerKnown(int64_t Version) {
+    asio::post(Strand_,
+               [Self = shared_from_this(), Version] { Self->onNews(Version); });
+  }
+
+  bool sourceLost() const { return SourceLost_; }
+
 private:
   void poll();
   void onAnswer(const ConfigPollResponse &Answer);
@@ -48,15 +57,26 @@
   void pollAgain(bool Progress);
   void scheduleRetry();
   void onSourceDown(const std::string &Why);
-  void onSourceUp();
+  bool onSourceUp();
+  void onNews(int64_t Version);
+  void armCheck();
+  void check(Millis Due);
+  void giveUp();
 
   const Options Options_;
   ConfigSource &Source_;
   ConfigService &Config_;
   const Clock &Clock_;
   const asio::strand<asio::io_context::executor_type> Strand_;
-  asio::steady_timer Timer_;
-  Millis RetryDelay_;
+  asio::steady_timer Timer_;      ///< Ends a retry delay.
+  asio::steady_timer CheckTimer_; ///< See SourcePolling::nextCheck().
+  SourcePolling Polling_;
+  std::atomic<bool> SourceLost_ = false;
+  bool Retrying_ = false;   ///< A retry delay is in progress.
+  bool GivingUp_ = false;   ///< The request in progress has been given up.
+  int64_t NewsVersion_ = 0; ///< Newest version that a peer is known to have.
+  /// Newest version that the source has delivered.
+  int64_t DeliveredVersion_ = 0;
   Millis Sent_; ///< When the request in progress was sent.
   bool Running_ = false;
   PollPace Pace_;
@@ -83,10 +103,13 @@
       return;
     asio::post(Self->Strand_, [Self, Answer] { Self->onAnswer(Answer); });
   };
-  Millis Wait =
-      Config_.isLogReader() ? Options_.ReaderWait_ : Options_.FollowWait_;
+  Millis Wait = HasPosition_ ? Polling_.wait(Config_.isLogReader()) : Millis();
   Sent_ = Clock_.now();
-  Pace_.onRequest(Sent_, HasPosition_ ? Wait : Millis());
+  Pace_.onRequest(Sent_, Wait);
+  Polling_.onSent(Sent_, Wait);
+  if (NewsVersion_ > DeliveredVersion_)
+    Polling_.onNews(Sent_);
+  armCheck();
   if (HasPosition_)
     Source_.fetchAfter(Position_, Wait, std::move(Done));
   else
@@ -96,7 +119,13 @@
 void ConfigFollower::Impl::onAnswer(const ConfigPollResponse &Answer) {
   if (!Running_)
     return;
+  bool GaveUp = std::exchange(GivingUp_, false);
   if (const auto *Down = std::get_if<ConfigSourceDown>(&Answer.Result_)) {
+    if (GaveUp) {
+      Polling_.onGivenUp();
+      SourceLost_ = true;
+      return poll();
+    }
     onSourceDown(Down->Why_);
     return scheduleRetry();
   }
@@ -104,14 +133,14 @@
     return onDamaged(Damaged->Why_);
   if (HasPosition_)
     DamagedAnswers_ = 0;
-  onSourceUp();
+  bool Regained = onSourceUp();
   if (std::holds_alternative<ConfigHistoryLost>(Answer.Result_)) {
     logEvent(LogLevel::Info, "config_history_lost", {{"position", Position_}});
     HasPosition_ = false;
     return pollAgain(std::exchange(Followed_, false));
   }
   Followed_ = Followed_ || HasPosition_;
-  bool Progress = !HadPosition_ || Answer.Position_ > Position_;
+  bool Progress = !HadPosition_ || Answer.Position_ > Position_ || Regained;
   HasPosition_ = HadPosition_ = true;
   Position_ = Answer.Position_;
   for (const PassedOverRecord &Each : Answer.PassedOver_)
@@ -125,7 +154,7 @@
   if (!Pace_.mayAskAtOnce(Clock_.now(), Progress))
     return scheduleRetry();
   if (DamagedAnswers_ == 0)
-    RetryDelay_ = Options_.RetryMin_;
+    Polling_.resetRetryDelay();
   poll();
 }
 
@@ -150,6 +179,8 @@
 
 void ConfigFollower::Impl::adoptFrom(const ConfigPollResponse &Answer) {
   const auto *NewConfig = std::get_if<VersionedConfig>(&Answer.Result_);
+  if (NewConfig)
+    DeliveredVersion_ = std::max(DeliveredVersion_, NewConfig->Version_);
   if (!NewConfig || adopt(*NewConfig))
     return;
   for (const VersionedConfig &Each : Answer.Older_)
@@ -187,24 +218,82 @@
   constexpr uint64_t Steps = 1024;
   double Jitter =
       static_cast<double>(threadRandomGenerator()() % Steps) / Steps;
-  Timer_.expires_after(toChrono(RetryDelay_ * (0.5 + Jitter)));
+  // A node without a configuration asks as often as a log reader.
+  bool Often = Config_.isLogReader() || !Config_.ready();
+  Retrying_ = true;
+  Timer_.expires_after(
+      toChrono(Polling_.takeRetryDelay(Often) * (0.5 + Jitter)));
   Timer_.async_wait(
       [Self = shared_from_this()](const boost::system::error_code &Error) {
-        if (!Error)
+        if (!Error && std::exchange(Self->Retrying_, false))
           Self->poll();
       });
-  RetryDelay_ = std::min(RetryDelay_ * 2, Options_.RetryMax_);
+}
+
+void ConfigFollower::Impl::onNews(int64_t Version) {
+  if (!Running_ || Version <= std::max(NewsVersion_, DeliveredVersion_))
+    return;
+  NewsVersion_ = Version;
+  Polling_.onNews(Clock_.now());
+  armCheck();
+}
+
+void ConfigFollower::Impl::armCheck() {
+  Millis Now = Clock_.now();
+  std::optional<Millis> Due = Polling_.nextCheck(Now);
+  if (!Due) {
+    CheckTimer_.cancel();
+    return;
+  }
+  CheckTimer_.expires_after(toChrono(*Due - Now));
+  CheckTimer_.async_wait([Self = shared_from_this(),
+                          Due = *Due](const boost::system::error_code &Error) {
+    if (!Error && Self->Running_)
+      Self->check(Due);
+  });
+}
+
+// A node that has been paused could not read an answer that waits in the
+// socket.
+void ConfigFollower::Impl::check(Millis Due) {
+  constexpr Millis MaxTimerDelay(50);
+  Millis Now = Clock_.now();
+  if (Now - Due > MaxTimerDelay)
+    Polling_.restartNews(Now);
+  if (NewsVersion_ <= Config_.current()->nextOffset())
+    Polling_.onCaughtUp();
+  if (!GivingUp_ && Polling_.shouldGiveUp(Now, Config_.isLogReader()))
+    return giveUp();
+  if (Polling_.shouldHurry(Now) && std::exchange(Retrying_, false)) {
+    Timer_.cancel();
+    return poll();
+  }
+  armCheck();
+}
+
+void ConfigFollower::Impl::giveUp() {
+  logEvent(LogLevel::Info, "config_request_given_up",
+           {{"request_ms", (Clock_.now() - Sent_).whole()},
+            {"known", NewsVersion_}});
+  GivingUp_ = true;
+  Source_.abandon();
 }
 
 void ConfigFollower::Impl::onSourceDown(const std::string &Why) {
+  Polling_.onFailed();
+  SourceLost_ = true;
   if (!std::exchange(SourceDown_, true))
     logEvent(LogLevel::Warning, "config_source_lost",
              {{"why", Why}, {"request_ms", (Clock_.now() - Sent_).whole()}});
 }
 
-void ConfigFollower::Impl::onSourceUp() {
+/// Returns whether the source had been lost, or a request given up.
+bool ConfigFollower::Impl::onSourceUp() {
+  Polling_.onAnswered();
+  bool Regained = SourceLost_.exchange(false);
   if (std::exchange(SourceDown_, false))
     logEvent(LogLevel::Info, "config_source_regained");
+  return Regained;
 }
 
 ConfigFollower::ConfigFollower(asio::io_context &Context, ConfigSource &Source,
@@ -216,5 +305,9 @@
 
 void ConfigFollower::start() { Impl_->start(); }
 void ConfigFollower::stop() { Impl_->stop(); }
+void ConfigFollower::onNewerKnown(int64_t Version) {
+  Impl_->onNewerKnown(Version);
+}
+bool ConfigFollower::sourceLost() const { return Impl_->sourceLost(); }
 
 } // namespace coltsfoot
--- a/src/libcoordination/configfollower.h
+++ b/src/libcoordination/configfollower.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "configsource.h"
+#include "sourcepolling.h"
 
 #include "coltsfootpoint/time.h"
 
@@ -23,20 +24,18 @@
 /// at its position may never become readable.
 ///
 /// The source answers a waiting request as soon as there is a newer
-/// configuration, so the wait only bounds how long a dead connection stays
-/// undetected. To keep the request rate at the source low, only the few log
+/// configuration. To keep the request rate at the source low, only the few log
 /// readers of each zone use short waits, and all other nodes use long ones, and
 /// a request that brought nothing new without a wait is followed by a pause.
+/// SourcePolling decides how long a request may wait and when one that hangs is
+/// given up.
 ///
 /// Runs on a strand. Borrows the source, the configuration service and the
 /// clock.
 class ConfigFollower {
 public:
   struct Options {
-    Millis ReaderWait_ = Millis(1000); ///< Longest wait of a log reader.
-    Millis FollowWait_ = Millis(8000); ///< Longest wait of other nodes.
-    Millis RetryMin_ = Millis(100);    ///< First delay after a failure.
-    Millis RetryMax_ = Millis(1000);
+    SourcePolling::Options Polling_;
     int MaxDamaged_ = 3; ///< Damaged answers before the position is given up.
   };
 
@@ -49,6 +48,12 @@
   void start();
   void stop();
 
+  /// Notes that a peer has this version, which is newer than that in force.
+  void onNewerKnown(int64_t Version);
+
+  /// Returns whether the source did not answer the last request.
+  bool sourceLost() const;
+
 private:
   class Impl;
   std::shared_ptr<Impl> Impl_;
--- a/src/libcoordination/configfollower_test.cpp
+++ b/src/libcoordination/configfollower_test.cpp
@@ -38,6 +38,7 @@
   void fetchAfter(int64_t, Millis Wait, Handler Done) override {
     answer(Wait, std::move(Done));
   }
+  void abandon() override {}
   std::vector<Millis> Waits_;
 
 private:
@@ -85,7 +86,7 @@
 
 std::vector<Millis> requestWaits(bool Reader) {
   constexpr size_t Requests = 4;
-  Fixture<IdleSource> Test({Millis(1000), Millis(8000)}, Requests);
+  Fixture<IdleSource> Test({{Millis(1000), Millis(8000)}}, Requests);
   Test.Config_.setLogReader(Reader);
   Test.run(std::chrono::seconds(10));
   return Test.Source_.Waits_;
@@ -102,6 +103,7 @@
   void fetchAfter(int64_t Position, Millis, Handler Done) override {
     answer(std::to_string(Position), Done);
   }
+  void abandon() override {}
   std::vector<std::string> Requests_;
 
 private:
@@ -132,7 +134,8 @@
 
 Followed follow(std::vector<ConfigPollResponse> Script) {
   ConfigFollower::Options Options;
-  Options.RetryMin_ = Options.RetryMax_ = Millis(1);
+  SourcePolling::Options &Polling = Options.Polling_;
+  Polling.RetryMin_ = Polling.RetryMax_ = Millis(1);
   Fixture<ScriptedSource> Test(Options, std::move(Script));
   Test.run(std::chrono::seconds(10));
   return {Test.Source_.Requests_, Test.Config_.current()->nextOffset()};
@@ -216,6 +219,7 @@
   void fetchAfter(int64_t, Millis, Handler Done) override {
     answer(Later_, std::move(Done));
   }
+  void abandon() override {}
   size_t Requests_ = 0;
 
 private:
--- a/src/libcoordination/configsource.h
+++ b/src/libcoordination/configsource.h
@@ -72,6 +72,11 @@
   /// Requests a configuration after a position. The source holds the request
   /// open for up to Wait until there is one.
   virtual void fetchAfter(int64_t Position, Millis Wait, Handler Done) = 0;
+
+  /// Gives up the request in progress, if there is one: its handler gets
+  /// ConfigSourceDown unless the answer has already arrived. The next request
+  /// does not depend on the connection that was used so far.
+  virtual void abandon() = 0;
 };
 
 } // namespace coltsfoot
--- a/src/libcoordination/node.cpp
+++ b/src/libcoordination/node.cpp
@@ -301,8 +301,8 @@
   if (Adapters_.Config_)
     Follower_ = std::make_unique<ConfigFollower>(
         Context, *Adapters_.Config_, Config_, Clock_,
-        ConfigFollower::Options{AllSettings.LogService_.ReadWait_,
-                                AllSettings.LogService_.FollowWait_});
+        ConfigFollower::Options{{AllSettings.LogService_.ReadWait_,
+                                 AllSettings.LogService_.FollowWait_}});
   if (!Adapters_.Reports_ || AllSettings.Listen_.Reports_.empty())
     return;
   Instances_ = std::make_unique<InstanceMonitor>(Context, nodeContext(),
--- a/src/libtransport/serialhttpclient.cpp
+++ b/src/libtransport/serialhttpclient.cpp
@@ -49,6 +49,14 @@
                });
   }
 
+  // The operation in progress ends with an error, which ends the request.
+  void abandon() {
+    asio::post(Strand_, [Self = shared_from_this()] {
+      if (Self->Current_)
+        Self->disconnect();
+    });
+  }
+
   void close() {
     asio::post(Strand_, [Self = shared_from_this()] {
       Self->Closed_ = true;
@@ -227,4 +235,6 @@
   Impl_->send(std::move(Request), std::move(Done));
 }
 
+void SerialHttpClient::abandon() { Impl_->abandon(); }
+
 } // namespace coltsfoot
--- a/src/libtransport/serialhttpclient.h
+++ b/src/libtransport/serialhttpclient.h
@@ -75,6 +75,10 @@
   /// already.
   void send(SerialHttpRequest Request, Handler Done);
 
+  /// Ends the request in progress, if there is one, as if its connection had
+  /// failed. The next request uses a new connection.
+  void abandon();
+
 private:
   class Impl;
   std::shared_ptr<Impl> Impl_;
