Let nodes announce a version and fetch it from several peers at once

A node that the store did not serve had a change 1.2 to 2.4 s after its peers, of a bound of 2.0 s, in a calm fleet.

Cause: with whole versions nothing was spread. A node told its version only in the messages that it sent anyway, raised by a tick of 200 ms; who heard of it waited 1.0 s for a record that never came, 0.2 s more, and then asked one peer without a time limit, the one heard last even if it had fallen silent; the next after a second.

Change: a node announces a version at the moment that it adopts it, from any way, and answers a datagram of a node that is behind.

--- a/src/libcoordination/configservice.cpp
+++ b/src/libcoordination/configservice.cpp
@@ -134,6 +134,7 @@
   void stop();
   void setLogReader(bool Reader);
   bool isLogReader() const { return LogReader_; }
+  bool hasExternalSource() const { return Settings_.ExternalSource_; }
   void submit(Change Value, Handler Done);
   void onPeerRecords(std::vector<LogRecord> Records);
   void onPeerOffset(int64_t NextOffset);
@@ -212,6 +213,7 @@
   asio::steady_timer GapTimer_;
   asio::steady_timer SnapshotTimer_;
   std::function<void(std::span<const LogRecord>)> OnApplied_;
+  std::function<void(int64_t)> OnAdopted_;
   std::function<void(int64_t)> FetchFromPeers_;
   std::function<void(const ConfigState &)> OnChange_;
 
@@ -254,6 +256,7 @@
 
 void ConfigService::Impl::start(const ConfigService &Hooks) {
   OnApplied_ = Hooks.OnApplied_;
+  OnAdopted_ = Hooks.OnAdopted_;
   FetchFromPeers_ = Hooks.FetchFromPeers_;
   OnChange_ = Hooks.OnChange_;
   runOnStrand([](Impl &Self) {
@@ -451,6 +454,8 @@
             {"behind_ms", behindFor().whole()}});
   publish(State, {});
   onStateUpdated();
+  if (OnAdopted_)
+    OnAdopted_(next());
   // Buffered records may now continue the configuration.
   addRecords({});
 }
@@ -529,7 +534,8 @@
 }
 
 void ConfigService::Impl::armGapTimer(Millis Delay) {
-  if (!Running_ || GapTimerArmed_ || next() >= highestKnownOffset())
+  if (!Running_ || GapTimerArmed_ || Settings_.ExternalSource_ ||
+      next() >= highestKnownOffset())
     return;
   GapTimerArmed_ = true;
   GapTimer_.expires_after(toDuration(Delay));
@@ -814,6 +820,10 @@
 
 int64_t ConfigService::knownOffset() const { return Impl_->knownOffset(); }
 
+bool ConfigService::hasExternalSource() const {
+  return Impl_->hasExternalSource();
+}
+
 bool ConfigService::isLogReader() const { return Impl_->isLogReader(); }
 
 bool ConfigService::ready() const { return Impl_->ready(); }
--- a/src/libcoordination/configservice.h
+++ b/src/libcoordination/configservice.h
@@ -143,6 +143,9 @@
   /// arrived.
   bool ready() const;
 
+  /// Returns Options::ExternalSource_.
+  bool hasExternalSource() const;
+
   /// Returns whether this node is one of the log readers of its zone.
   bool isLogReader() const;
 
@@ -153,9 +156,12 @@
   /// Called with the records that were applied after the node was ready, so
   /// that the owner can pass them on to peers.
   std::function<void(std::span<const LogRecord>)> OnApplied_;
+  /// Called with the offset of a complete configuration that was adopted.
+  std::function<void(int64_t Next)> OnAdopted_;
   /// Called when records from this offset on are still missing after GapDelay_,
   /// or when neither the log nor a snapshot has them any more. The owner then
-  /// asks peers for them.
+  /// asks peers for them. With an external source it is never called, and the
+  /// owner asks peers by itself.
   std::function<void(int64_t From)> FetchFromPeers_;
   /// Called after each update of the state, even if it moved only the offset.
   std::function<void(const ConfigState &)> OnChange_;
--- a/src/libcoordination/configsync.cpp
+++ b/src/libcoordination/configsync.cpp
@@ -5,6 +5,7 @@
 #include "gossipservice.h"
 #include "memberview.h"
 #include "peerpool.h"
+#include "timer.h"
 
 #include "coltsfootpoint/ids.h"
 #include "coltsfootpoint/log.h"
@@ -33,11 +34,16 @@
                        std::string Zone)
     : Config_(Config), Gossip_(Gossip), Peers_(Peers), Node_(std::move(Node)),
       Zone_(std::move(Zone)), Strand_(asio::make_strand(Context)),
-      Timer_(Strand_) {}
+      Timer_(Strand_), CatchUpTimer_(Strand_) {}
 
 ConfigSync::~ConfigSync() = default;
 
 void ConfigSync::start() {
+  if (Config_.hasExternalSource())
+    Config_.OnAdopted_ = [this](int64_t Next) {
+      Gossip_.setConfigOffset(Next);
+      asio::dispatch(Strand_, [this] { catchUp(); });
+    };
   Config_.FetchFromPeers_ = [this](int64_t From) {
     asio::dispatch(Strand_, [this, From] {
       std::string Peer = peerAhead(From);
@@ -55,7 +61,11 @@
 }
 
 void ConfigSync::stop() {
-  asio::post(Strand_, [this] { Timer_.cancel(); });
+  asio::post(Strand_, [this] {
+    Stopped_ = true;
+    Timer_.cancel();
+    CatchUpTimer_.cancel();
+  });
 }
 
 void ConfigSync::arm() {
@@ -73,8 +83,12 @@
 // and a zone is without a reader only until the next tick of another node.
 void ConfigSync::tick() {
   Gossip_.setConfigOffset(Config_.current()->nextOffset());
+  if (Config_.hasExternalSource())
+    catchUp();
+  else if (!Config_.ready())
+    queryPeersAtStart();
   if (!Config_.ready())
-    return queryPeersAtStart();
+    return;
   auto Members = Gossip_.view();
   bool Reader = false;
   for (const auto &MemberEntry : Members->logReadersOf(Zone_))
@@ -123,9 +137,61 @@
   asio::dispatch(Strand_, [this, Peer, NextOffset] {
     AheadPeer_ = Peer;
     Config_.onPeerOffset(NextOffset);
+    if (!Config_.hasExternalSource() ||
+        NextOffset <= Config_.current()->nextOffset())
+      return;
+    CatchUp_.onNews(Peer, NextOffset, Clock_.now());
+    if (OnBehind_)
+      OnBehind_(NextOffset);
+    catchUp();
+  });
+}
+
+void ConfigSync::catchUp() {
+  if (Stopped_)
+    return;
+  Millis Now = Clock_.now();
+  int64_t Next = Config_.current()->nextOffset();
+  CatchUp_.onApplied(Next);
+  CatchUp_.setSourceLost(SourceLost_ && SourceLost_());
+  if (CatchUp_.lacksPeers())
+    addPeersAhead();
+  for (const std::string &Peer : CatchUp_.takePeers(Now))
+    fetch(Peer, Next, false);
+  std::optional<Millis> Due = CatchUp_.nextTime();
+  if (!Due)
+    return;
+  CatchUpTimer_.expires_after(toChrono(std::max(*Due - Now, Millis())));
+  CatchUpTimer_.async_wait([this](const boost::system::error_code &Error) {
+    if (!Error)
+      catchUp();
   });
 }
 
+/// Adds peers that the member table shows to be ahead.
+void ConfigSync::addPeersAhead() {
+  constexpr size_t MaxAdded = 4;
+  int64_t Next = Config_.current()->nextOffset();
+  size_t Added = 0;
+  auto Members = Gossip_.view();
+  for (const auto &MemberEntry : Members->all()) {
+    const Member &Peer = MemberEntry->Member_;
+    bool Present = Peer.State_ < MemberState::Suspect;
+    if (!Present || Peer.ConfigOffset_ <= Next || Peer.Node_ == Node_)
+      continue;
+    CatchUp_.onNews(Peer.Node_, Peer.ConfigOffset_, Clock_.now());
+    if (++Added == MaxAdded)
+      return;
+  }
+}
+
+void ConfigSync::onFetched(const std::string &Peer, bool HadConfig) {
+  if (!Config_.hasExternalSource())
+    return;
+  CatchUp_.onAnswered(Peer, HadConfig);
+  catchUp();
+}
+
 void ConfigSync::fetch(const std::string &Peer, int64_t From, bool AtStart) {
   wire::ConfigFetch Fetch;
   Fetch.from_offset = From;
@@ -150,11 +216,12 @@
                     QueriedPeers_.erase(Peer);
                     if (AheadPeer_ == Peer)
                       AheadPeer_.clear();
-                    return;
+                    return onFetched(Peer, false);
                   }
                   onBatch((*Answer)->config_batch, Origin);
                   if (AtStart)
                     AnsweredPeers_.insert(Peer);
+                  onFetched(Peer, !(*Answer)->config_batch.snapshot.empty());
                 });
               });
 }
--- a/src/libcoordination/configsync.h
+++ b/src/libcoordination/configsync.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "configcatchup.h"
 #include "configservice.h"
 
 #include "coltsfootpoint/time.h"
@@ -27,6 +28,10 @@
 /// this node reads the log for its zone, and asks peers for their configuration
 /// while the node is not yet ready, since the log may not answer.
 ///
+/// With an external source it announces each version that this node has adopted
+/// and fetches those that peers are known to have; ConfigCatchUp decides from
+/// whom and when.
+///
 /// Runs on a strand; its public methods are thread-safe.
 class ConfigSync {
 public:
@@ -41,6 +46,12 @@
   void start();
   void stop();
 
+  /// Set before start(). Returns whether the external source does not answer.
+  std::function<bool()> SourceLost_;
+  /// Set before start(). Called with an offset up to which a peer has applied
+  /// records that this node lacks.
+  std::function<void(int64_t NextOffset)> OnBehind_;
+
   /// Notes that a peer has applied all records before NextOffset, more than
   /// this node.
   void onPeerAhead(const std::string &Peer, int64_t NextOffset);
@@ -56,6 +67,9 @@
   /// none is known.
   std::string peerAhead(int64_t Offset) const;
   void fetch(const std::string &Peer, int64_t From, bool AtStart);
+  void onFetched(const std::string &Peer, bool HadConfig);
+  void catchUp();
+  void addPeersAhead();
   void onBatch(const wire::ConfigBatch &Batch, const ConfigOrigin &Origin);
 
   ConfigService &Config_;
@@ -66,9 +80,12 @@
   const SystemClock Clock_;
   boost::asio::strand<boost::asio::io_context::executor_type> Strand_;
   boost::asio::steady_timer Timer_;
+  boost::asio::steady_timer CatchUpTimer_;
+  ConfigCatchUp CatchUp_;
   std::string AheadPeer_;
   std::set<std::string> QueriedPeers_;
   std::set<std::string> AnsweredPeers_;
+  bool Stopped_ = false;
 };
 
 } // namespace coltsfoot
--- a/src/libcoordination/gossip.cpp
+++ b/src/libcoordination/gossip.cpp
@@ -175,6 +175,10 @@
   if (Message->__isset.digest && !IsTransfer)
     handleDigest(Message->digest, *Sender);
   sendSupersedingRecord(*Sender, Message->__isset.probe);
+  // Any datagram tells the sender which version this node has.
+  bool SenderBehind = Sender->ConfigOffset_ < Table_.self().ConfigOffset_;
+  if (Options_.AnnouncesConfig_ && SenderBehind && Outgoing_.empty())
+    send(Sender->Node_, newDatagram());
   return takeOutgoing();
 }
 
@@ -256,6 +260,9 @@
   int64_t Applied = Table_.self().ConfigOffset_;
   if (Record.Offset_ < Applied)
     return;
+  // The offset in the sender's record tells the same.
+  if (Options_.AnnouncesConfig_)
+    return;
   // A record without data was too big for a datagram and has to be fetched.
   if (Record.Data_.empty()) {
     if (OversizedOffsets_.size() < MaxOversizedOffsets)
@@ -273,6 +280,10 @@
 void Gossip::Impl::notePeerAhead(const std::string &Node, int64_t Offset) {
   if (Offset <= Table_.self().ConfigOffset_)
     return;
+  if (Options_.AnnouncesConfig_) {
+    Events_.PeerAhead_ = PeerAhead{Node, Offset};
+    return;
+  }
   if (!PeerAhead_) {
     PeerAhead_ = PeerAhead{Node, Offset};
     PeerAheadSince_ = Time_.now();
@@ -290,6 +301,11 @@
   if (!Table_.raiseConfigOffset(Self.Node_, Self.Incarnation_, Offset))
     return;
   updateSelfWire();
+  if (Options_.AnnouncesConfig_) {
+    Rumors_.announce(Offset - 1);
+    NextGossip_ = Millis();
+    return;
+  }
   // Announce the oversized records that peers can now fetch from this node.
   while (!OversizedOffsets_.empty() && *OversizedOffsets_.begin() < Offset) {
     Rumors_.add(GossipRecord{*OversizedOffsets_.begin(), {}});
--- a/src/libcoordination/gossip.h
+++ b/src/libcoordination/gossip.h
@@ -36,6 +36,10 @@
   int IndirectProbes_ = 3;
   int RelaysPerZone_ = 3;
   int MaxDatagramBytes_ = 1200;
+  /// Whether the configuration consists of complete versions, which are never
+  /// sent by gossip: a new version is then announced to peers, which have to
+  /// fetch it, and a peer that is ahead is reported at once.
+  bool AnnouncesConfig_ = false;
   /// Addresses of the nodes to contact at the start, `ip:port`.
   std::vector<std::string> Peers_;
 };
@@ -145,7 +149,8 @@
   /// Declares this node dead and returns the datagrams that tell some peers.
   /// Afterwards this object sends nothing.
   std::vector<OutgoingDatagram> leave();
-  /// Sets the first configuration offset that this node has not applied.
+  /// Sets the first configuration offset that this node has not applied, and
+  /// announces it if the options say so.
   void setConfigOffset(int64_t Offset);
 
   /// Sends configuration records to peers, each a limited number of times. Of a
--- a/src/libcoordination/node.cpp
+++ b/src/libcoordination/node.cpp
@@ -395,6 +395,7 @@
     Options.SuspicionTime_ = AllSettings.Membership_.Suspicion_;
     Options.SpreadInterval_ = AllSettings.Membership_.SpreadInterval_;
     Options.DigestInterval_ = AllSettings.Membership_.DigestInterval_;
+    Options.AnnouncesConfig_ = Adapters_.Config_ != nullptr;
     Options.Peers_ = seedPeers(AllSettings.Membership_);
     try {
       Sockets.Udp_ = std::make_unique<GossipService>(
@@ -514,6 +515,12 @@
     Gate_.connectionClosed(Connection);
   };
   Sockets_.Tcp_->start(connectionOptions(), hello(), std::move(Handlers));
+  if (Follower_) {
+    ConfigSync_.SourceLost_ = [this] { return Follower_->sourceLost(); };
+    ConfigSync_.OnBehind_ = [this](int64_t Version) {
+      Follower_->onNewerKnown(Version);
+    };
+  }
   startGossip();
   ConfigSync_.start();
   Config_.start();
--- a/src/libcoordination/rumorqueue.cpp
+++ b/src/libcoordination/rumorqueue.cpp
@@ -33,6 +33,11 @@
   push(std::move(NewRumor));
 }
 
+void RumorQueue::announce(int64_t Offset) {
+  std::erase_if(Rumors_, [](const Rumor &R) { return R.announces(); });
+  add(GossipRecord{Offset, {}});
+}
+
 void RumorQueue::push(Rumor Update) {
   if (Rumors_.size() >= MaxRumors) {
     auto MostSent = std::max_element(Rumors_.begin(), Rumors_.end(),
@@ -52,8 +57,9 @@
                                 const RumorSendLimits &Limits) const {
   if (Channel == RumorChannel::Remote)
     return RemoteSends_ < Limits.RemoteSends_;
+  bool Small = Member_ || announces();
   return LocalSends_ <
-         (Member_ ? Limits.LocalMemberSends_ : Limits.LocalRecordSends_);
+         (Small ? Limits.LocalMemberSends_ : Limits.LocalRecordSends_);
 }
 
 int RumorQueue::fill(wire::Datagram &Message, size_t AvailableBytes,
--- a/src/libcoordination/rumorqueue.h
+++ b/src/libcoordination/rumorqueue.h
@@ -17,7 +17,7 @@
 
 /// How often a rumor is sent over each channel.
 struct RumorSendLimits {
-  int LocalMemberSends_ = 0;
+  int LocalMemberSends_ = 0; ///< Also of announcements, which are as small.
   int LocalRecordSends_ = 0;
   int RemoteSends_ = 0;
 };
@@ -33,6 +33,8 @@
   void add(MemberPtr Update);
   /// Queues a configuration record. One without data announces its offset.
   void add(GossipRecord Update);
+  /// Queues the announcement of an offset in place of all earlier ones.
+  void announce(int64_t Offset);
 
   /// Copies rumors that have not reached the limit of the channel into the
   /// datagram, as many as fit into AvailableBytes, and counts them as sent.
@@ -55,6 +57,8 @@
     int LocalSends_ = 0;
     int RemoteSends_ = 0;
 
+    /// Whether it only announces an offset.
+    bool announces() const { return !Member_ && Record_.Data_.empty(); }
     int sends(RumorChannel Channel) const;
     bool pending(RumorChannel Channel, const RumorSendLimits &Limits) const;
   };
