Refuse an unknown route for now while a newer configuration is known

Callers got 404, which they take as final, from a configuration that the node itself knew to be old. Now it answers 503 not-ready with Retry-After until it has caught up; the call has not run.

--- a/src/include/coltsfootpoint/verdict.h
+++ b/src/include/coltsfootpoint/verdict.h
@@ -47,7 +47,7 @@
   ConnectionLost,     ///< The connection to the gate failed or timed out.
   Leaving,            ///< The gate is draining.
   Cancelled,          ///< The caller disconnected or cancelled.
-  NotReady,           ///< The node has no configuration yet.
+  NotReady,           ///< The node lacks the configuration in force.
   Isolated,           ///< The node reaches neither the log service nor peers.
   AnswerNotKept       ///< The request ran; its answer is no longer stored.
 };
--- a/src/libcoordination/entry.cpp
+++ b/src/libcoordination/entry.cpp
@@ -141,6 +141,8 @@
     return Exchange->respond(refusalAnswer(NotRun{Blocked}, ""));
   auto Config = Parts_->NodeContext_.Config_();
   const Route *MatchedRoute = Config->route(Service, Method, Path);
+  if (!MatchedRoute && Parts_->ConfigOutdated_())
+    return Exchange->respond(refusalAnswer(NotRun{Reason::NotReady}, ""));
   if (!MatchedRoute)
     return Exchange->respond(errorAnswer(404,
                                          "no route of service '" + Service +
--- a/src/libcoordination/entry.h
+++ b/src/libcoordination/entry.h
@@ -72,6 +72,14 @@
   /// Called for each attempt that the retry budget granted or refused; may be
   /// empty.
   std::function<void(const RetryRecord &)> OnRetry_;
+  /// Returns whether a newer configuration is known than the one in force.
+  std::function<bool()> ConfigOutdated_;
+
+  /// Returns why a call without a route is refused: the route may be in the
+  /// configuration that this node is known to lack.
+  Reason missingRouteReason() const {
+    return ConfigOutdated_() ? Reason::NotReady : Reason::NoRoute;
+  }
 };
 
 /// Accepts calls from external callers and from the backend server of this VM,
--- a/src/libcoordination/entryrequestreader.cpp
+++ b/src/libcoordination/entryrequestreader.cpp
@@ -155,7 +155,7 @@
   const HostRoute *MatchedRoute =
       Config_->hostRoute(Metadata.Host_, Incoming_.Target_);
   if (!MatchedRoute)
-    throw Refusal{NotRun{Reason::NoRoute},
+    throw Refusal{NotRun{Parts_.missingRouteReason()},
                   "no route of host '" + Metadata.Host_ + "' matches the path"};
   Request_.Service_ =
       pickWeightedService(*MatchedRoute, threadRandomGenerator());
@@ -229,9 +229,9 @@
   const Route *MatchedRoute =
       Config_->route(Request_.Service_, Incoming_.Method_, Incoming_.Target_);
   if (!MatchedRoute)
-    throw Refusal{NotRun{Reason::NoRoute}, "no route of service '" +
-                                               Request_.Service_ +
-                                               "' matches the method and path"};
+    throw Refusal{NotRun{Parts_.missingRouteReason()},
+                  "no route of service '" + Request_.Service_ +
+                      "' matches the method and path"};
   Request_.Route_ = *MatchedRoute;
   Idempotent_ = MatchedRoute->Idempotent_;
   Request_.RankOrder_ = Config_->rank(MatchedRoute->Rank_).Order_;
--- a/src/libcoordination/node.cpp
+++ b/src/libcoordination/node.cpp
@@ -464,7 +464,10 @@
       },
       [this] { return notServingReason(); },
       [this](const CallRecord &Record) { Api_.record(Record); },
-      [this](const RetryRecord &Record) { Api_.recordRetry(Record); }};
+      [this](const RetryRecord &Record) { Api_.recordRetry(Record); },
+      [this] {
+        return Config_.knownOffset() > Config_.current()->nextOffset();
+      }};
 }
 
 ApiParts Node::Impl::apiParts() {
--- a/testsuite/config_delay/config_delay_test.cpp
+++ b/testsuite/config_delay/config_delay_test.cpp
@@ -1,10 +1,14 @@
 /// How soon a configuration that the store has confirmed is in force at a node
 /// whose own way to the store is blocked.
 
+#include "codec.h"
+#include "coltsfoot_types.h"
 #include "faultproxy.h"
 #include "platformmachine.h"
 #include "platformstore.h"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
 #include <doctest/doctest.h>
 #include <filesystem>
 #include <optional>
@@ -99,9 +103,6 @@
     return shows(Number, "coltsfoot_config_version", Version_);
   }
 
-private:
-  std::string path() const { return "/new-" + std::to_string(Version_) + "/"; }
-
   /// Returns whether the machine's metric has this value.
   bool shows(int Number, const std::string &Metric, int Value) {
     constexpr uint16_t MetricsPort = 9464;
@@ -111,6 +112,9 @@
            std::string::npos;
   }
 
+private:
+  std::string path() const { return "/new-" + std::to_string(Version_) + "/"; }
+
   PlatformStore Store_;
   std::filesystem::path Folder_;
   std::vector<std::unique_ptr<FaultProxy>> StoreLinks_;
@@ -120,6 +124,22 @@
   int Calls_ = 0;
 };
 
+/// Tells a machine that a node, which answers nothing, has this version.
+void announce(const PlatformMachine &To, int64_t Version) {
+  constexpr uint16_t PeerPort = 7620;
+  wire::Datagram Message;
+  Message.fleet = "default";
+  Message.sender.node = "127.0.0.1:1";
+  Message.sender.incarnation = 1;
+  Message.sender.generation = 1;
+  Message.sender.config_offset = Version;
+  namespace ip = boost::asio::ip;
+  boost::asio::io_context Context;
+  ip::udp::socket Socket(Context, ip::udp::v4());
+  Socket.send_to(boost::asio::buffer(encodeDatagram(Message)),
+                 {ip::make_address(To.ip()), PeerPort});
+}
+
 /// Returns the time until the condition holds, or nothing if it does not within
 /// the limit.
 template <typename F>
@@ -167,3 +187,18 @@
         Site.machine(Number).node().resume();
   }
 }
+
+TEST_CASE("a node that knows of a newer configuration refuses an unknown route "
+          "as not run for now") {
+  Site Site;
+  Site.storeLink(3).blackhole(Direction::Both, ConnectionSet::All);
+  CHECK(Site.machine(3).call("GET", "/later/x", "c-before").Status_ == 404);
+  announce(Site.machine(3), 1000);
+  waitUntil(
+      [&] { return Site.shows(3, "coltsfoot_config_known_version", 1000); },
+      WaitLimit, "the node knows of the newer configuration");
+  HttpReply Refused = Site.machine(3).call("GET", "/later/x", "c-after");
+  CHECK(Refused.Status_ == 503);
+  CHECK_FALSE(Refused.header("Retry-After").empty());
+  CHECK(Site.serves(3));
+}
