--- a/src/libcoordination/gossip.cpp
+++ b/src/libcoordination/gossip.cpp
@@ -303,6 +303,7 @@
   updateSelfWire();
   if (Options_.AnnouncesConfig_) {
     Rumors_.announce(Offset - 1);
+    AnnouncementIsNew_ = true;
     NextGossip_ = Millis();
     return;
   }
@@ -335,6 +336,8 @@
     int Rounds = static_cast<int>(std::ceil(std::log(Region)));
     Limits.LocalMemberSends_ = Options_.Fanout_ + 2 * Rounds;
     Limits.LocalRecordSends_ = 2 + Rounds;
+    Limits.LocalAnnouncementSends_ =
+        Options_.AnnouncementFanout_ + Limits.LocalMemberSends_;
   }
   if (Index_.selfIsRelay() && !Index_.remoteRegions().empty())
     Limits.RemoteSends_ = std::max(
@@ -350,8 +353,10 @@
   if (Rumors_.size() == 0 || Now < NextGossip_ || NoPeers)
     return;
   NextGossip_ = Now + Options_.SpreadInterval_;
-  for (const MemberPtr &Peer :
-       Index_.chooseDistinct(Random_, Options_.Fanout_)) {
+  int Fanout = std::exchange(AnnouncementIsNew_, false)
+                   ? Options_.AnnouncementFanout_
+                   : Options_.Fanout_;
+  for (const MemberPtr &Peer : Index_.chooseDistinct(Random_, Fanout)) {
     wire::Datagram Message = newDatagram();
     if (Rumors_.fill(Message, remainingBytes(Message), RumorChannel::Local,
                      Limits))
--- a/src/libcoordination/gossip.h
+++ b/src/libcoordination/gossip.h
@@ -33,6 +33,8 @@
   /// dead.
   Millis RegionRetention_ = Millis(3'600'000);
   int Fanout_ = 3;
+  /// Number of peers to which a new offset is announced at once.
+  int AnnouncementFanout_ = 8;
   int IndirectProbes_ = 3;
   int RelaysPerZone_ = 3;
   int MaxDatagramBytes_ = 1200;
--- a/src/libcoordination/gossipimpl.h
+++ b/src/libcoordination/gossipimpl.h
@@ -151,6 +151,7 @@
 
   RumorQueue Rumors_;
   Millis NextGossip_;
+  bool AnnouncementIsNew_ = false; ///< It has not been sent yet.
   size_t NextGossipRegion_ = 0;
   uint64_t IndexedVersion_ = 0;
   Millis NextIndexRebuild_;
--- a/src/libcoordination/rumorqueue.cpp
+++ b/src/libcoordination/rumorqueue.cpp
@@ -57,9 +57,10 @@
                                 const RumorSendLimits &Limits) const {
   if (Channel == RumorChannel::Remote)
     return RemoteSends_ < Limits.RemoteSends_;
-  bool Small = Member_ || announces();
+  if (announces())
+    return LocalSends_ < Limits.LocalAnnouncementSends_;
   return LocalSends_ <
-         (Small ? Limits.LocalMemberSends_ : Limits.LocalRecordSends_);
+         (Member_ ? Limits.LocalMemberSends_ : Limits.LocalRecordSends_);
 }
 
 int RumorQueue::fill(wire::Datagram &Message, size_t AvailableBytes,
--- a/src/libcoordination/rumorqueue.h
+++ b/src/libcoordination/rumorqueue.h
@@ -17,7 +17,8 @@
 
 /// How often a rumor is sent over each channel.
 struct RumorSendLimits {
-  int LocalMemberSends_ = 0; ///< Also of announcements, which are as small.
+  int LocalMemberSends_ = 0;
+  int LocalAnnouncementSends_ = 0; ///< Of a record without data.
   int LocalRecordSends_ = 0;
   int RemoteSends_ = 0;
 };
