--- a/testsuite/bench_config/bench_config.cpp
+++ b/testsuite/bench_config/bench_config.cpp
@@ -38,6 +38,22 @@
       .Outage_ = Outage,
       .Ends_ = false,
       .LostShare_ = 0.4}},
+    {"store refuses all readers",
+     {.RefusedShare_ = 1,
+      .Outage_ = Outage,
+      .Ends_ = false,
+      .ReadersOnly_ = true}},
+    {"store silent to all readers",
+     {.SilentShare_ = 1,
+      .Outage_ = Outage,
+      .Ends_ = false,
+      .ReadersOnly_ = true}},
+    {"all readers lose power", {.ReadersLost_ = true}},
+    {"all readers freeze", {.ReadersFrozen_ = true}},
+    {"store silent for 8 s, readers lose power",
+     {.SilentShare_ = 1, .Outage_ = Outage, .ReadersLost_ = true}},
+    {"store silent for 8 s, readers freeze",
+     {.SilentShare_ = 1, .Outage_ = Outage, .ReadersFrozen_ = true}},
 };
 
 void measure(const NamedTrouble &Case, int Size, int Seeds, bool Before) {
--- a/testsuite/common/configfleet.h
+++ b/testsuite/common/configfleet.h
@@ -2,6 +2,7 @@
 
 #include "configcatchup.h"
 #include "gossipfleet.h"
+#include "memberview.h"
 #include "sourcepolling.h"
 
 #include <algorithm>
@@ -24,6 +25,11 @@
     bool Ends_ = true;        ///< Whether it ends just before the change.
     double LostShare_ = 0;    ///< Nodes that lose power just after the change.
     int Versions_ = 1;        ///< Changes, 60 ms apart.
+    /// Whether the store is silent to, or refuses, log readers alone.
+    bool ReadersOnly_ = false;
+    /// Whether all log readers lose power or freeze just before the change.
+    bool ReadersLost_ = false;
+    bool ReadersFrozen_ = false;
   };
 
   /// With Before, the nodes act as they did before announcements, side by side
@@ -37,7 +43,6 @@
       if (I < Zones)
         Seeds.push_back(Fleet_.address(I));
       Node &Added = Nodes_.emplace_back();
-      Added.Reader_ = I < 3 * Zones;
       Added.CatchUp_ = ConfigCatchUp(catchUpOptions(Before));
       Added.Polling_ = SourcePolling(pollingOptions(Before));
       Fleet_.gossip(I).setConfigOffset(Version_);
@@ -55,6 +60,8 @@
   std::optional<Millis> timeToLast(const Trouble &Case, Millis Limit) {
     for (Node &Each : Nodes_) {
       double Draw = double(Random_() % 10'000) / 10'000;
+      if (Case.ReadersOnly_ && !Each.Reader_)
+        Draw = 1;
       Each.Silent_ = Draw < Case.SilentShare_;
       Each.Refused_ =
           !Each.Silent_ && Draw < Case.SilentShare_ + Case.RefusedShare_;
@@ -66,6 +73,11 @@
     if (Case.Ends_)
       for (Node &Each : Nodes_)
         Each.Silent_ = Each.Refused_ = false;
+    for (int I = 0; I < size(); ++I)
+      if (Nodes_[size_t(I)].Reader_ && Case.ReadersLost_)
+        Fleet_.kill(I);
+      else if (Nodes_[size_t(I)].Reader_ && Case.ReadersFrozen_)
+        Fleet_.pause(I);
     for (int I = 0; I < Case.Versions_; ++I) {
       constexpr Millis VersionInterval(60);
       run(I == 0 ? Millis(double(Random_() % 1000)) : VersionInterval);
@@ -98,7 +110,8 @@
     bool Lost_ = false;
   };
   struct Node {
-    bool Reader_ = false;
+    bool Reader_ = true;
+    uint64_t TableVersion_ = 0; ///< For which Reader_ was determined.
     bool Silent_ = false;
     bool Refused_ = false;
     int64_t Applied_ = 1;
@@ -138,7 +151,9 @@
 
   int size() const { return static_cast<int>(Nodes_.size()); }
   Millis now() const { return Fleet_.Clock_.now(); }
-  bool alive(int I) { return Fleet_.node(I).Running_; }
+  bool alive(int I) {
+    return Fleet_.node(I).Running_ && !Fleet_.node(I).Paused_;
+  }
 
   bool servesAny() {
     for (int I = 0; I < size(); ++I)
@@ -173,6 +188,7 @@
         N.Polling_.onNews(now());
       }
     }
+    chooseReaders(I);
     endFetches(N);
     N.CatchUp_.setSourceLost(!Before_ && N.Polling_.lost());
     for (const std::string &Peer : N.CatchUp_.takePeers(now()))
@@ -181,6 +197,19 @@
     adopt(I, N.Applied_);
   }
 
+  void chooseReaders(int I) {
+    Node &N = Nodes_[size_t(I)];
+    const MemberTable &Table = Fleet_.gossip(I).table();
+    if (N.TableVersion_ == Table.version())
+      return;
+    N.TableVersion_ = Table.version();
+    auto Readers = MemberView(Table).logReadersOf(Table.self().Zone_);
+    N.Reader_ =
+        std::any_of(Readers.begin(), Readers.end(), [&](const auto &Each) {
+          return Each->Member_.Node_ == Table.self().Node_;
+        });
+  }
+
   void adopt(int I, int64_t Version) {
     Node &N = Nodes_[size_t(I)];
     N.Applied_ = std::max(N.Applied_, Version);
--- a/testsuite/common/platformmachine.cpp
+++ b/testsuite/common/platformmachine.cpp
@@ -63,8 +63,8 @@
          "\"\ninterface = \"platform\"\n[listen]\ncalls = " +
          QuotedEndpoint(CallPort) + "readiness = " + QuotedEndpoint(ReadyPort) +
          "reports = " + QuotedEndpoint(ReportPort) +
-         "[log_service]\naddress = \"" + MachineOptions.Store_ +
-         "\"\n" + MachineOptions.LogService_ + "[membership]\npeers = [\"" +
+         "[log_service]\naddress = \"" + MachineOptions.Store_ + "\"\n" +
+         MachineOptions.LogService_ + "[membership]\npeers = [\"" +
          platformAddress(1) +
          ":1\"]\npeers_port = " + std::to_string(PeerPort) +
          "\n[limits]\nslots = \"exact\"\n" + MachineOptions.Limits_ +
--- a/testsuite/config_delay/spread_test.cpp
+++ b/testsuite/config_delay/spread_test.cpp
@@ -48,3 +48,24 @@
   Silent.Versions_ = 5;
   CHECK(worstTime(13, 40, Silent) <= ChangeLimit);
 }
+
+TEST_CASE("a change reaches all nodes in time while the store serves no log "
+          "reader, or all of them are gone") {
+  constexpr Millis SmallFleetLimit(1000);
+  constexpr int Seeds = 20;
+  ConfigFleet::Trouble Refused;
+  Refused.RefusedShare_ = 1;
+  Refused.Outage_ = Outage;
+  Refused.Ends_ = false;
+  Refused.ReadersOnly_ = true;
+  CHECK(worstTime(13, Seeds, Refused) <= SmallFleetLimit);
+  ConfigFleet::Trouble Silent = Refused;
+  std::swap(Silent.SilentShare_, Silent.RefusedShare_);
+  CHECK(worstTime(13, Seeds, Silent) <= SmallFleetLimit);
+  ConfigFleet::Trouble Lost;
+  Lost.ReadersLost_ = true;
+  CHECK(worstTime(13, Seeds, Lost) <= SmallFleetLimit);
+  ConfigFleet::Trouble Frozen;
+  Frozen.ReadersFrozen_ = true;
+  CHECK(worstTime(13, Seeds, Frozen) <= SmallFleetLimit);
+}
