--- a/src/libstate/configcatchup.h
+++ b/src/libstate/configcatchup.h
@@ -55,10 +55,13 @@
   /// information can change what it returns.
   std::optional<Millis> nextTime() const;
 
+  bool operator==(const ConfigCatchUp &) const = default;
+
 private:
+  /// A peer that is ahead of this node.
   struct Holder {
     std::string Peer_;
-    int64_t Offset_ = 0;
+    int64_t Offset_ = 0; ///< The first offset that it has not applied.
     bool operator==(const Holder &) const = default;
   };
 
@@ -75,9 +78,6 @@
   std::optional<Millis> LastAsked_;
   std::vector<Holder> Holders_; ///< The one heard last is the first.
   std::vector<std::string> Asked_;
-
-public:
-  bool operator==(const ConfigCatchUp &) const = default;
 };
 
 } // namespace coltsfoot
