--- a/review/standin/caller.cpp
+++ b/review/standin/caller.cpp
@@ -37,7 +37,6 @@
   if (Reply) {
     Result.Status_ = std::stoi(Reply->word(1));
     Result.Signed_ = !Reply->field("Server-Signature").empty();
-    Result.Echoed_ = Reply->field("Attempt-Id") == Id;
   } else if (Connection_ && Result.Ended_ >= Until) {
     Result.Status_ = -1;
   }
--- a/review/standin/caller.h
+++ b/review/standin/caller.h
@@ -16,7 +16,6 @@
   /// Whether the connection had been used before.
   bool Kept_ = false;
   bool Signed_ = false;
-  bool Echoed_ = false;
 };
 
 /// Sends one attempt at a time over a connection that it keeps. Not
--- a/review/standin/case3.cpp
+++ b/review/standin/case3.cpp
@@ -1,74 +1,61 @@
-/// A status report of another writer, and then an upstream that leaves.
+/// A status report of another writer, with fields missing, under the id of an
+/// upstream.
 
 #include "load.h"
 #include "otherwriter.h"
 
 #include <algorithm>
+#include <set>
 #include <stdexcept>
 
 using namespace review;
 
 namespace {
 
-/// The pages' `drain`.
-constexpr Milliseconds DrainBound(2000);
-/// How long the leaving upstream still serves: `drain` and a little longer.
-constexpr Milliseconds ServesAfterAck(3500);
-
 int play(const Setting &Given) {
   Record &Log = Given.Record_;
   Site::Options Wanted;
   Wanted.Services_ = {"alpha", "alpha", "beta"};
-  Wanted.Work_ = Milliseconds(300);
+  Wanted.Work_ = Milliseconds(50);
   Site Machines(Given, Wanted);
   Machines.start();
-  Load Traffic(Machines, {.Service_ = "alpha", .Callers_ = 9});
+  Load Alpha(Machines, {.Service_ = "alpha", .Callers_ = 3});
+  Load Beta(Machines, {.Service_ = "beta", .Callers_ = 3});
   std::this_thread::sleep_for(std::chrono::seconds(3));
 
-  Upstream &Leaving = Machines.upstream(0);
+  // The fields zone, version, cold-remaining and born are missing.
+  Upstream &Named = Machines.upstream(0);
   if (Given.Trouble_)
-    sendForeignReport(
-        Machines.node(0), "i-other-writer",
-        R"({"service":"not-named-here","address":")" + Leaving.address() +
-            R"(","zone":"zone-a","version":"v1","slots":54,"state":"ready",)"
-            R"("cold-remaining":"0ms","sequence":5,"born":)" +
-            bornNow() + "}",
-        Log);
-  std::this_thread::sleep_for(Milliseconds(300));
-  auto Acked = Leaving.reportDraining();
-  if (!Acked)
-    throw std::runtime_error("the draining report was not acknowledged");
-  Log.say("the draining report is acknowledged");
-  std::this_thread::sleep_until(*Acked + ServesAfterAck);
-  Leaving.end();
-  std::this_thread::sleep_for(std::chrono::seconds(2));
-  std::vector<Attempt> Attempts = Traffic.finish();
-
-  int Late = 0;
-  int Lost = 0;
-  double Latest = 0;
-  for (const Upstream::Run &Each : Leaving.runs()) {
-    double After = millisBetween(*Acked, Each.Began_);
-    Late += After > DrainBound.count() ? 1 : 0;
-    Latest = std::max(Latest, After);
-    Lost += Each.Answered_ ? 0 : 1;
-  }
-  auto Failed =
-      std::count_if(Attempts.begin(), Attempts.end(),
-                    [](const Attempt &Each) { return Each.Status_ != 200; });
-  Log.say("requests sent: " + std::to_string(Attempts.size()) +
-          ", not answered with success: " + std::to_string(Failed));
-  Log.say("the leaving upstream ran " + std::to_string(Leaving.runs().size()) +
-          " requests, the last one " +
-          std::to_string(static_cast<int>(Latest)) + " ms after the ack; " +
-          std::to_string(Lost) + " were lost at its end");
-  Log.say("requests that reached it later than 2000 ms after the ack: " +
-          std::to_string(Late));
+    sendForeignReport(Machines.node(0), Named.id(),
+                      R"({"service":"beta","address":")" + Named.address() +
+                          R"(","slots":54,"state":"ready","sequence":1000})",
+                      Log);
+  std::this_thread::sleep_for(std::chrono::seconds(10));
+  std::vector<Attempt> OfAlpha = Alpha.finish();
+  std::vector<Attempt> OfBeta = Beta.finish();
+
+  int Foreign = 0;
+  std::set<std::string> ForeignIds;
+  for (size_t I = 0; I < Machines.size(); ++I)
+    for (const Upstream::Run &Each : Machines.upstream(I).runs())
+      if (!Each.Attempt_.starts_with(Machines.upstream(I).service())) {
+        ++Foreign;
+        ForeignIds.insert(Each.Attempt_);
+      }
+  auto Answered =
+      std::count_if(OfBeta.begin(), OfBeta.end(), [&](const Attempt &Each) {
+        return Each.Status_ == 200 && ForeignIds.contains(Each.Id_);
+      });
   for (size_t I = 0; I < Machines.size(); ++I)
     if (!Machines.node(I).running())
       throw std::runtime_error("a node has ended by itself");
-  Log.say(Late > 0 ? "DRAIN is broken" : "DRAIN held");
-  return Late > 0 ? ExitBroken : ExitHeld;
+  Log.say("requests sent for alpha: " + std::to_string(OfAlpha.size()) +
+          ", for beta: " + std::to_string(OfBeta.size()));
+  Log.say("requests run by a service that no configuration allows: " +
+          std::to_string(Foreign) + "; " + std::to_string(Answered) +
+          " of them were answered with 200 to the client");
+  Log.say(Foreign > 0 ? "ROUTE is broken" : "ROUTE held");
+  return Foreign > 0 ? ExitBroken : ExitHeld;
 }
 
 } // namespace
--- a/review/standin/node.cpp
+++ b/review/standin/node.cpp
@@ -85,21 +85,8 @@
   return Text;
 }
 
-std::string Node::settingsFile() const {
-  return Places_.Temporary_ + "/" + Options_.Ip_ + ".toml";
-}
-
-void Node::changeSeeds(const std::string &Seeds) {
-  Options_.Seeds_ = Seeds;
-  std::ofstream(settingsFile()) << settings();
-  if (Pid_ > 0)
-    ::kill(Pid_, SIGHUP);
-  Log_.line("node " + Options_.Ip_ + " gets SIGHUP, the seed nodes are " +
-            Seeds);
-}
-
 void Node::start() {
-  std::string File = settingsFile();
+  std::string File = Places_.Temporary_ + "/" + Options_.Ip_ + ".toml";
   std::string Output = Places_.Temporary_ + "/" + Options_.Ip_ + ".log";
   std::string Program = Places_.Repository_ + "/target/build/coltsfootd";
   std::ofstream(File) << settings();
--- a/review/standin/node.h
+++ b/review/standin/node.h
@@ -44,8 +44,6 @@
 
   const std::string &ip() const { return Options_.Ip_; }
   void start();
-  /// Replaces the seed nodes in the settings file and sends SIGHUP.
-  void changeSeeds(const std::string &Seeds);
   /// Sends SIGTERM, with which a planned stop begins.
   void terminate();
   /// Sends SIGKILL and waits for the end.
@@ -60,9 +58,8 @@
 
 private:
   std::string settings() const;
-  std::string settingsFile() const;
 
-  Options Options_;
+  const Options Options_;
   const Folders Places_;
   Record &Log_;
   pid_t Pid_ = -1;
--- a/review/standin/site.cpp
+++ b/review/standin/site.cpp
@@ -68,7 +68,7 @@
 Site::Site(const Setting &Given, Options Wanted)
     : Setting_(Given), Options_(std::move(Wanted)),
       Store_(loopbackAddress(StoreNumber)) {
-  std::string Seeds = seedsFrom(0);
+  std::string Seeds = seeds();
   for (const std::string &Service : Options_.Services_) {
     int Number = FirstMachineNumber + static_cast<int>(Nodes_.size());
     std::string Ip = loopbackAddress(Number);
@@ -90,11 +90,11 @@
   }
 }
 
-std::string Site::seedsFrom(size_t First) const {
+std::string Site::seeds() const {
   std::string Seeds;
-  size_t End = std::min(First + MaxSeeds, Options_.Services_.size());
-  for (size_t I = First; I < End; ++I)
-    Seeds += (I > First ? "," : "") +
+  size_t End = std::min(MaxSeeds, Options_.Services_.size());
+  for (size_t I = 0; I < End; ++I)
+    Seeds += (I > 0 ? "," : "") +
              loopbackAddress(FirstMachineNumber + static_cast<int>(I)) + ":" +
              std::to_string(Node::ControlPort);
   return Seeds;
--- a/review/standin/site.h
+++ b/review/standin/site.h
@@ -45,12 +45,10 @@
   Upstream &upstream(size_t Number) { return *Upstreams_[Number]; }
   Node &node(size_t Number) { return *Nodes_[Number]; }
   Caller caller(size_t Number);
-  /// Returns the seed nodes, as a settings file lists them, if those from
-  /// number First on are the machines that there are.
-  std::string seedsFrom(size_t First) const;
 
 private:
   std::string config(int Version) const;
+  std::string seeds() const;
 
   const Setting &Setting_;
   const Options Options_;
--- a/review/standin/upstream.cpp
+++ b/review/standin/upstream.cpp
@@ -71,12 +71,6 @@
   return {};
 }
 
-std::optional<Clock::time_point> Upstream::deregister() {
-  stopReports();
-  Leaving_ = true;
-  return post("deregister", "", "deregister");
-}
-
 std::optional<Clock::time_point> Upstream::report(const std::string &State) {
   int Sequence = ++Sequence_;
   std::string Body =
@@ -138,7 +132,7 @@
 }
 
 Message Upstream::health() const {
-  bool Good = !Leaving_ || HealthLies_;
+  bool Good = !Leaving_;
   Message Reply{Good ? "HTTP/1.1 200 OK" : "HTTP/1.1 503 Service Unavailable",
                 {{"Instance-Id", Options_.Id_}},
                 ""};
@@ -178,8 +172,7 @@
     return Connection.write(bytesOf(Reply), Clock::now() + WriteTime);
   }
   Log_.line("upstream " + Options_.Id_ + " runs " + Attempt);
-  bool Done = work(Connection,
-                   workOf(Request.word(1), Options_.Work_) * Slowness_.load());
+  bool Done = work(Connection, workOf(Request.word(1), Options_.Work_));
   if (Done) {
     Reply.Fields_.emplace_back("Server-Signature", "s." + Attempt);
     Reply.Body_ = "answer to " + Attempt;
--- a/review/standin/upstream.h
+++ b/review/standin/upstream.h
@@ -43,13 +43,6 @@
   /// Stops the reports, then reports `draining` until it is acknowledged.
   /// Returns the time of the ack; nothing when none came in time.
   std::optional<Clock::time_point> reportDraining();
-  /// Stops the reports and deregisters, like an upstream that never reports
-  /// `draining`. Returns as reportDraining() does.
-  std::optional<Clock::time_point> deregister();
-  /// Makes the health answers false: they are 200 also while it leaves.
-  void setHealthLies(bool Lies) { HealthLies_ = Lies; }
-  /// Multiplies the time of the work of later requests.
-  void setSlowness(int Factor) { Slowness_ = Factor; }
   /// Ends the process: all connections break, requests at work are lost.
   void end();
 
@@ -71,8 +64,6 @@
   Record &Log_;
   std::string ControlIp_;
   uint16_t ControlPort_ = 0;
-  std::atomic<bool> HealthLies_ = false;
-  std::atomic<int> Slowness_ = 1;
   std::atomic<bool> Leaving_ = false;
   std::atomic<int> Sequence_ = 0;
   mutable std::mutex Mutex_; // guards the members below
