Log each call that the end of a drain cuts beside its backend server

A call can be lost at the end of a drain in two ways: the node that took it from its caller ends, or the node beside the backend server does. Of the second nothing was logged where it happened: drain_ended said cut=true, and the entry on another VM said connection-lost like for any broken connection.

Now the gate writes gate-cut for each call, with how long it held it and what was left until its deadline, and drain_ended counts cut_entry and cut_gate. e2e.leaving checks both for a booking that is cut at the gate.

--- a/src/libcoordination/drainsequence.cpp
+++ b/src/libcoordination/drainsequence.cpp
@@ -52,6 +52,7 @@
     CutAt_ = Now;
     CutCalls_ = busy();
     stopCallServer(Now);
+    Parts_.Gate_.logCutCalls();
     Parts_.Entry_.cutPending();
     return false;
   }
@@ -91,6 +92,8 @@
            {{"node", Node_},
             {"took_ms", (Now - Schedule_->start()).count()},
             {"cut", CutCalls_},
+            {"cut_entry", Calls.Cut_},
+            {"cut_gate", Parts_.GateDrain_.figures().Cut_},
             {"taken", Calls.Taken_},
             {"refused", Calls.Refused_},
             {"lag_ms", Parts_.Loop_.recentLag().whole()}});
--- a/src/libcoordination/gate.cpp
+++ b/src/libcoordination/gate.cpp
@@ -110,6 +110,7 @@
   void drain();
   bool draining() const { return Draining_; }
   bool idle() const;
+  void logCutCalls();
   std::string service() const {
     std::lock_guard<std::mutex> Lock(Mutex_);
     return Announced_.Service_;
@@ -838,6 +839,29 @@
   return Calls_.empty();
 }
 
+void Gate::Impl::logCutCalls() {
+  std::vector<CallPointer> Left;
+  {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    for (const auto &[Key, Each] : Calls_)
+      Left.push_back(Each);
+  }
+  Millis Now = NodeContext_.Clock_->now();
+  for (const CallPointer &Each : Left) {
+    if (Options_.Drain_)
+      Options_.Drain_->countCut();
+    bool Started = Each->Started_ > Millis();
+    Ledger_.note(Each->Offer_.request_id, "gate-cut",
+                 "service=" + Each->Offer_.service_name +
+                     " route=" + Each->Route_.Name_ +
+                     " started=" + (Started ? "true" : "false") + " held_ms=" +
+                     std::to_string((Now - Each->Arrived_).whole()) +
+                     " remaining_ms=" +
+                     std::to_string((Each->Request_.Deadline_ - Now).whole()) +
+                     " lag_ms=" + std::to_string(NodeContext_.Lag_().whole()));
+  }
+}
+
 Gate::Figures Gate::Impl::figures() const {
   TicketTable::Figures Kept = Tickets_.figures();
   std::lock_guard<std::mutex> Lock(Mutex_);
@@ -884,6 +908,7 @@
 void Gate::drain() { Impl_->drain(); }
 bool Gate::draining() const { return Impl_->draining(); }
 bool Gate::idle() const { return Impl_->idle(); }
+void Gate::logCutCalls() { Impl_->logCutCalls(); }
 std::string Gate::service() const { return Impl_->service(); }
 Gate::Figures Gate::figures() const { return Impl_->figures(); }
 
--- a/src/libcoordination/gate.h
+++ b/src/libcoordination/gate.h
@@ -132,6 +132,9 @@
   bool draining() const;
   /// Returns whether no call is queued or running.
   bool idle() const;
+  /// Logs and counts each call that the end of a drain cuts here, although its
+  /// entry may be another node.
+  void logCutCalls();
   /// Returns the service of the latest announcement; empty before the first
   /// one.
   std::string service() const;
--- a/testsuite/leaving/leaving_test.cpp
+++ b/testsuite/leaving/leaving_test.cpp
@@ -281,7 +281,12 @@
   std::string Line =
       Draining.process().waitForLine("event=drain_ended", WaitLimit);
   CHECK(field(Line, "cut") == "true");
+  CHECK(field(Line, "cut_gate") == "1");
+  CHECK(field(Line, "cut_entry") == "0");
   CHECK(Draining.process().wait(WaitLimit) == 0);
+  Line = Draining.process().waitForLine("event=gate-cut", WaitLimit);
+  CHECK(field(Line, "started") == "true");
+  CHECK_FALSE(field(Line, "remaining_ms").empty());
   Caller.join();
   CHECK(FinalReply.header("Coltsfoot-Verdict") == "may-have-run");
   CHECK(Shop.runs("long") == 1);
