End a drain with its last call, or by the real time of the kill

Cause: drain_ms = 5600 in the template, a bound of one deployment written down as a constant. An end of a node's own is of use only just before the kill, so that an answer may-have-run arrives in place of a closed connection. A figure that is raised, or a fallback, would be the same fault on the next deployment.

It counts from SIGTERM, not from a drain that an operator asks for.

The test of mutated settings files reads 12,000 files in place of 10,000: the default of drain_ms is part of the text that its fixed seed changes, and with the new one 97 files of 10,000 could still be read, bound 100.

--- a/src/coltsfootd/coltsfootd.cpp
+++ b/src/coltsfootd/coltsfootd.cpp
@@ -5,6 +5,7 @@
 #include "platform.h"
 #include "workers.h"
 
+#include "coltsfootpoint/duration.h"
 #include "coltsfootpoint/ipport.h"
 #include "coltsfootpoint/log.h"
 #include "coltsfootpoint/settings.h"
@@ -15,6 +16,7 @@
 #include <csignal>
 #include <cxxopts.hpp>
 #include <iostream>
+#include <optional>
 
 namespace {
 
@@ -83,7 +85,8 @@
   pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
 }
 
-int runNode(const Settings &LoadedSettings, const std::string &File) {
+int runNode(const Settings &LoadedSettings, const std::string &File,
+            std::optional<Millis> KillAfter) {
   boost::asio::io_context Context(LoadedSettings.Node_.Workers_);
   Node Self(Context, LoadedSettings, makeAdapters(Context, LoadedSettings));
   SettingsReloader Reloader(Context, File);
@@ -92,7 +95,7 @@
     if (Error)
       return;
     logEvent(LogLevel::Info, "signal", {{"number", Signal}});
-    Self.drain();
+    Self.drain(Signal == SIGTERM ? KillAfter : std::nullopt);
   });
   Self.start([&] { Context.stop(); });
   std::string IpPrefix = LoadedSettings.Node_.Address_ + ":";
@@ -114,10 +117,31 @@
       "check-config",
       "check the settings file, but not the key and token files that it "
       "names, and exit")("help-settings", "list all settings and exit")(
-      "version", "print the version")("help", "print this text");
+      "kill-after",
+      "how long after SIGTERM the process is killed, such as 10s or 6000ms; if "
+      "it is given, calls are answered before that, and if not, a stop lasts "
+      "until the last call has ended",
+      cxxopts::value<std::string>()->default_value(""),
+      "DURATION")("version", "print the version")("help", "print this text");
   return Options;
 }
 
+/// Reads the option --kill-after; an empty text means that the time is not
+/// known. Throws SettingsError.
+std::optional<Millis> readKillAfter(const std::string &Text) {
+  if (Text.empty())
+    return {};
+  try {
+    Millis KillAfter = parseDuration(Text);
+    if (KillAfter > Millis())
+      return KillAfter;
+  } catch (const std::invalid_argument &) {
+    // Reported below.
+  }
+  throw SettingsError(
+      {{"--kill-after", 0, "", "a duration such as 10s or 6000ms", Text}});
+}
+
 int runProgram(int Argc, char **Argv) {
   cxxopts::Options Options = makeOptionParser();
   cxxopts::ParseResult ParsedOptions = Options.parse(Argc, Argv);
@@ -140,6 +164,8 @@
     return ExitUsage;
   }
   auto File = ParsedOptions["config"].as<std::string>();
+  std::optional<Millis> KillAfter =
+      readKillAfter(ParsedOptions["kill-after"].as<std::string>());
   Settings Loaded = loadSettings(File);
   if (ParsedOptions.count("check-config") != 0) {
     std::cout << "the settings file is valid\n";
@@ -147,7 +173,7 @@
   }
   setLogLevel(Loaded.Logging_.Level_);
   setLogRate(Loaded.Logging_.BytesPerSecond_);
-  return runNode(Loaded, File);
+  return runNode(Loaded, File, KillAfter);
 }
 
 } // namespace
--- a/src/include/coltsfootpoint/settings.h
+++ b/src/include/coltsfootpoint/settings.h
@@ -122,7 +122,7 @@
   Millis Heartbeat_;
   Millis Silent_;
   Millis Attempt_;
-  Millis Drain_;
+  Millis Drain_; ///< Zero for no limit.
   Millis DrainNotice_;
   Millis Lease_;
   bool operator==(const TimeoutSettings &) const = default;
--- a/src/libcoordination/drainsequence.cpp
+++ b/src/libcoordination/drainsequence.cpp
@@ -24,6 +24,9 @@
 /// Longest time after the end of the schedule in which the answers of the calls
 /// that were cut are sent.
 constexpr Millis CutAnswerTime(200);
+/// Time that is kept free before the process is killed: to send the answers of
+/// the calls that are cut and to exit.
+constexpr Millis KillReserve = CutAnswerTime + Millis(200);
 
 } // namespace
 
@@ -40,6 +43,18 @@
   Calls.disableKeepAlive();
 }
 
+void DrainSequence::expectKill(Millis At) {
+  if (!Schedule_)
+    return;
+  Millis Latest = At - KillReserve;
+  Schedule_ = Schedule_->endingBy(Latest);
+  Parts_.EntryDrain_.endBy(Latest);
+  Parts_.GateDrain_.endBy(Latest);
+  logEvent(LogLevel::Info, "drain_limited",
+           {{"node", Node_},
+            {"duration_ms", (Latest - Schedule_->start()).whole()}});
+}
+
 bool DrainSequence::advance(Millis Now) {
   if (busy())
     IdleSince_ = Now;
@@ -48,7 +63,8 @@
   bool ClosureKnown = GateClosedAt_ && Now - *GateClosedAt_ > ClosedGateGrace;
   if (ClosureKnown && Parts_.Gate_.idle())
     stopCallServer(Now);
-  if (Now > Schedule_->end() && !CutAt_) {
+  bool Overdue = Schedule_->end() && Now > *Schedule_->end();
+  if (Overdue && !CutAt_) {
     CutAt_ = Now;
     CutCalls_ = busy();
     stopCallServer(Now);
--- a/src/libcoordination/drainsequence.h
+++ b/src/libcoordination/drainsequence.h
@@ -26,7 +26,8 @@
   DrainAdmission &GateDrain_;
   const LoopMonitor &Loop_;
   Millis Notice_;
-  Millis Duration_;
+  /// The longest time that a drain may take; nothing if it is not bounded.
+  std::optional<Millis> Duration_;
 };
 
 /// The steps of a node's graceful shutdown.
@@ -36,7 +37,9 @@
 /// service without any open gate. The gate then finishes its calls, while the
 /// entry still takes the nested calls that these make. Once the gate is idle,
 /// the HTTP server for calls stops listening and the outstanding answers are
-/// sent. Calls that are left at the end of the time are cut and answered.
+/// sent. Calls that are left at the end of the time are cut and answered, so
+/// that their callers learn that they may have run; without such an end the
+/// drain lasts until the last call has ended.
 ///
 /// Not thread-safe.
 class DrainSequence {
@@ -46,6 +49,9 @@
   /// Begins the drain. Calls is the HTTP server that receives the calls; it
   /// must outlive the sequence.
   void begin(const std::string &Node, HttpServer &Calls, Millis Now);
+  /// Tells when the process will be killed. The drain then ends a little
+  /// earlier. Has no effect before begin().
+  void expectKill(Millis At);
   /// Takes the steps that are due. Returns whether the drain has ended. To be
   /// called repeatedly after begin().
   bool advance(Millis Now);
--- a/src/libcoordination/node.cpp
+++ b/src/libcoordination/node.cpp
@@ -116,6 +116,14 @@
   return Options;
 }
 
+/// Returns the longest time that a drain may take, or nothing if it may last
+/// until the last call has ended.
+std::optional<Millis> drainLimit(const TimeoutSettings &Timeouts) {
+  if (Timeouts.Drain_ == Millis())
+    return {};
+  return Timeouts.Drain_;
+}
+
 /// The two sockets of a node for other nodes, TCP and UDP, which share one port
 /// number.
 struct PeerSockets {
@@ -139,7 +147,7 @@
        Adapters InterfaceAdapters);
 
   void start(std::function<void()> Stopped);
-  void drain();
+  void drain(std::optional<Millis> KillAfter);
   uint16_t httpPort() const { return Http_->port(); }
   uint16_t peerPort() const { return Sockets_.Tcp_->port(); }
   const std::string &name() const { return Sockets_.Name_; }
@@ -277,7 +285,7 @@
       Strand_(asio::make_strand(Context)), Timer_(Strand_),
       Drain_({Gate_, Entry_, Api_, EntryDrain_, GateDrain_, Loop_,
               AllSettings.Timeouts_.DrainNotice_,
-              AllSettings.Timeouts_.Drain_}) {
+              drainLimit(AllSettings.Timeouts_)}) {
   tcp::endpoint HttpAddress =
       endpointOf(AllSettings.Node_.Address_, AllSettings.Node_.HttpPort_);
   bool SeparateCallListener = !AllSettings.Listen_.Calls_.empty();
@@ -497,7 +505,7 @@
   if (!TokenFile.empty() || !Adapters_.Config_)
     Parts.OperatorToken_ = loadSecret(TokenFile);
   Parts.State_ = [this] { return std::string(nodeStateName(State_)); };
-  Parts.Drain_ = [this] { drain(); };
+  Parts.Drain_ = [this] { drain({}); };
   Parts.Isolated_ = [this] { return Isolated_.load(); };
   return Parts;
 }
@@ -694,12 +702,15 @@
     endDrain();
 }
 
-void Node::Impl::drain() {
-  asio::dispatch(Strand_, [this] {
-    if (!Lifecycle_.drain())
-      return;
-    State_ = Lifecycle_.state();
-    Drain_.begin(Sockets_.Name_, callServer(), Clock_.now());
+void Node::Impl::drain(std::optional<Millis> KillAfter) {
+  Millis Asked = Clock_.now();
+  asio::dispatch(Strand_, [this, KillAfter, Asked] {
+    if (Lifecycle_.drain()) {
+      State_ = Lifecycle_.state();
+      Drain_.begin(Sockets_.Name_, callServer(), Asked);
+    }
+    if (KillAfter)
+      Drain_.expectKill(Asked + *KillAfter);
   });
 }
 
@@ -736,7 +747,7 @@
 void Node::start(std::function<void()> Stopped) {
   Impl_->start(std::move(Stopped));
 }
-void Node::drain() { Impl_->drain(); }
+void Node::drain(std::optional<Millis> KillAfter) { Impl_->drain(KillAfter); }
 uint16_t Node::httpPort() const { return Impl_->httpPort(); }
 uint16_t Node::peerPort() const { return Impl_->peerPort(); }
 const std::string &Node::name() const { return Impl_->name(); }
--- a/src/libcoordination/node.h
+++ b/src/libcoordination/node.h
@@ -1,8 +1,11 @@
 #pragma once
 
+#include "coltsfootpoint/time.h"
+
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace boost::asio {
@@ -33,9 +36,11 @@
   /// Stopped is called once, at the end of a drain.
   void start(std::function<void()> Stopped);
   /// Begins a planned stop: the node stops accepting calls step by step and
-  /// finishes those in flight, within the drain timeout. Thread-safe; further
-  /// calls have no effect.
-  void drain();
+  /// finishes those in flight, within `timeouts.drain_ms` where that is set.
+  /// KillAfter is how long from now on the process is left to run, if that is
+  /// known; the node then ends a little earlier. Thread-safe; of further calls
+  /// only KillAfter has an effect.
+  void drain(std::optional<Millis> KillAfter = {});
 
   /// Returns the node's HTTP port, bound to the node's address.
   uint16_t httpPort() const;
--- a/src/libstate/drainadmission.cpp
+++ b/src/libstate/drainadmission.cpp
@@ -26,6 +26,12 @@
   Draining_ = true;
 }
 
+void DrainAdmission::endBy(Millis Latest) {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  if (Schedule_)
+    Schedule_ = Schedule_->endingBy(Latest);
+}
+
 // Called with Mutex_ held, while draining.
 bool DrainAdmission::isTaken(std::string_view RouteKey, Millis Deadline,
                              bool Nested) const {
--- a/src/libstate/drainadmission.h
+++ b/src/libstate/drainadmission.h
@@ -35,6 +35,8 @@
   void learn(std::string_view RouteKey, Millis Duration);
   /// Begins the drain. Only the first call has an effect.
   void begin(const DrainSchedule &Schedule);
+  /// Ends the drain, once it has begun, no later than Latest.
+  void endBy(Millis Latest);
   /// Returns whether to take a call; if not, counts it as refused.
   bool takes(std::string_view RouteKey, Millis Deadline, bool Nested);
   /// Returns whether a call that was taken earlier can still be started; if it
--- a/src/libstate/drainadmission_test.cpp
+++ b/src/libstate/drainadmission_test.cpp
@@ -128,11 +128,33 @@
   CHECK(!Schedule.takes({LongDeadline, Mixed, true}, AfterNotice));
 }
 
+TEST_CASE("a drain without an end takes what its gate still needs") {
+  DrainSchedule Schedule(Start, Notice, std::nullopt);
+  CallDuration Long(Millis(60'000));
+  CHECK(!Schedule.end());
+  CHECK(Schedule.takes({LongDeadline, Long, false}, Start + Notice));
+  Millis AfterNotice = Start + Notice + Millis(1);
+  CHECK(Schedule.takes({LongDeadline, Long, true}, AfterNotice));
+  CHECK(!Schedule.takes({LongDeadline, Long, false}, AfterNotice));
+}
+
+TEST_CASE("a drain that learns of its end never ends later than planned") {
+  DrainSchedule Open(Start, Notice, std::nullopt);
+  CHECK(Open.endingBy(Start + Millis(4000)).end() == Start + Millis(4000));
+  DrainSchedule Planned(Start, Notice, Duration);
+  CHECK(Planned.endingBy(Start + Millis(4000)).end() == Start + Millis(4000));
+  CHECK(Planned.endingBy(Start + Millis(9000)).end() == Start + Duration);
+  Fixture Test(Millis(100));
+  Test.Admission_.endBy(Test.Begin_ + Millis(1500));
+  CHECK(Test.takesAt(1390, "unknown route", false));
+  CHECK(!Test.takesAt(1410, "unknown route", false));
+}
+
 TEST_CASE("a schedule keeps time free for the answers") {
   DrainSchedule Schedule(Start, Notice, Duration);
   Millis Now = Start + Millis(1000);
   CHECK(Schedule.end() == Start + Duration);
-  CHECK(Schedule.takes({Schedule.end() - Millis(100), {}, false}, Now));
+  CHECK(Schedule.takes({*Schedule.end() - Millis(100), {}, false}, Now));
   CallDuration TooLong(Millis(4600));
   CHECK(!Schedule.takes({LongDeadline, TooLong, false}, Now));
 }
--- a/src/libstate/drainschedule.cpp
+++ b/src/libstate/drainschedule.cpp
@@ -1,5 +1,7 @@
 #include "drainschedule.h"
 
+#include <algorithm>
+
 namespace coltsfoot {
 
 namespace {
@@ -9,8 +11,16 @@
 
 } // namespace
 
+DrainSchedule DrainSchedule::endingBy(Millis Latest) const {
+  DrainSchedule Shorter = *this;
+  Shorter.End_ = End_ ? std::min(*End_, Latest) : Latest;
+  return Shorter;
+}
+
 bool DrainSchedule::takes(const DrainCandidate &Candidate, Millis Now) const {
-  Millis LatestEnd = End_ - AnswerReserve;
+  if (!End_)
+    return Candidate.Nested_ || !noticePassed(Now);
+  Millis LatestEnd = *End_ - AnswerReserve;
   if (Candidate.Deadline_ <= LatestEnd)
     return true;
   CallDuration Duration = Candidate.Duration_.value_or(CallDuration(Millis()));
--- a/src/libutil/settings_test.cpp
+++ b/src/libutil/settings_test.cpp
@@ -265,7 +265,7 @@
   std::mt19937 Random(20240611);
   int Refused = 0;
   int Read = 0;
-  for (int Round = 0; Round < 10000; ++Round) {
+  for (int Round = 0; Round < 12000; ++Round) {
     std::string Text = CompleteFile;
     int MaxChanges = Round % 2 == 0 ? 2 : 8;
     int Changes = 1 + static_cast<int>(Random() % MaxChanges);
--- a/src/libutil/settingstable.cpp
+++ b/src/libutil/settingstable.cpp
@@ -281,8 +281,10 @@
                  "deadline of the call is later",
                  number<Timeouts, &T::Attempt_>(5 * SecondMs, 10, HourMs)},
     SettingEntry{"timeouts", "drain_ms", "ms",
-                 "maximum duration of a graceful shutdown",
-                 number<Timeouts, &T::Drain_>(30 * SecondMs, 0, HourMs)},
+                 "maximum duration of a graceful shutdown; 0 for none: it "
+                 "lasts until the last call has ended, or until shortly before "
+                 "the time of --kill-after",
+                 number<Timeouts, &T::Drain_>(0, 0, HourMs)},
     SettingEntry{"timeouts", "drain_notice_ms", "ms",
                  "minimum time for which a draining node still accepts "
                  "calls, so that callers learn of the drain",
--- a/testsuite/common/platformmachine.cpp
+++ b/testsuite/common/platformmachine.cpp
@@ -1,6 +1,7 @@
 #include "platformmachine.h"
 
 #include <fstream>
+#include <stdexcept>
 #include <unistd.h>
 
 namespace coltsfoot {
@@ -37,10 +38,48 @@
          More + "]}]}";
 }
 
+std::string platformServices(const std::vector<std::string> &Names,
+                             int TimeoutMs) {
+  std::string Services;
+  std::string Paths;
+  auto AddPath = [&](const std::string &Service, const std::string &Name,
+                     const std::string &Kind) {
+    Paths += std::string(Paths.empty() ? "" : ",") + R"({"name":"r-)" + Name +
+             R"(","path-prefix":"/)" + Name + R"(/","kind":")" + Kind +
+             R"(","timeout":")" + std::to_string(TimeoutMs) +
+             R"(ms","max-attempts":1,"service":")" + Service + "\"}";
+  };
+  for (const std::string &Name : Names) {
+    Services += std::string(Services.empty() ? "" : ",") + R"({"name":")" +
+                Name + R"(","health-path":"/health"})";
+    AddPath(Name, Name, "safe");
+    AddPath(Name, Name + "-once", "unsafe");
+  }
+  return R"({"version":1,"services":[)" + Services +
+         R"(],"virtual-hosts":[{"host":"shop.example","paths":[)" + Paths +
+         "]}]}";
+}
+
+std::string deployedTimeouts() {
+  std::ifstream File(COLTSFOOT_SOURCE_DIR "/deploy/node.toml.in");
+  std::string Lines;
+  bool InTable = false;
+  for (std::string Line; std::getline(File, Line);) {
+    if (Line.starts_with("["))
+      InTable = Line == "[timeouts]";
+    else if (InTable && !Line.empty() && !Line.starts_with("lease_ms"))
+      Lines += Line + "\n";
+  }
+  if (Lines.empty())
+    throw std::runtime_error("the template has no table timeouts");
+  return Lines;
+}
+
 PlatformMachine::PlatformMachine(const Options &MachineOptions,
                                  PlatformUpstream::Options Upstream)
     : Ip_(platformAddress(MachineOptions.Number_)),
-      SettingsFile_(MachineOptions.Folder_ + "/" + Ip_ + ".toml") {
+      SettingsFile_(MachineOptions.Folder_ + "/" + Ip_ + ".toml"),
+      KillAfter_(MachineOptions.KillAfter_) {
   Upstream.Ip_ = Ip_;
   Upstream.Instance_ = "i-" + std::to_string(MachineOptions.Number_);
   Upstream.AdvertisedAddress_ = MachineOptions.Backend_;
@@ -75,8 +114,10 @@
   if (Node_)
     EarlierOutput_ += Node_->output();
   StopRequested_ = false;
-  Node_ = std::make_unique<Process>(
-      NodeProgram, std::vector<std::string>{"--config", SettingsFile_});
+  std::vector<std::string> Arguments{"--config", SettingsFile_};
+  if (!KillAfter_.empty())
+    Arguments.push_back("--kill-after=" + KillAfter_);
+  Node_ = std::make_unique<Process>(NodeProgram, Arguments);
   Node_->waitForLine("event=listening", DefaultTimeout);
 }
 
--- a/testsuite/common/platformmachine.h
+++ b/testsuite/common/platformmachine.h
@@ -22,6 +22,17 @@
 std::string platformConfiguration(int Version, const std::string &Service,
                                   const std::string &More = "");
 
+/// Returns a configuration of the platform, as JSON, with these services: calls
+/// of /NAME/ to the service NAME are safe, those of /NAME-once/ unsafe. Their
+/// timeout is TimeoutMs.
+std::string platformServices(const std::vector<std::string> &Names,
+                             int TimeoutMs);
+
+/// Returns the lines of the settings table `timeouts` in the template of the
+/// deploy file, but for `lease_ms`. Throws std::runtime_error if the template
+/// has no such table.
+std::string deployedTimeouts();
+
 /// One machine of the platform: a node process and the stand-in of the upstream
 /// beside it. Not thread-safe, except for call() and the upstream.
 class PlatformMachine {
@@ -43,6 +54,8 @@
     std::string Limits_ = {};
     /// TOML lines for the settings table `log_service`.
     std::string LogService_ = "read_wait_ms = 500\n";
+    /// The value of the option --kill-after; empty for none.
+    std::string KillAfter_ = {};
   };
 
   /// Starts the upstream, but not yet the node.
@@ -95,6 +108,7 @@
 
   const std::string Ip_;
   const std::string SettingsFile_;
+  const std::string KillAfter_;
   std::unique_ptr<PlatformUpstream> Upstream_;
   std::unique_ptr<Process> Node_;
   std::string EarlierOutput_;
