Take late calls in a drain only if their deadline bounds them

Nested calls that a backend server made 4.2 to 4.6 s after the SIGTERM of its node were passed on and answered 502 at the end of the drain, before their deadline; non-idempotent ones ran, and nobody learned of it.

Cause: the expected duration of a call was taken for a bound. An unknown one counted as none; with 40 short calls known before, long ones were taken and cut as well.

Change: after the notice a node whose end is known takes a call only if its deadline, which the route's timeout limits, lies before the end, for entry, further attempts and calls that wait at a gate alike. Weighed for callers: a refused nested call costs its root, but a cut one costs it too, and a non-idempotent one leaves nobody knowing. A drain whose end is not known cuts nothing and takes nested calls until the last.

Evidence: e2e.platform, "a stopping node takes no late call that it may have to cut".

--- a/src/libcoordination/entryrequestreader.cpp
+++ b/src/libcoordination/entryrequestreader.cpp
@@ -415,7 +415,8 @@
 void EntryRequestReader::checkDrain() {
   bool Nested = Request_.Depth_ > 0;
   if (Parts_.Drain_.takes(routeKey(Request_.Service_, Request_.Route_.Name_),
-                          Request_.Deadline_, Nested))
+                          Request_.Deadline_,
+                          Nested ? DrainRole::Nested : DrainRole::Plain))
     return;
   if (Request_.Ticket_ && !Nested)
     Request_.CloseTicket_ = true;
--- a/src/libcoordination/gate.cpp
+++ b/src/libcoordination/gate.cpp
@@ -333,9 +333,12 @@
     if (!Serving_ || Announced_.Service_ != Incoming.Offer_.service_name)
       return Reason::NoUpstream;
   }
-  bool Taken = !Options_.Drain_ ||
-               Options_.Drain_->takes(Incoming.RouteKey_,
-                                      Incoming.Request_.Deadline_, false);
+  if (!Options_.Drain_ || !Options_.Drain_->elapsed())
+    return Reason::None;
+  bool MakesCalls = !Thresholds_.path(Incoming.RouteKey_).empty();
+  bool Taken =
+      Options_.Drain_->takes(Incoming.RouteKey_, Incoming.Request_.Deadline_,
+                             MakesCalls ? DrainRole::Parent : DrainRole::Plain);
   return Taken ? Reason::None : Reason::Leaving;
 }
 
--- a/src/libstate/drainadmission.cpp
+++ b/src/libstate/drainadmission.cpp
@@ -34,22 +34,22 @@
 
 // Called with Mutex_ held, while draining.
 bool DrainAdmission::isTaken(std::string_view RouteKey, Millis Deadline,
-                             bool Nested) const {
+                             DrainRole Role) const {
   DrainCandidate Candidate;
   Candidate.Deadline_ = Deadline;
-  Candidate.Nested_ = Nested;
+  Candidate.Role_ = Role;
   auto Known = Durations_.find(RouteKey);
   if (Known != Durations_.end())
-    Candidate.Duration_ = Known->second;
+    Candidate.Usual_ = Known->second.mean();
   return Schedule_->takes(Candidate, Clock_.now());
 }
 
 bool DrainAdmission::takes(std::string_view RouteKey, Millis Deadline,
-                           bool Nested) {
+                           DrainRole Role) {
   if (!Draining_)
     return true;
   std::lock_guard<std::mutex> Lock(Mutex_);
-  bool Taken = isTaken(RouteKey, Deadline, Nested);
+  bool Taken = isTaken(RouteKey, Deadline, Role);
   Figures_.Refused_ += Taken ? 0 : 1;
   return Taken;
 }
@@ -59,7 +59,7 @@
   if (!Draining_)
     return false;
   std::lock_guard<std::mutex> Lock(Mutex_);
-  return !isTaken(RouteKey, Deadline, true);
+  return !isTaken(RouteKey, Deadline, DrainRole::Nested);
 }
 
 bool DrainAdmission::canStart(std::string_view RouteKey, Millis Deadline) {
--- a/src/libstate/drainadmission.h
+++ b/src/libstate/drainadmission.h
@@ -38,7 +38,7 @@
   /// Ends the drain, once it has begun, no later than Latest.
   void endBy(Millis Latest);
   /// Returns whether to take a call; if not, counts it as refused.
-  bool takes(std::string_view RouteKey, Millis Deadline, bool Nested);
+  bool takes(std::string_view RouteKey, Millis Deadline, DrainRole Role);
   /// Returns whether a call that was taken earlier can still be started; if it
   /// can't, counts it as refused.
   bool canStart(std::string_view RouteKey, Millis Deadline);
@@ -57,7 +57,8 @@
   Figures figures() const;
 
 private:
-  bool isTaken(std::string_view RouteKey, Millis Deadline, bool Nested) const;
+  bool isTaken(std::string_view RouteKey, Millis Deadline,
+               DrainRole Role) const;
 
   const Clock &Clock_;
   std::atomic<bool> Draining_ = false;
--- a/src/libstate/drainschedule.cpp
+++ b/src/libstate/drainschedule.cpp
@@ -8,6 +8,9 @@
 
 /// Time that is kept free before the end of a drain to send the answers.
 constexpr Millis AnswerReserve(100);
+/// A parent is expected to have made its nested calls within this many times
+/// the average duration.
+constexpr double ParentFactor = 2;
 
 } // namespace
 
@@ -19,14 +22,14 @@
 
 bool DrainSchedule::takes(const DrainCandidate &Candidate, Millis Now) const {
   if (!End_)
-    return Candidate.Nested_ || !noticePassed(Now);
+    return Candidate.Role_ == DrainRole::Nested || !noticePassed(Now);
   Millis LatestEnd = *End_ - AnswerReserve;
   if (Candidate.Deadline_ <= LatestEnd)
     return true;
-  CallDuration Duration = Candidate.Duration_.value_or(CallDuration(Millis()));
-  if (!noticePassed(Now))
-    return Now + Duration.mean() <= LatestEnd;
-  return Candidate.Nested_ && Now + Duration.expected() <= LatestEnd;
+  Millis Usual = Candidate.Usual_.value_or(Millis());
+  if (Candidate.Role_ == DrainRole::Parent)
+    return Now + Usual * ParentFactor <= NoticeEnd_;
+  return !noticePassed(Now) && Now + Usual <= LatestEnd;
 }
 
 } // namespace coltsfoot
--- a/src/libstate/drainschedule.h
+++ b/src/libstate/drainschedule.h
@@ -1,22 +1,29 @@
 #pragma once
 
-#include "callduration.h"
-
 #include "coltsfootpoint/time.h"
 
 #include <optional>
 
 namespace coltsfoot {
 
+/// What a call is to the draining node that it asks to be taken.
+enum class DrainRole {
+  Plain,
+  /// The backend server of this VM makes it while it runs another call, whose
+  /// work a refusal would waste.
+  Nested,
+  /// The backend server of this VM would run it, and calls of its route make
+  /// nested ones at this node.
+  Parent
+};
+
 /// A call that asks a draining node to be taken.
 struct DrainCandidate {
   /// When the caller stops waiting.
   Millis Deadline_;
-  /// How long calls of its route take; nothing if that is not known.
-  std::optional<CallDuration> Duration_;
-  /// Whether the backend server of this VM makes it while it runs another call,
-  /// whose work a refusal would waste.
-  bool Nested_ = false;
+  /// How long calls of its route take on average; nothing if that is not known.
+  std::optional<Millis> Usual_;
+  DrainRole Role_ = DrainRole::Plain;
 };
 
 /// The times of one graceful shutdown, and the decision which calls the node
@@ -43,14 +50,14 @@
   DrainSchedule endingBy(Millis Latest) const;
 
   /// Returns whether the node takes a call now. It takes one whose deadline
-  /// lies within the drain. Until the notice has passed it refuses another one
-  /// only if calls of its route take longer on average than the drain still
-  /// does: one that takes longer than usual may be cut then. After the notice
-  /// it takes no other root calls, since nothing ensures that they end in time,
-  /// and nested ones only if few calls of their route would take too long. A
-  /// call of an unknown duration is expected to take no time. If the drain has
-  /// no end, the node takes all calls until the notice has passed and only
-  /// nested ones after it.
+  /// lies within the drain. No other one is sure to end in time, however long
+  /// calls of its route usually take, so the node takes no others after the
+  /// notice: a call that is refused has not run, but one that is cut may have.
+  /// Until the notice has passed it refuses one only if calls of its route take
+  /// longer on average than the drain still does, as callers don't know yet
+  /// that they have to go elsewhere, and a parent if its nested calls may come
+  /// after the notice. If the drain has no end, the node takes all calls until
+  /// the notice has passed and only nested ones after it.
   bool takes(const DrainCandidate &Candidate, Millis Now) const;
 
   bool operator==(const DrainSchedule &) const = default;
