Acknowledge a leaving report only with the gate closed for its sender

After one report of another writer an upstream that said draining was told that it may leave, and calls went on to it until it ended; those at work then were lost.

Cause: every report that could be read was answered 200, also one that was ignored. A foreign report had become the current incarnation before anything had confirmed it, so that the genuine one counted as that of an earlier one.

Change: a leaving report closes the gate if it is open for the id that it names, whatever else is believed about it, and only then is acknowledged. If it may be a late one of an earlier start, a ready report and a good health answer open the gate again. Sequence numbers no longer hide a leaving report. A report that names another service or address than the settings is refused with 400.

--- a/src/libcoordination/instancemonitor.cpp
+++ b/src/libcoordination/instancemonitor.cpp
@@ -46,6 +46,22 @@
   return "unknown";
 }
 
+std::string_view effectName(InstanceRecord::Effect Effect) {
+  switch (Effect) {
+  case InstanceRecord::Effect::Ignored:
+    return "ignored";
+  case InstanceRecord::Effect::Renewed:
+    return "renewed";
+  case InstanceRecord::Effect::Changed:
+    return "changed";
+  case InstanceRecord::Effect::Unconfirmed:
+    return "unconfirmed";
+  case InstanceRecord::Effect::Doubted:
+    return "doubted";
+  }
+  return "unknown";
+}
+
 UpstreamClient::Options healthOptions() {
   UpstreamClient::Options Limits;
   Limits.IdleTimeout_ = HealthIdleTimeout;
@@ -60,17 +76,18 @@
 class InstanceMonitor::Impl : public std::enable_shared_from_this<Impl> {
 public:
   Impl(asio::io_context &Context, NodeContext ThisNode,
-       const ReportDialect &Dialect, Gate &Target, Millis Lease)
+       const ReportDialect &Dialect, Gate &Target, Options Expected)
       : NodeContext_(std::move(ThisNode)), Dialect_(Dialect), Gate_(Target),
-        Lease_(Lease), Strand_(asio::make_strand(Context)), Retry_(Strand_),
-        Health_(Context, healthOptions()) {}
+        Options_(std::move(Expected)), Strand_(asio::make_strand(Context)),
+        Retry_(Strand_), Health_(Context, healthOptions()) {}
 
-  void discover(std::string Service, const asio::ip::tcp::endpoint &Address) {
-    asio::post(Strand_, [Self = shared_from_this(),
-                         Service = std::move(Service), Address] {
+  void discover() {
+    if (!Options_.Backend_)
+      return;
+    asio::post(Strand_, [Self = shared_from_this()] {
       Self->DiscoveryDeadline_ =
           Self->NodeContext_.Clock_->now() + DiscoveryTime;
-      Self->discoverOnce(Service, Address);
+      Self->discoverOnce();
     });
   }
 
@@ -82,17 +99,27 @@
 
 private:
   void handleReport(const HttpExchange::Pointer &Exchange);
-  void apply(const InstanceReport &Report, InstanceRecord::Effect Effect);
-  void closeGate();
+  void checkExpected(const InstanceReport &Report) const;
+  void logReport(const InstanceReport &Report,
+                 InstanceRecord::Effect Effect) const;
+  void applyLeaving(const InstanceReport &Report);
+  void applyReady(const InstanceReport &Report, InstanceRecord::Effect Effect);
+  void closeGate(const std::string &Instance);
+  void confirmOther(const InstanceReport &Report,
+                    const HttpExchange::Pointer &Exchange);
+  void onOtherChecked(const InstanceReport &Report,
+                      const HttpExchange::Pointer &Exchange,
+                      const Verdict &Outcome);
+  void replaceBy(const InstanceReport &Report, bool Opens);
+  bool sentOften() const { return OtherReports_ >= MaxUnconfirmedReports; }
+  void respondIgnored(const HttpExchange::Pointer &Exchange) const;
   void openOrCheckHealth(const InstanceReport &Report);
   void openGate(const InstanceReport &Report);
   void checkHealth(const InstanceReport &Report, const std::string &Path);
-  void onHealthChecked(const InstanceReport &Report, const Verdict &Outcome);
-  void discoverOnce(const std::string &Service,
-                    const asio::ip::tcp::endpoint &Address);
-  void onDiscovered(const std::string &Service,
-                    const asio::ip::tcp::endpoint &Address,
-                    const Verdict &Outcome);
+  void onHealthChecked(const InstanceReport &Report, uint64_t Closings,
+                       const Verdict &Outcome);
+  void discoverOnce();
+  void onDiscovered(const Verdict &Outcome);
   template <typename Method, typename... Args>
   void probe(const asio::ip::tcp::endpoint &Address, const std::string &Path,
              Method Handler, const Args &...Context);
@@ -104,7 +131,7 @@
   const NodeContext NodeContext_;
   const ReportDialect &Dialect_;
   Gate &Gate_;
-  const Millis Lease_;
+  const Options Options_;
   const asio::strand<asio::io_context::executor_type> Strand_;
   asio::steady_timer Retry_;
   Millis DiscoveryDeadline_;
@@ -112,61 +139,178 @@
   InstanceRecord Record_;
   Announcement Announcement_;
   Millis LastReportAt_;
-  /// Whether the gate has been opened for the current incarnation and phase.
+  /// Whether the gate has been opened for the current incarnation. Before, it
+  /// may be open for the one before, which Announcement_ tells.
   bool GateOpened_ = false;
+  /// The instance that the gate was last closed for.
+  std::string ClosedFor_;
+  /// How often it was closed. A health check that began before does not open
+  /// it.
+  uint64_t Closings_ = 0;
   bool Checking_ = false;
   int UnconfirmedReports_ = 0;
+  /// The other instance that reported last, and how often it did since the
+  /// present one reported.
+  std::string OtherInstance_;
+  int OtherReports_ = 0;
 };
 
+/// Throws std::invalid_argument if the report names another service or address
+/// than this VM's. A report without an address names none.
+void InstanceMonitor::Impl::checkExpected(const InstanceReport &Report) const {
+  bool NamesUpstream = Report.Address_ != asio::ip::tcp::endpoint();
+  if (NamesUpstream && !Options_.Service_.empty() &&
+      Report.Service_ != Options_.Service_)
+    throw std::invalid_argument("expected the service " + Options_.Service_ +
+                                ", found " + Report.Service_);
+  if (NamesUpstream && Options_.Backend_ &&
+      Report.Address_ != *Options_.Backend_)
+    throw std::invalid_argument("expected the address of this VM's backend "
+                                "server, found another");
+}
+
+void InstanceMonitor::Impl::logReport(const InstanceReport &Report,
+                                      InstanceRecord::Effect Effect) const {
+  if (Effect == InstanceRecord::Effect::Renewed)
+    return;
+  logEvent(LogLevel::Info, "report",
+           {{"instance", Report.Incarnation_.Id_},
+            {"born_ms", Report.Incarnation_.StartWallMs_},
+            {"phase", phaseName(Report.Phase_)},
+            {"sequence", Report.Sequence_.value_or(-1)},
+            {"service", Report.Service_},
+            {"outcome", effectName(Effect)}});
+}
+
 void InstanceMonitor::Impl::handleReport(
     const HttpExchange::Pointer &Exchange) {
+  using Effect = InstanceRecord::Effect;
   InstanceReport Report;
   try {
     Report = Dialect_.readReport(Exchange->request());
+    checkExpected(Report);
   } catch (const std::invalid_argument &Error) {
     logEvent(LogLevel::Warning, "report_unusable", {{"why", Error.what()}});
     return Exchange->respond(errorAnswer(400, Error.what()));
   }
   Millis Now = NodeContext_.Clock_->now();
-  bool LeaseExpired = Now - LastReportAt_ > Lease_;
-  auto Effect = Record_.processReport(Report.Incarnation_, Report.Phase_,
-                                      Report.Sequence_, LeaseExpired);
-  if (Effect != InstanceRecord::Effect::Ignored)
+  bool LeaseExpired = Now - LastReportAt_ > Options_.Lease_;
+  Effect Result = Record_.processReport(Report.Incarnation_, Report.Phase_,
+                                        Report.Sequence_, LeaseExpired);
+  logReport(Report, Result);
+  if (Result == Effect::Unconfirmed)
+    return confirmOther(Report, Exchange);
+  bool Applied = Result == Effect::Renewed || Result == Effect::Changed;
+  if (Applied) {
     LastReportAt_ = Now;
-  if (Effect != InstanceRecord::Effect::Renewed)
-    logEvent(
-        LogLevel::Info, "report",
-        {{"instance", Report.Incarnation_.Id_},
-         {"born_ms", Report.Incarnation_.StartWallMs_},
-         {"phase", phaseName(Report.Phase_)},
-         {"sequence", Report.Sequence_.value_or(-1)},
-         {"service", Report.Service_},
-         {"outcome",
-          Effect == InstanceRecord::Effect::Ignored ? "ignored" : "changed"}});
-  // A report without a start time refers to the known incarnation.
-  if (Effect != InstanceRecord::Effect::Ignored)
-    Report.Incarnation_ = *Record_.incarnation();
-  apply(Report, Effect);
-  // If the report says that the backend server is leaving, apply() has closed
-  // the gate before this acknowledgement.
+    OtherReports_ = 0;
+  }
+  if (Report.Phase_ != InstancePhase::Ready)
+    applyLeaving(Report);
+  else if (Applied)
+    applyReady(Report, Result);
+  bool Late = Report.Phase_ == InstancePhase::Ready &&
+              Report.Incarnation_.Id_ != Record_.incarnation()->Id_;
+  if (Result == Effect::Ignored && Late)
+    return respondIgnored(Exchange);
   Exchange->respond(Dialect_.acknowledgement());
 }
 
-void InstanceMonitor::Impl::apply(const InstanceReport &Report,
-                                  InstanceRecord::Effect Effect) {
-  if (Effect == InstanceRecord::Effect::Ignored)
-    return;
+void InstanceMonitor::Impl::respondIgnored(
+    const HttpExchange::Pointer &Exchange) const {
+  Exchange->respond(
+      errorAnswer(409, "another instance is known to run on this VM"));
+}
+
+// The acknowledgement of such a report means that the gate is not open for the
+// instance, so this does not depend on whether the record takes the report for
+// one of the present incarnation.
+void InstanceMonitor::Impl::applyLeaving(const InstanceReport &Report) {
+  bool OpenForIt = Announcement_.State_ == Announcement::State::Serving &&
+                   Announcement_.Instance_ == Report.Incarnation_.Id_;
+  bool IsCurrent = Record_.incarnation()->Id_ == Report.Incarnation_.Id_;
+  if (OpenForIt || (IsCurrent && Record_.phase() != InstancePhase::Ready))
+    closeGate(Report.Incarnation_.Id_);
+}
+
+void InstanceMonitor::Impl::applyReady(const InstanceReport &Report,
+                                       InstanceRecord::Effect Effect) {
   if (Effect == InstanceRecord::Effect::Changed) {
     GateOpened_ = false;
     UnconfirmedReports_ = 0;
   }
-  if (Record_.phase() == InstancePhase::Ready)
-    openOrCheckHealth(Report);
-  else
-    closeGate();
+  // A report without a start time, or with an earlier one, refers to the known
+  // incarnation.
+  InstanceReport Known = Report;
+  Known.Incarnation_ = *Record_.incarnation();
+  openOrCheckHealth(Known);
 }
 
-void InstanceMonitor::Impl::closeGate() {
+/// Finds out whether another instance runs in place of the present one, which
+/// has not said that it leaves.
+void InstanceMonitor::Impl::confirmOther(
+    const InstanceReport &Report, const HttpExchange::Pointer &Exchange) {
+  const std::string &Id = Report.Incarnation_.Id_;
+  OtherReports_ = Id == OtherInstance_ ? OtherReports_ + 1 : 1;
+  OtherInstance_ = Id;
+  auto Config = NodeContext_.Config_();
+  const ServiceResource *Service = Config->service(Report.Service_);
+  if (!Service || Checking_)
+    return respondIgnored(Exchange);
+  if (Service->HealthPath_.empty())
+    return onOtherChecked(Report, Exchange, NotRun{});
+  Checking_ = true;
+  probe(Report.Address_, Service->HealthPath_, &Impl::onOtherChecked, Report,
+        Exchange);
+}
+
+// If the health answer names no instance, several reports of the other one, and
+// none of the present one in between, count as well.
+void InstanceMonitor::Impl::onOtherChecked(
+    const InstanceReport &Report, const HttpExchange::Pointer &Exchange,
+    const Verdict &Outcome) {
+  Checking_ = false;
+  const Ran *Answered = std::get_if<Ran>(&Outcome);
+  std::string Id = Answered ? Dialect_.instanceOf(Answered->Answer_) : "";
+  bool Named = Id == Report.Incarnation_.Id_;
+  bool Healthy = Named && Answered->Answer_.Status_ == HealthOk;
+  logEvent(LogLevel::Info, "health_checked",
+           {{"instance", Report.Incarnation_.Id_},
+            {"verdict", verdictName(Outcome)},
+            {"status", Answered ? Answered->Answer_.Status_ : 0},
+            {"outcome", Healthy ? "healthy" : "not healthy"},
+            {"unconfirmed", Named ? 0 : OtherReports_},
+            {"present", false}});
+  if (!Id.empty() && !Named)
+    OtherReports_ = 0;
+  // Meanwhile the present instance may have reported, or another one been
+  // found.
+  bool Runs = (Named || (Id.empty() && sentOften())) &&
+              Record_.processReport(Report.Incarnation_, Report.Phase_,
+                                    Report.Sequence_,
+                                    false) != InstanceRecord::Effect::Ignored;
+  if (!Runs)
+    return respondIgnored(Exchange);
+  replaceBy(Report, Healthy || sentOften());
+  Exchange->respond(Dialect_.acknowledgement());
+}
+
+void InstanceMonitor::Impl::replaceBy(const InstanceReport &Report,
+                                      bool Opens) {
+  Record_.confirm(Report.Incarnation_, Report.Sequence_);
+  LastReportAt_ = NodeContext_.Clock_->now();
+  int Unconfirmed = std::exchange(OtherReports_, 0);
+  if (Opens)
+    return openGate(Report);
+  closeGate(Announcement_.Instance_);
+  UnconfirmedReports_ = Unconfirmed;
+}
+
+void InstanceMonitor::Impl::closeGate(const std::string &Instance) {
+  ClosedFor_ = Instance;
+  ++Closings_;
+  GateOpened_ = false;
+  UnconfirmedReports_ = 0;
   Announcement_.State_ = Announcement::State::Leaving;
   Gate_.announce(Announcement_);
 }
@@ -192,7 +336,8 @@
   if (!isCurrentAndReady(Report))
     return;
   bool EarlyReport = Report.Sequence_ &&
-                     *Report.Sequence_ <= InstanceRecord::MaxInitialSequence;
+                     *Report.Sequence_ <= InstanceRecord::MaxInitialSequence &&
+                     Report.Incarnation_.Id_ != ClosedFor_;
   if (GateOpened_ || EarlyReport)
     return openGate(Report);
   auto Config = NodeContext_.Config_();
@@ -241,12 +386,15 @@
 void InstanceMonitor::Impl::checkHealth(const InstanceReport &Report,
                                         const std::string &Path) {
   Checking_ = true;
-  probe(Report.Address_, Path, &Impl::onHealthChecked, Report);
+  probe(Report.Address_, Path, &Impl::onHealthChecked, Report, Closings_);
 }
 
 void InstanceMonitor::Impl::onHealthChecked(const InstanceReport &Report,
+                                            uint64_t Closings,
                                             const Verdict &Outcome) {
   Checking_ = false;
+  if (Closings != Closings_)
+    return;
   const Ran *Answered = std::get_if<Ran>(&Outcome);
   std::string Id = Answered ? Dialect_.instanceOf(Answered->Answer_) : "";
   bool OtherInstance = !Id.empty() && Id != Report.Incarnation_.Id_;
@@ -267,32 +415,28 @@
     openGate(Report);
 }
 
-void InstanceMonitor::Impl::discoverOnce(
-    const std::string &Service, const asio::ip::tcp::endpoint &Address) {
+void InstanceMonitor::Impl::discoverOnce() {
   if (Record_.incarnation() || NodeContext_.Clock_->now() > DiscoveryDeadline_)
     return;
   auto Config = NodeContext_.Config_();
-  const ServiceResource *Resource = Config->service(Service);
+  const ServiceResource *Resource = Config->service(Options_.Service_);
   if (!Resource || Resource->HealthPath_.empty())
-    retryLater(&Impl::discoverOnce, Service, Address);
+    retryLater(&Impl::discoverOnce);
   else
-    probe(Address, Resource->HealthPath_, &Impl::onDiscovered, Service,
-          Address);
+    probe(*Options_.Backend_, Resource->HealthPath_, &Impl::onDiscovered);
 }
 
 // A backend server that does not answer with success is not checked again; the
 // gate then opens only after its reports.
-void InstanceMonitor::Impl::onDiscovered(const std::string &Service,
-                                         const asio::ip::tcp::endpoint &Address,
-                                         const Verdict &Outcome) {
+void InstanceMonitor::Impl::onDiscovered(const Verdict &Outcome) {
   const Ran *Answered = std::get_if<Ran>(&Outcome);
   if (Record_.incarnation() || !Answered ||
       Answered->Answer_.Status_ != HealthOk)
     return;
   InstanceReport Report;
   Report.Incarnation_.Id_ = Dialect_.instanceOf(Answered->Answer_);
-  Report.Service_ = Service;
-  Report.Address_ = Address;
+  Report.Service_ = Options_.Service_;
+  Report.Address_ = *Options_.Backend_;
   Report.Slots_ = Dialect_.slotsOf(Answered->Answer_);
   if (Report.Incarnation_.Id_.empty() || Report.Slots_ == 0)
     return;
@@ -307,16 +451,13 @@
 InstanceMonitor::InstanceMonitor(asio::io_context &Context,
                                  NodeContext ThisNode,
                                  const ReportDialect &Dialect, Gate &Target,
-                                 Millis Lease)
+                                 Options Expected)
     : Impl_(std::make_shared<Impl>(Context, std::move(ThisNode), Dialect,
-                                   Target, Lease)) {}
+                                   Target, std::move(Expected))) {}
 
 InstanceMonitor::~InstanceMonitor() = default;
 
-void InstanceMonitor::discover(std::string Service,
-                               asio::ip::tcp::endpoint Address) {
-  Impl_->discover(std::move(Service), Address);
-}
+void InstanceMonitor::discover() { Impl_->discover(); }
 
 void InstanceMonitor::processReport(const HttpExchange::Pointer &Exchange) {
   Impl_->processReport(Exchange);
--- a/src/libcoordination/node.cpp
+++ b/src/libcoordination/node.cpp
@@ -124,6 +124,15 @@
   return Timeouts.Drain_;
 }
 
+InstanceMonitor::Options expectedInstance(const Settings &AllSettings) {
+  InstanceMonitor::Options Expected;
+  Expected.Lease_ = AllSettings.Timeouts_.Lease_;
+  Expected.Service_ = AllSettings.Node_.Service_;
+  if (!AllSettings.Node_.Backend_.empty())
+    Expected.Backend_ = endpointOf(AllSettings.Node_.Backend_);
+  return Expected;
+}
+
 /// The two sockets of a node for other nodes, TCP and UDP, which share one port
 /// number.
 struct PeerSockets {
@@ -315,7 +324,7 @@
     return;
   Instances_ = std::make_unique<InstanceMonitor>(Context, nodeContext(),
                                                  *Adapters_.Reports_, Gate_,
-                                                 AllSettings.Timeouts_.Lease_);
+                                                 expectedInstance(AllSettings));
   Reports_ = listen(endpointOf(AllSettings.Listen_.Reports_), false,
                     [this](const HttpExchange::Pointer &Exchange) {
                       Instances_->processReport(Exchange);
@@ -537,9 +546,8 @@
   Config_.start();
   if (Follower_)
     Follower_->start();
-  if (Instances_ && !Settings_.Node_.Backend_.empty())
-    Instances_->discover(Settings_.Node_.Service_,
-                         endpointOf(Settings_.Node_.Backend_));
+  if (Instances_)
+    Instances_->discover();
   if (LogClient_)
     Seeds_.start();
   Gate_.start([this](const std::string &Service, int Slots, bool Leaving) {
--- a/src/libstate/instancerecord.cpp
+++ b/src/libstate/instancerecord.cpp
@@ -34,20 +34,38 @@
   return Phase_ == InstancePhase::Gone || LeaseExpired;
 }
 
+bool InstanceRecord::hasCurrentId(const InstanceIncarnation &Reported) const {
+  return Incarnation_ && Reported.Id_ == Incarnation_->Id_;
+}
+
+/// Returns whether this incarnation has reported that it leaves without being
+/// the current one. Where that report carried no start time, only the sequence
+/// number distinguishes a new incarnation with the same id.
+bool InstanceRecord::hasLeft(const InstanceIncarnation &Reported,
+                             std::optional<int64_t> Sequence) const {
+  if (Reported.Id_ != Left_.Id_)
+    return false;
+  if (Left_.StartWallMs_ == 0)
+    return !Sequence || *Sequence > MaxInitialSequence;
+  return Reported.StartWallMs_ <= Left_.StartWallMs_;
+}
+
 InstanceRecord::Effect InstanceRecord::processReport(
     const InstanceIncarnation &Reported, InstancePhase Phase,
     std::optional<int64_t> Sequence, bool LeaseExpired) {
-  bool Current = isCurrent(Reported, Sequence);
-  if (!Current && replaces(Reported, Phase, Sequence, LeaseExpired)) {
-    Incarnation_ = Reported;
-    Phase_ = Phase;
-    Sequence_ = Sequence.value_or(0);
-    return Effect::Changed;
-  }
-  if (!Current || (Sequence && *Sequence < Sequence_))
-    return Effect::Ignored;
+  if (!isCurrent(Reported, Sequence))
+    return processOther(Reported, Phase, Sequence, LeaseExpired);
   if (Incarnation_->StartWallMs_ == 0)
     Incarnation_ = Reported;
+  return processCurrent(Phase, Sequence);
+}
+
+// The order of reports matters for none but ready ones, which an incarnation
+// that leaves no longer sends: another writer's sequence number must not hide
+// that it leaves.
+InstanceRecord::Effect
+InstanceRecord::processCurrent(InstancePhase Phase,
+                               std::optional<int64_t> Sequence) {
   Sequence_ = std::max(Sequence_, Sequence.value_or(Sequence_));
   if (Phase == Phase_)
     return Effect::Renewed;
@@ -57,4 +75,37 @@
   return Effect::Changed;
 }
 
+InstanceRecord::Effect InstanceRecord::processOther(
+    const InstanceIncarnation &Reported, InstancePhase Phase,
+    std::optional<int64_t> Sequence, bool LeaseExpired) {
+  bool CurrentRuns =
+      Incarnation_ && Phase_ == InstancePhase::Ready && !LeaseExpired;
+  bool Ready = Phase == InstancePhase::Ready;
+  if (Ready && hasLeft(Reported, Sequence))
+    return Effect::Ignored;
+  bool Later = replaces(Reported, Phase, Sequence, LeaseExpired);
+  if (CurrentRuns && !Ready && (!Later || !hasCurrentId(Reported))) {
+    Left_ = Reported;
+    return hasCurrentId(Reported) ? Effect::Doubted : Effect::Ignored;
+  }
+  // A late report of an earlier start tells at least that the id is in use.
+  if (CurrentRuns && hasCurrentId(Reported) && !Later)
+    return Effect::Renewed;
+  if (!Later)
+    return Effect::Ignored;
+  if (CurrentRuns && !hasCurrentId(Reported))
+    return Effect::Unconfirmed;
+  Incarnation_ = Reported;
+  Phase_ = Phase;
+  Sequence_ = Sequence.value_or(0);
+  return Effect::Changed;
+}
+
+void InstanceRecord::confirm(const InstanceIncarnation &Reported,
+                             std::optional<int64_t> Sequence) {
+  Incarnation_ = Reported;
+  Phase_ = InstancePhase::Ready;
+  Sequence_ = Sequence.value_or(0);
+}
+
 } // namespace coltsfoot
--- a/src/libstate/instancerecord.h
+++ b/src/libstate/instancerecord.h
@@ -21,12 +21,14 @@
 
 /// Tracks the incarnation and phase of the backend server beside a node.
 ///
-/// Reports may be late, repeated, out of order or from an incarnation that has
-/// ended. A later incarnation replaces an earlier one. Within an incarnation
-/// the greatest sequence number wins, and an incarnation that has started to
-/// leave never becomes ready again. As the sender's clock may have been set
-/// back between two incarnations, one with an earlier start time is accepted
-/// once the current one is gone or its lease has expired.
+/// Reports may be late, repeated, out of order, from an incarnation that has
+/// ended, or from another writer. A later incarnation replaces an earlier one,
+/// but while the current one is ready and its lease has not expired, one with
+/// another id must be confirmed first. An incarnation that has started to leave
+/// never becomes ready again, whatever the order of its reports. As the
+/// sender's clock may have been set back between two incarnations, one with an
+/// earlier start time is accepted once the current one is gone or its lease has
+/// expired.
 /// Not thread-safe.
 class InstanceRecord {
 public:
@@ -38,7 +40,14 @@
   enum class Effect {
     Ignored, ///< From an earlier incarnation, or superseded in the current one.
     Renewed, ///< Confirms the current incarnation and phase.
-    Changed  ///< A new incarnation, or a new phase of the current one.
+    Changed, ///< A new incarnation, or a new phase of the current one.
+    /// Says that another instance is ready in place of the current one. Nothing
+    /// has changed; see confirm().
+    Unconfirmed,
+    /// Says that an incarnation under the current one's id leaves that started
+    /// earlier. It may be the one that runs, if another writer has named a
+    /// later start.
+    Doubted
   };
 
   /// Applies a report. Sequence is absent when the report carries none, as the
@@ -47,6 +56,10 @@
   /// longer than its lease.
   Effect processReport(const InstanceIncarnation &Reported, InstancePhase Phase,
                        std::optional<int64_t> Sequence, bool LeaseExpired);
+  /// Replaces the current incarnation by one whose ready report was
+  /// unconfirmed, after it was found to run.
+  void confirm(const InstanceIncarnation &Reported,
+               std::optional<int64_t> Sequence);
 
   /// Returns the current incarnation, or nothing before the first report.
   const std::optional<InstanceIncarnation> &incarnation() const {
@@ -57,12 +70,21 @@
 private:
   bool isCurrent(const InstanceIncarnation &Reported,
                  std::optional<int64_t> Sequence) const;
+  bool hasCurrentId(const InstanceIncarnation &Reported) const;
+  bool hasLeft(const InstanceIncarnation &Reported,
+               std::optional<int64_t> Sequence) const;
   bool replaces(const InstanceIncarnation &Reported, InstancePhase Phase,
                 std::optional<int64_t> Sequence, bool LeaseExpired) const;
+  Effect processOther(const InstanceIncarnation &Reported, InstancePhase Phase,
+                      std::optional<int64_t> Sequence, bool LeaseExpired);
+  Effect processCurrent(InstancePhase Phase, std::optional<int64_t> Sequence);
 
   std::optional<InstanceIncarnation> Incarnation_;
   InstancePhase Phase_ = InstancePhase::Ready;
   int64_t Sequence_ = 0;
+  /// The latest incarnation that reported that it leaves without being the
+  /// current one.
+  InstanceIncarnation Left_;
 };
 
 } // namespace coltsfoot
