Let the soak tell nodes their kill and send whole foreign reports

The soak's nodes had the drain of one deployment in their settings. Now they have the deployed limits and are told that they are killed 6 s after SIGTERM, and odd reports include whole ones, under a foreign id and under the upstream's own, with another start, sequence number and sometimes service.

--- a/testsuite/soak/soakrun.cpp
+++ b/testsuite/soak/soakrun.cpp
@@ -9,6 +9,8 @@
 
 #include <algorithm>
 #include <atomic>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -35,9 +37,9 @@
 constexpr int ClientsPerMachine = 3;
 /// The number of the store's address; the other numbers are machines.
 constexpr int StoreNumber = 7;
-/// As in the deployed settings.
-constexpr std::string_view Timeouts =
-    "drain_ms = 5600\ndrain_notice_ms = 3000\n";
+/// How long after SIGTERM a node is told to be killed.
+constexpr std::string_view KillAfter = "6s";
+constexpr Millis LatestForeignStart(60'000);
 constexpr Millis LongCallDeadline(5000);
 constexpr Millis LongCallTimeout(9000);
 /// A call sent within LastSafeSend of SIGTERM may be cut if its upstream still
@@ -100,13 +102,23 @@
                 const std::string &Folder, const std::string &Service)
       : Service_(Service), StoreLink_(platformAddress(Number)),
         UpstreamLink_(platformAddress(Number)),
-        Machine_({Number, StoreLink_.address(), Folder, UpstreamLink_.address(),
-                  std::string(Timeouts)},
+        Machine_(options(Number, Folder),
                  {.Service_ = Service, .Work_ = UpstreamServiceTime}) {
     setLinkTarget(StoreLink_, Store.address());
     setLinkTarget(UpstreamLink_, Machine_.upstream().address());
   }
 
+  PlatformMachine::Options options(int Number, const std::string &Folder) {
+    PlatformMachine::Options Options;
+    Options.Number_ = Number;
+    Options.Store_ = StoreLink_.address();
+    Options.Folder_ = Folder;
+    Options.Backend_ = UpstreamLink_.address();
+    Options.Timeouts_ = deployedTimeouts();
+    Options.KillAfter_ = KillAfter;
+    return Options;
+  }
+
   static void setLinkTarget(FaultProxy &Link, const std::string &Address) {
     IpPort Parsed = parseIpPort(Address).value();
     Link.setTarget(Parsed.Ip_, Parsed.Port_);
@@ -205,6 +217,7 @@
   void changeConfig(FaultyMachine &Target);
   void putOddRecords(FaultyMachine &Target);
   void sendOddReports(FaultyMachine &Target);
+  std::string foreignReport(const FaultyMachine &Target);
   void disturbUpstreamLink(FaultyMachine &Target);
   void sendSurplusAnswers(FaultyMachine &Target);
   void shedRequests(FaultyMachine &Target);
@@ -565,17 +578,38 @@
   scheduleEnd(StoreFaultActive_, drawTime(100, 1000), [this] { putConfig(); });
 }
 
+// Another writer sends odd reports, and one that is whole.
 void SoakRun::Impl::sendOddReports(FaultyMachine &Target) {
-  for (const std::string &Each : oddDocuments())
-    for (const char *Instance : {"odd", "i-1"}) {
+  std::vector<std::string> Documents = oddDocuments();
+  Documents.push_back(foreignReport(Target));
+  for (const std::string &Each : Documents)
+    for (const std::string &Instance :
+         {std::string("odd"), Target.Machine_.upstream().instance()}) {
       try {
         request(Target.Machine_.ip(), PlatformMachine::ReportPort, "POST",
-                "/instances/" + std::string(Instance) + "/heartbeat", {}, Each);
+                "/instances/" + Instance + "/heartbeat", {}, Each);
       } catch (const HttpError &) {
       }
     }
 }
 
+/// Returns a ready report with another start, sequence number and perhaps
+/// service than the upstream's.
+std::string SoakRun::Impl::foreignReport(const FaultyMachine &Target) {
+  Millis Start = Clock_.wallNow() + drawTime(0, LatestForeignStart.whole());
+  boost::json::object Body{
+      {"service", draw(2) == 0 ? std::string("none") : Target.Service_},
+      {"address", Target.UpstreamLink_.address()},
+      {"zone", "z"},
+      {"version", "v1"},
+      {"slots", 8},
+      {"state", "ready"},
+      {"cold-remaining", "0ms"},
+      {"sequence", draw(1'000'000)},
+      {"born", Start.whole()}};
+  return boost::json::serialize(Body);
+}
+
 void SoakRun::Impl::disturbUpstreamLink(FaultyMachine &Target) {
   switch (draw(5)) {
   case 0:
