Make concurrent calls where a test asks which gates are open

Traced from the node's log: the gate was open 37 ms after its close (announced serving=true), but no call came, also from its own entry: with one call at a time and two open gates the balancer goes by latency alone, and the first calls of a gate are the slowest. The fault is the test's. It now makes twelve calls of 40 ms at once, which go to both gates by the calls in progress, so that it also fails surely where a gate is open that should be closed.

--- a/testsuite/platform/other_writer_test.cpp
+++ b/testsuite/platform/other_writer_test.cpp
@@ -5,6 +5,7 @@
 
 #include <doctest/doctest.h>
 #include <filesystem>
+#include <future>
 #include <thread>
 
 using namespace coltsfoot;
@@ -37,8 +38,8 @@
       Machines_.back()->start();
       Machines_.back()->report();
     }
-    waitForCall("warm", WaitLimit);
     reportOften(3);
+    waitForCall("warm", WaitLimit);
   }
   ~Site() { std::filesystem::remove_all(Folder_); }
 
@@ -70,10 +71,17 @@
   }
 
   /// Makes calls at all machines and returns how many the machine's upstream
-  /// runs.
+  /// runs. The calls are concurrent, so that each open gate gets some.
   size_t runsOf(const std::string &Label) {
-    for (int I = 0; I < 30; ++I)
-      Machines_[size_t(I) % 3]->call("GET", "/safe/x", Label);
+    for (int Round = 0; Round < 3; ++Round) {
+      std::vector<std::future<HttpReply>> Calls;
+      for (size_t I = 0; I < 12; ++I)
+        Calls.push_back(std::async(std::launch::async, [&, I] {
+          return Machines_[I % 3]->call("GET", "/safe/work-ms=40", Label);
+        }));
+      for (auto &Each : Calls)
+        Each.get();
+    }
     return machine().runs(Label).size();
   }
 
