Add teams with keys, rank and allowance as resources

Each configuration indexes the digests. Two teams with one key are refused, and the keys in force stay.

Clock::sinceBoot() goes on while the machine is suspended, for bounds that must hold then too.

--- a/src/coltsfootctl/commands.h
+++ b/src/coltsfootctl/commands.h
@@ -2,6 +2,8 @@
 
 #include "commanderror.h"
 
+#include <string>
+
 namespace coltsfoot {
 
 struct Options;
@@ -30,6 +32,13 @@
 ExitCode runDrain(const Options &Opts);
 ExitCode runLogLevel(const Options &Opts);
 
+/// Prints the digest of the key on standard input.
+ExitCode runKeyDigest(const Options &Opts);
+
+/// Returns the digest of a team's key as text. A line end after the key is not
+/// part of it. Throws CommandError when there is no key.
+std::string digestOfKeyText(std::string KeyText);
+
 /// Returns the API path of the resource kind that the first argument names.
 /// Throws CommandError with ExitCode::Usage when the kind or the resource name
 /// is invalid, or when the number of arguments is out of range.
--- a/src/coltsfootctl/commands_test.cpp
+++ b/src/coltsfootctl/commands_test.cpp
@@ -102,3 +102,12 @@
                              R"({"total":5,"burn_rate":1.1}]})"));
   CHECK_THROWS_AS(hasExcessiveBurnRate("{}"), CommandError);
 }
+
+TEST_CASE("the digest of a key is that of its text without a line end") {
+  const std::string Expected =
+      "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad";
+  CHECK(digestOfKeyText("abc") == Expected);
+  CHECK(digestOfKeyText("abc\r\n") == Expected);
+  CHECK(digestOfKeyText("abc ") != Expected);
+  CHECK_THROWS_AS(digestOfKeyText("\n"), CommandError);
+}
--- a/src/coltsfootctl/options.cpp
+++ b/src/coltsfootctl/options.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+/// The one command that needs no node.
+constexpr std::string_view KeyDigestCommand = "key-digest";
 constexpr const char *CommandHelp =
     R"(Commands:
   apply -f FILE       write the resources of a file ('-': standard input)
@@ -22,8 +24,10 @@
   explain ID          show how a request was handled; --log reads log files
   burn                show error budget burn; exit 1 if a burn rate exceeds 1
   log-level LEVEL     set the minimum log level of every --node
+  key-digest          read a team's key from standard input and print its
+                      digest, which the resource of the team holds
 
-KIND is service, rank, retry-policy, objective or host.
+KIND is service, rank, retry-policy, objective, host or team.
 
 Exit codes: 0 done, 1 refused or failed, 2 invalid arguments or file, 3 no node
 reached, 4 conflict with another change, 5 outcome unknown.
@@ -93,9 +97,11 @@
   Result.Arguments_.erase(Result.Arguments_.begin());
   if (ParsedArgs.count("log") > 0)
     Result.LogFiles_ = ParsedArgs["log"].as<std::vector<std::string>>();
-  if (Result.LogFiles_.empty())
+  bool NeedsNode =
+      Result.LogFiles_.empty() && Result.Command_ != KeyDigestCommand;
+  if (NeedsNode)
     Result.Nodes_ = parseNodes(ParsedArgs);
-  else if (Result.Command_ != "explain")
+  else if (!Result.LogFiles_.empty() && Result.Command_ != "explain")
     throwUsageError("--log: only the command explain reads log files");
   auto Output = ParsedArgs["output"].as<std::string>();
   if (Output != "table" && Output != "json")
--- a/src/coltsfootctl/resourcefile.cpp
+++ b/src/coltsfootctl/resourcefile.cpp
@@ -28,10 +28,13 @@
   std::string_view Path_;
 };
 
-constexpr std::array<KindName, 5> Kinds = {
-    KindName{"service", "services"}, KindName{"rank", "ranks"},
+constexpr std::array<KindName, 6> Kinds = {
+    KindName{"service", "services"},
+    KindName{"rank", "ranks"},
     KindName{"retry-policy", "retry-policies"},
-    KindName{"objective", "objectives"}, KindName{"host", "hosts"}};
+    KindName{"objective", "objectives"},
+    KindName{"host", "hosts"},
+    KindName{"team", "teams"}};
 
 std::string shortened(std::string Text) {
   if (Text.size() > MaxFoundLength) {
--- a/src/coltsfootctl/showcommands.cpp
+++ b/src/coltsfootctl/showcommands.cpp
@@ -251,10 +251,12 @@
     ExitCode (*Run_)(const Options &);
   };
   static constexpr Entry Commands[] = {
-      {"apply", runApply},       {"get", runGet},         {"delete", runDelete},
-      {"watch", runWatch},       {"nodes", runNodes},     {"status", runStatus},
-      {"drain", runDrain},       {"explain", runExplain}, {"burn", runBurn},
-      {"log-level", runLogLevel}};
+      {"apply", runApply},         {"get", runGet},
+      {"delete", runDelete},       {"watch", runWatch},
+      {"nodes", runNodes},         {"status", runStatus},
+      {"drain", runDrain},         {"explain", runExplain},
+      {"burn", runBurn},           {"log-level", runLogLevel},
+      {"key-digest", runKeyDigest}};
   for (const Entry &Candidate : Commands)
     if (Opts.Command_ == Candidate.Name_)
       return Candidate.Run_(Opts);
--- a/src/include/coltsfootpoint/time.h
+++ b/src/include/coltsfootpoint/time.h
@@ -39,14 +39,18 @@
 /// Source of the current time. All methods are thread-safe.
 ///
 /// now() is a monotonic time for time-outs and latencies; it is unrelated to
-/// the time of day. wallNow() is the time of day. Within a process it never
-/// decreases: after the VM's clock was set back, it returns the same value
-/// until the clock has caught up.
+/// the time of day and may stand still while the machine is suspended.
+/// sinceBoot() goes on then. wallNow() is the time of day. Within a process it
+/// never decreases: after the VM's clock was set back, it returns the same
+/// value until the clock has caught up.
 class Clock {
 public:
   virtual ~Clock() = default;
   /// Returns the monotonic time since an arbitrary start point.
   virtual Millis now() const = 0;
+  /// Returns a monotonic time since an arbitrary start point that includes the
+  /// time for which the machine was suspended. Not comparable with now().
+  virtual Millis sinceBoot() const = 0;
   /// Returns the time since 1970-01-01 UTC; it never decreases.
   virtual Millis wallNow() const = 0;
 };
@@ -55,26 +59,31 @@
 class SystemClock : public Clock {
 public:
   Millis now() const override;
+  Millis sinceBoot() const override;
   Millis wallNow() const override;
 
 private:
   mutable std::atomic<int64_t> LatestWallMs_ = 0;
 };
 
-/// A Clock for tests, which moves only when the test calls advance() or
-/// stepWall().
+/// A Clock for tests, which moves only when the test calls advance(), suspend()
+/// or stepWall().
 class ManualClock : public Clock {
 public:
   Millis now() const override { return Millis(NowMs_); }
+  Millis sinceBoot() const override { return Millis(NowMs_ + SuspendedMs_); }
   Millis wallNow() const override { return Millis(WallMs_); }
   /// Moves both the monotonic time and the time of day forward.
   void advance(Millis Step);
+  /// Moves all times but the monotonic one, as a suspension does.
+  void suspend(Millis Length);
   /// Changes the time of day alone. After a negative step, wallNow() returns
   /// the latest value until later steps have made up for it.
   void stepWall(Millis Step);
 
 private:
   std::atomic<double> NowMs_ = 1000;
+  std::atomic<double> SuspendedMs_ = 0;
   std::atomic<double> WallMs_ = 1.7e12;
   std::atomic<double> RawWallMs_ = 1.7e12;
 };
--- a/src/libcoordination/resourceapi.cpp
+++ b/src/libcoordination/resourceapi.cpp
@@ -83,8 +83,8 @@
 }
 
 constexpr std::array<ResourceKind, ResourceKindCount> AllKinds = {
-    ResourceKind::Service, ResourceKind::Rank, ResourceKind::RetryPolicy,
-    ResourceKind::Objective, ResourceKind::Host};
+    ResourceKind::Service,   ResourceKind::Rank, ResourceKind::RetryPolicy,
+    ResourceKind::Objective, ResourceKind::Host, ResourceKind::Team};
 
 } // namespace
 
--- a/src/libstate/configstate.cpp
+++ b/src/libstate/configstate.cpp
@@ -160,7 +160,7 @@
 
 } // namespace
 
-ConfigState::ConfigState() {
+ConfigState::ConfigState() : Keys_(std::make_shared<KeyIndex>()) {
   for (std::shared_ptr<Table> &Each : Tables_)
     Each = std::make_shared<Table>();
 }
@@ -238,7 +238,28 @@
   return Found->get();
 }
 
+// Restores the old keys when the new ones can't be added.
+void ConfigState::replaceKeys(const StoredResource *Old,
+                              const StoredResource *New) {
+  if (Keys_.use_count() != 1)
+    Keys_ = std::make_shared<KeyIndex>(*Keys_);
+  const auto *OldTeam = Old ? &std::get<TeamResource>(Old->Value_) : nullptr;
+  if (OldTeam)
+    Keys_->remove(*OldTeam);
+  if (!New)
+    return;
+  try {
+    Keys_->add(std::get<TeamResource>(New->Value_));
+  } catch (const ResourceError &) {
+    if (OldTeam)
+      Keys_->add(*OldTeam);
+    throw;
+  }
+}
+
 void ConfigState::put(ResourceKind Kind, StoredResource Entry) {
+  if (Kind == ResourceKind::Team)
+    replaceKeys(find(Kind, Entry.Name_), &Entry);
   Table &Entries = writableTable(Kind);
   auto Shared = std::make_shared<const StoredResource>(std::move(Entry));
   auto Position = std::lower_bound(Entries.begin(), Entries.end(),
@@ -250,6 +271,8 @@
 }
 
 void ConfigState::erase(ResourceKind Kind, std::string_view Name) {
+  if (Kind == ResourceKind::Team)
+    replaceKeys(find(Kind, Name), nullptr);
   Table &Entries = writableTable(Kind);
   auto Position =
       std::lower_bound(Entries.begin(), Entries.end(), Name, nameLess);
@@ -345,6 +368,16 @@
   return nullptr;
 }
 
+const TeamResource *ConfigState::team(std::string_view Name) const {
+  const StoredResource *Entry = find(ResourceKind::Team, Name);
+  return Entry ? &std::get<TeamResource>(Entry->Value_) : nullptr;
+}
+
+const TeamResource *ConfigState::teamOfKey(const KeyDigest &Key) const {
+  const std::string *Name = Keys_->teamOf(Key);
+  return Name ? team(*Name) : nullptr;
+}
+
 const RankResource *ConfigState::findRank(std::string_view Name) const {
   if (const StoredResource *Entry = find(ResourceKind::Rank, Name))
     return &std::get<RankResource>(Entry->Value_);
--- a/src/libstate/configstate.h
+++ b/src/libstate/configstate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "change.h"
+#include "keyindex.h"
 #include "resource.h"
 
 #include <array>
@@ -80,6 +81,13 @@
   const HostRoute *hostRoute(std::string_view Host,
                              std::string_view Target) const;
 
+  /// Returns whether there are teams, so that calls need a key.
+  bool hasTeams() const { return !table(ResourceKind::Team).empty(); }
+  /// Returns the team that has the key, or null.
+  const TeamResource *teamOfKey(const KeyDigest &Key) const;
+  /// Returns the team with this name, or null.
+  const TeamResource *team(std::string_view Name) const;
+
   /// Returns the rank with this name. `urgent`, `normal` and `low` are built in
   /// unless an operator defines them. Any other undefined name gives `normal`.
   const RankResource &rank(std::string_view Name) const;
@@ -130,7 +138,10 @@
   const RankResource *findRank(std::string_view Name) const;
   void applyRecord(const LogRecord &Record);
   ChangeResult applyChange(const Change &Value, int64_t Offset);
+  /// Throws ResourceError, without a change, if another team has a key of the
+  /// entry's.
   void put(ResourceKind Kind, StoredResource Entry);
+  void replaceKeys(const StoredResource *Old, const StoredResource *New);
   void erase(ResourceKind Kind, std::string_view Name);
   void retainResult(std::string Id, ChangeResult Result);
   size_t countResults() const;
@@ -141,6 +152,9 @@
   int64_t NextOffset_ = 0;
   /// One table for each kind, sorted by name; never null.
   std::array<std::shared_ptr<Table>, ResourceKindCount> Tables_;
+  /// The keys of the teams; never null. An index that two states share is never
+  /// modified.
+  std::shared_ptr<KeyIndex> Keys_;
   /// Oldest first. All chunks but the last are full. The first may also hold
   /// results older than the latest MaxRetainedResults. Tables and chunks that
   /// two states share are never modified.
--- a/src/libstate/configstate_test.cpp
+++ b/src/libstate/configstate_test.cpp
@@ -270,3 +270,59 @@
   REQUIRE(State->objectives().size() == 1);
   CHECK(State->objectives()[0]->Service_ == "s");
 }
+
+namespace {
+
+LogRecord putTeam(int64_t Offset, const std::string &Name,
+                  const std::vector<std::string> &Keys) {
+  std::string Digests;
+  for (const std::string &Key : Keys)
+    Digests +=
+        (Digests.empty() ? "\"" : ",\"") + KeyDigest::of(Key).hex() + "\"";
+  return {Offset, encodeChange({"team" + std::to_string(Offset),
+                                ResourceKind::Team, Name, AnyVersion, false,
+                                "{\"key_digests\":[" + Digests + "]}"})};
+}
+
+std::string teamOf(const ConfigState &State, const std::string &Key) {
+  const TeamResource *Found = State.teamOfKey(KeyDigest::of(Key));
+  return Found ? Found->Name_ : "(none)";
+}
+
+} // namespace
+
+TEST_CASE("a key leads to its team until it is taken away") {
+  CHECK_FALSE(ConfigState().hasTeams());
+  StatePtr First = replay({putTeam(0, "desk", {"k1", "k2"})});
+  CHECK(First->hasTeams());
+  CHECK(teamOf(*First, "k1") == "desk");
+  CHECK(teamOf(*First, "k3") == "(none)");
+  StatePtr Second = First->apply(std::vector{putTeam(1, "desk", {"k2", "k3"})});
+  CHECK(teamOf(*Second, "k1") == "(none)");
+  CHECK(teamOf(*Second, "k3") == "desk");
+  CHECK(teamOf(*First, "k1") == "desk");
+  StatePtr Third = Second->apply(
+      std::vector{LogRecord{2, encodeChange({"gone", ResourceKind::Team, "desk",
+                                             AnyVersion, true, ""})}});
+  CHECK(teamOf(*Third, "k2") == "(none)");
+  CHECK_FALSE(Third->hasTeams());
+  CHECK(teamOf(*ConfigState::restore(Second->snapshot()), "k3") == "desk");
+}
+
+TEST_CASE("two teams can't have one key") {
+  StatePtr State =
+      replay({putTeam(0, "desk", {"k1"}), putTeam(1, "field", {"k2", "k1"})});
+  CHECK(causeOf(*State, "team1") == RejectionCause::Invalid);
+  CHECK(teamOf(*State, "k1") == "desk");
+  CHECK(teamOf(*State, "k2") == "(none)");
+  // The keys of the version in force stay when a later one is refused.
+  State = State->apply(std::vector{putTeam(2, "field", {"k2"}),
+                                   putTeam(3, "field", {"k3", "k1"})});
+  CHECK(teamOf(*State, "k2") == "field");
+  CHECK(teamOf(*State, "k3") == "(none)");
+  std::string Body =
+      "{\"key_digests\":[\"" + KeyDigest::of("k1").hex() + "\"]}";
+  std::vector<UnparsedResource> Twice = {{ResourceKind::Team, "desk", Body},
+                                         {ResourceKind::Team, "field", Body}};
+  CHECK_THROWS_AS(ConfigState::fromResources(1, Twice), ResourceError);
+}
--- a/src/libstate/resource.cpp
+++ b/src/libstate/resource.cpp
@@ -24,6 +24,8 @@
 constexpr size_t MaxRoutes = 512;
 constexpr size_t MaxHostRoutes = 16384;
 constexpr size_t MaxShares = 64;
+constexpr size_t MaxTeamKeys = 256;
+constexpr int64_t MaxAllowance = 1'000'000'000;
 constexpr int64_t MaxAttempts = 20;
 constexpr int64_t MaxConnections = 1'000'000;
 constexpr size_t MaxWindows = 8;
@@ -49,7 +51,7 @@
 constexpr std::array<double, 3> DefaultWindowsMs = {300000, 3600000, 21600000};
 
 constexpr std::array<std::string_view, ResourceKindCount> KindNames = {
-    "services", "ranks", "retry-policies", "objectives", "hosts"};
+    "services", "ranks", "retry-policies", "objectives", "hosts", "teams"};
 
 bool isResourceName(std::string_view Name) {
   if (Name.empty() || Name.size() > MaxNameLength)
@@ -112,6 +114,7 @@
   bool IsSafeMethod = Result.Method_ == "GET" || Result.Method_ == "HEAD";
   Result.Idempotent_ = Reader.boolean("idempotent").value_or(IsSafeMethod);
   Result.Protected_ = Reader.boolean("protected").value_or(false);
+  Result.Anonymous_ = Reader.boolean("anonymous").value_or(false);
   Reader.rejectUnknownKeys();
   return Result;
 }
@@ -267,6 +270,7 @@
       millis(Reader, "objective_ms", 1, MaxDeadlineMs, Result.Timeout_.count());
   Result.Attempts_ =
       static_cast<int>(Reader.integer("attempts", 1, MaxAttempts).value_or(1));
+  Result.Anonymous_ = Reader.boolean("anonymous").value_or(false);
   Reader.rejectUnknownKeys();
   return Result;
 }
@@ -294,6 +298,43 @@
   return Result;
 }
 
+std::vector<KeyDigest> parseKeys(JsonReader &Reader) {
+  const boost::json::array *Array = Reader.array("key_digests");
+  if (!Array)
+    return {};
+  if (Array->size() > MaxTeamKeys)
+    Reader.fail("key_digests", "expected at most 256 digests");
+  std::vector<KeyDigest> Keys;
+  for (const boost::json::value &Item : *Array) {
+    std::string Field = "key_digests[" + std::to_string(Keys.size()) + "]";
+    const boost::json::string *Text = Item.if_string();
+    auto Key =
+        Text ? KeyDigest::parse({Text->data(), Text->size()}) : std::nullopt;
+    if (!Key)
+      throw ResourceError(Field, "expected 64 lower-case hexadecimal digits");
+    if (*Key == KeyDigest::of(""))
+      throw ResourceError(Field, "expected the digest of a key, found that of "
+                                 "an empty one");
+    if (std::find(Keys.begin(), Keys.end(), *Key) != Keys.end())
+      throw ResourceError(Field, "the team has this key already");
+    Keys.push_back(*Key);
+  }
+  return Keys;
+}
+
+TeamResource parseTeam(std::string Name, JsonReader &Reader) {
+  TeamResource Result;
+  Result.Name_ = std::move(Name);
+  Result.Keys_ = parseKeys(Reader);
+  Result.Order_ =
+      static_cast<int>(Reader.integer("order", 0, MaxOrder).value_or(0));
+  Result.Allowance_.RatePerS_ = static_cast<double>(
+      Reader.integer("rate_per_s", 0, MaxAllowance).value_or(0));
+  Result.Allowance_.Burst_ =
+      static_cast<double>(Reader.integer("burst", 0, MaxAllowance).value_or(0));
+  return Result;
+}
+
 Resource parseByKind(ResourceKind Kind, std::string Name, JsonReader &Reader) {
   switch (Kind) {
   case ResourceKind::Service:
@@ -304,6 +345,8 @@
     return parseRetryPolicy(std::move(Name), Reader);
   case ResourceKind::Host:
     return parseHost(std::move(Name), Reader);
+  case ResourceKind::Team:
+    return parseTeam(std::move(Name), Reader);
   case ResourceKind::Objective:
     break;
   }
@@ -325,8 +368,8 @@
     if (KindNames[I] == Name)
       return static_cast<ResourceKind>(I);
   throw ResourceError("kind",
-                      "expected services, ranks, retry-policies, objectives or "
-                      "hosts");
+                      "expected services, ranks, retry-policies, objectives, "
+                      "hosts or teams");
 }
 
 Resource parseResource(ResourceKind Kind, std::string_view Name,
--- a/src/libstate/resource.h
+++ b/src/libstate/resource.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "allowancelimits.h"
+#include "keydigest.h"
+
 #include "coltsfootpoint/time.h"
 
 #include <stdexcept>
@@ -23,6 +26,7 @@
   Millis Deadline_;
   bool Idempotent_ = false;
   bool Protected_ = false; ///< Refused only after all unprotected requests.
+  bool Anonymous_ = false; ///< Open to callers without a team's key.
   bool operator==(const Route &) const = default;
 };
 
@@ -84,10 +88,11 @@
   std::string Prefix_;               ///< Begins and ends with a slash.
   std::vector<TrafficShare> Shares_; ///< At least one.
   bool Idempotent_ = false;
-  int Order_ = 0;    ///< 0 is the most urgent, 100 the least.
-  Millis Timeout_;   ///< Longest time until the caller is answered.
-  Millis Objective_; ///< Target latency of an answer.
-  int Attempts_ = 1; ///< Most backend servers that one call is sent to.
+  int Order_ = 0;          ///< 0 is the most urgent, 100 the least.
+  Millis Timeout_;         ///< Longest time until the caller is answered.
+  Millis Objective_;       ///< Target latency of an answer.
+  int Attempts_ = 1;       ///< Most backend servers that one call is sent to.
+  bool Anonymous_ = false; ///< Open to callers without a team's key.
   bool operator==(const HostRoute &) const = default;
 };
 
@@ -98,16 +103,25 @@
   bool operator==(const HostResource &) const = default;
 };
 
+/// A team whose callers identify themselves by a key.
+struct TeamResource {
+  std::string Name_;
+  std::vector<KeyDigest> Keys_;
+  int Order_ = 0; ///< 0 is the most urgent, 100 the least.
+  AllowanceLimits Allowance_;
+  bool operator==(const TeamResource &) const = default;
+};
+
 /// The kinds of resources that operators write.
-enum class ResourceKind { Service, Rank, RetryPolicy, Objective, Host };
+enum class ResourceKind { Service, Rank, RetryPolicy, Objective, Host, Team };
 
 /// Number of values of ResourceKind.
-constexpr size_t ResourceKindCount = 5;
+constexpr size_t ResourceKindCount = 6;
 
 /// A parsed resource; the alternatives are in the order of ResourceKind.
 using Resource =
     std::variant<ServiceResource, RankResource, RetryPolicyResource,
-                 ObjectiveResource, HostResource>;
+                 ObjectiveResource, HostResource, TeamResource>;
 
 /// Thrown for an invalid resource.
 class ResourceError : public std::invalid_argument {
--- a/src/libstate/resource_test.cpp
+++ b/src/libstate/resource_test.cpp
@@ -153,6 +153,42 @@
   CHECK(Parsed.Windows_.size() == 3);
 }
 
+TEST_CASE("a team has keys, a rank and an allowance") {
+  std::string Digest = KeyDigest::of("k1").hex();
+  auto Parsed = std::get<TeamResource>(
+      parseResource(ResourceKind::Team, "desk",
+                    R"({"key_digests":[")" + Digest +
+                        R"("],"order":2,"rate_per_s":593,"burst":60})"));
+  CHECK(Parsed == TeamResource{"desk", {KeyDigest::of("k1")}, 2, {593, 60}});
+  CHECK(std::get<TeamResource>(parseResource(ResourceKind::Team, "t", "{}")) ==
+        TeamResource{"t", {}, 0, {0, 0}});
+}
+
+TEST_CASE("an invalid team is refused with the field at fault") {
+  std::string Digest = KeyDigest::of("k1").hex();
+  auto FieldOf = [](const std::string &Json, const char *Name = "desk") {
+    try {
+      parseResource(ResourceKind::Team, Name, Json);
+    } catch (const ResourceError &Error) {
+      return Error.field();
+    }
+    return std::string("(accepted)");
+  };
+  CHECK(FieldOf(R"({"rate_per_s":-1})") == "rate_per_s");
+  CHECK(FieldOf(R"({"rate_per_s":1.5})") == "rate_per_s");
+  CHECK(FieldOf(R"({"burst":"many"})") == "burst");
+  CHECK(FieldOf(R"({"order":101})") == "order");
+  CHECK(FieldOf(R"({"keys":["k1"]})") == "keys");
+  CHECK(FieldOf(R"({"key_digests":["k1"]})") == "key_digests[0]");
+  CHECK(FieldOf(R"({"key_digests":[7]})") == "key_digests[0]");
+  CHECK(FieldOf(R"({"key_digests":[")" + KeyDigest::of("").hex() + "\"]}") ==
+        "key_digests[0]");
+  CHECK(FieldOf(R"({"key_digests":[")" + Digest + "\",\"" + Digest + "\"]}") ==
+        "key_digests[1]");
+  CHECK(FieldOf("{}", "two words") == "name");
+  CHECK(FieldOf("{}", "line\nbreak") == "name");
+}
+
 TEST_CASE("resource kinds are named as in URL paths") {
   for (size_t I = 0; I < ResourceKindCount; ++I) {
     auto Kind = static_cast<ResourceKind>(I);
--- a/src/libutil/time.cpp
+++ b/src/libutil/time.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <ctime>
 
 namespace coltsfoot {
 
@@ -10,6 +11,14 @@
   return Millis(std::chrono::duration<double, std::milli>(SinceEpoch).count());
 }
 
+Millis SystemClock::sinceBoot() const {
+  constexpr double MsPerNanosecond = 1e-6;
+  timespec Time{};
+  clock_gettime(CLOCK_BOOTTIME, &Time);
+  return Millis(static_cast<double>(Time.tv_sec) * MsPerSecond +
+                static_cast<double>(Time.tv_nsec) * MsPerNanosecond);
+}
+
 Millis SystemClock::wallNow() const {
   auto SinceEpoch = std::chrono::system_clock::now().time_since_epoch();
   int64_t RawMs =
@@ -26,6 +35,11 @@
   stepWall(Step);
 }
 
+void ManualClock::suspend(Millis Length) {
+  SuspendedMs_ = SuspendedMs_ + Length.count();
+  stepWall(Length);
+}
+
 void ManualClock::stepWall(Millis Step) {
   RawWallMs_ = RawWallMs_ + Step.count();
   WallMs_ = std::max(WallMs_.load(), RawWallMs_.load());
