--- a/src/libcoordination/configfollower.cpp
+++ b/src/libcoordination/configfollower.cpp
@@ -46,6 +46,10 @@
                [Self = shared_from_this(), Version] { Self->onNews(Version); });
   }
 
+  void askNow() {
+    asio::post(Strand_, [Self = shared_from_this()] { Self->hurry(); });
+  }
+
   bool sourceLost() const { return SourceLost_; }
 
 private:
@@ -62,6 +66,8 @@
   void armCheck();
   void check(Millis Due);
   void giveUp();
+  void hurry();
+  void reportNewest() const;
 
   const Options Options_;
   ConfigSource &Source_;
@@ -78,6 +84,10 @@
   /// Newest version that the source has delivered.
   int64_t DeliveredVersion_ = 0;
   Millis Sent_; ///< When the request in progress was sent.
+  /// The same as a time of Clock::sinceBoot().
+  Millis SentSinceBoot_;
+  /// Newest version of the source that is in force here or is about to be.
+  int64_t AdoptedVersion_ = 0;
   bool Running_ = false;
   PollPace Pace_;
   /// Whether Position_ is valid: the newest configuration has been read since
@@ -105,6 +115,7 @@
   };
   Millis Wait = HasPosition_ ? Polling_.wait(Config_.isLogReader()) : Millis();
   Sent_ = Clock_.now();
+  SentSinceBoot_ = Clock_.sinceBoot();
   Pace_.onRequest(Sent_, Wait);
   Polling_.onSent(Sent_, Wait);
   if (NewsVersion_ > DeliveredVersion_)
@@ -147,6 +158,8 @@
     logEvent(LogLevel::Warning, "config_passed_over",
              {{"position", Each.Offset_}, {"why", Each.Why_}});
   adoptFrom(Answer);
+  if (Answer.Complete_)
+    reportNewest();
   pollAgain(Progress);
 }
 
@@ -193,6 +206,7 @@
 bool ConfigFollower::Impl::adopt(const VersionedConfig &NewConfig) {
   int64_t CurrentVersion = Config_.current()->nextOffset();
   if (NewConfig.Version_ <= CurrentVersion) {
+    AdoptedVersion_ = std::max(AdoptedVersion_, NewConfig.Version_);
     if (NewConfig.Version_ < CurrentVersion)
       logEvent(LogLevel::Warning, "config_passed_over",
                {{"version", NewConfig.Version_},
@@ -204,6 +218,7 @@
     Config_.adopt(
         ConfigState::fromResources(NewConfig.Version_, NewConfig.Resources_),
         {"source", Clock_.now() - Sent_});
+    AdoptedVersion_ = NewConfig.Version_;
     return true;
   } catch (const std::exception &Error) {
     logEvent(LogLevel::Warning, "config_passed_over",
@@ -279,6 +294,25 @@
   Source_.abandon();
 }
 
+// A request without a wait is left alone: its answer shows as much.
+void ConfigFollower::Impl::hurry() {
+  if (!Running_ || GivingUp_)
+    return;
+  if (std::exchange(Retrying_, false)) {
+    Timer_.cancel();
+    return poll();
+  }
+  if (Polling_.waits())
+    giveUp();
+}
+
+// What the source had when it was asked counts, not when it answered: a request
+// may have waited there or on the way.
+void ConfigFollower::Impl::reportNewest() const {
+  if (Options_.OnNewest_ && AdoptedVersion_ > 0)
+    Options_.OnNewest_(SentSinceBoot_, AdoptedVersion_);
+}
+
 void ConfigFollower::Impl::onSourceDown(const std::string &Why) {
   Polling_.onFailed();
   SourceLost_ = true;
@@ -308,6 +342,7 @@
 void ConfigFollower::onNewerKnown(int64_t Version) {
   Impl_->onNewerKnown(Version);
 }
+void ConfigFollower::askNow() { Impl_->askNow(); }
 bool ConfigFollower::sourceLost() const { return Impl_->sourceLost(); }
 
 } // namespace coltsfoot
--- a/src/libcoordination/configfollower.h
+++ b/src/libcoordination/configfollower.h
@@ -6,6 +6,7 @@
 #include "coltsfootpoint/time.h"
 
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <memory>
 
 namespace coltsfoot {
@@ -34,9 +35,15 @@
 /// clock.
 class ConfigFollower {
 public:
+  static constexpr int DefaultMaxDamaged = 3;
+
   struct Options {
     SourcePolling::Options Polling_;
-    int MaxDamaged_ = 3; ///< Damaged answers before the position is given up.
+    int MaxDamaged_ =
+        DefaultMaxDamaged; ///< Damaged answers before the position is given up.
+    /// Called when an answer shows that the source had no usable configuration
+    /// after Newest at AsOf, a time of Clock::sinceBoot(); may be empty.
+    std::function<void(Millis AsOf, int64_t Newest)> OnNewest_;
   };
 
   ConfigFollower(boost::asio::io_context &Context, ConfigSource &Source,
@@ -51,6 +58,10 @@
   /// Notes that a peer has this version, which is newer than that in force.
   void onNewerKnown(int64_t Version);
 
+  /// Gives up a request that waits at the source and asks again without a wait,
+  /// so that the answer shows what the newest configuration is.
+  void askNow();
+
   /// Returns whether the source did not answer the last request.
   bool sourceLost() const;
 
--- a/src/libcoordination/configsource.h
+++ b/src/libcoordination/configsource.h
@@ -55,6 +55,8 @@
   /// highest first. They matter when Result_ turns out to be invalid.
   std::vector<VersionedConfig> Older_ = {};
   std::vector<PassedOverRecord> PassedOver_ = {};
+  /// Whether the source had nothing beyond this response when it answered.
+  bool Complete_ = false;
 };
 
 /// An external store of complete configurations, which replaces the platform's
--- a/src/libstate/memberview.cpp
+++ b/src/libstate/memberview.cpp
@@ -61,4 +61,11 @@
   return Readers;
 }
 
+std::vector<std::string_view> MemberView::zones() const {
+  std::vector<std::string_view> Names;
+  for (const auto &[Zone, Members] : ByZone_)
+    Names.push_back(Zone);
+  return Names;
+}
+
 } // namespace coltsfoot
--- a/src/libstate/memberview.h
+++ b/src/libstate/memberview.h
@@ -30,6 +30,9 @@
   /// stableHash() of their address, lowest first.
   std::vector<MemberPtr> logReadersOf(std::string_view Zone,
                                       int Count = 3) const;
+  /// Returns the zones in which members are alive, in no particular order. The
+  /// views are valid as long as this one exists.
+  std::vector<std::string_view> zones() const;
   /// Returns the number of members that are not dead.
   int presentCount() const { return PresentCount_; }
   /// Returns MemberTable::version() at the time of the snapshot.
--- a/src/libstate/sourcepolling.h
+++ b/src/libstate/sourcepolling.h
@@ -54,6 +54,8 @@
   /// that should have brought the version is given up nevertheless.
   void onCaughtUp();
 
+  /// Returns whether a request is in progress that may wait at the source.
+  bool waits() const { return Sent_.has_value() && Wait_ > Millis(); }
   /// Returns whether the source did not answer the last request.
   bool lost() const { return Lost_ || GaveUp_; }
   /// Returns the delay before the next request, before jitter, and lengthens
