--- a/src/include/coltsfootpoint/settings.h
+++ b/src/include/coltsfootpoint/settings.h
@@ -128,6 +128,18 @@
   bool operator==(const TimeoutSettings &) const = default;
 };
 
+/// Table `[teams]`.
+struct TeamSettings {
+  /// How long after its removal a key may still be taken, with its unit, such
+  /// as `5s`; empty for no bound.
+  std::string RevokeWithin_;
+  /// Length of the windows in which allowances hold, with its unit; empty for
+  /// the default.
+  std::string AllowanceWindow_;
+  double AllowanceOverage_ = 0;
+  bool operator==(const TeamSettings &) const = default;
+};
+
 /// Table `[security]`. The values are file names, empty where not set.
 struct SecuritySettings {
   std::string TicketKeyFile_;
@@ -153,6 +165,7 @@
   MembershipSettings Membership_;
   LimitSettings Limits_;
   TimeoutSettings Timeouts_;
+  TeamSettings Teams_;
   SecuritySettings Security_;
   LoggingSettings Logging_;
   bool operator==(const Settings &) const = default;
--- a/src/include/coltsfootpoint/verdict.h
+++ b/src/include/coltsfootpoint/verdict.h
@@ -49,7 +49,11 @@
   Cancelled,          ///< The caller disconnected or cancelled.
   NotReady,           ///< The node lacks the configuration in force.
   Isolated,           ///< The node reaches neither the log service nor peers.
-  AnswerNotKept       ///< The request ran; its answer is no longer stored.
+  AnswerNotKept,      ///< The request ran; its answer is no longer stored.
+  KeyMissing,         ///< The route needs a team's key, and there was none.
+  KeyUnknown,         ///< No team of the configuration has the key.
+  KeysUnverified,     ///< The node can't show that it knows all taken keys.
+  AllowanceSpent      ///< The team has used up its allowance.
 };
 
 /// Returns the reason's name in lower-case words joined by hyphens, as refusals
--- a/src/libcoordination/api.cpp
+++ b/src/libcoordination/api.cpp
@@ -138,6 +138,7 @@
     Metrics_.addReceiveGauges("backend", Parts_.BackendBudget_);
     Metrics_.addReceiveGauges("peer", Parts_.PeerBudget_);
     Metrics_.addLagGauges(Parts_.Loop_);
+    Metrics_.addTeamGauges(Parts_.Allowances_, Parts_.Freshness_);
   }
 
   void handle(const HttpExchange::Pointer &Exchange);
--- a/src/libcoordination/api.h
+++ b/src/libcoordination/api.h
@@ -13,8 +13,10 @@
 
 namespace coltsfoot {
 
+class Allowances;
 class ConfigService;
 class DrainAdmission;
+class FreshnessService;
 class Gate;
 class GossipService;
 class LoopMonitor;
@@ -38,6 +40,8 @@
   const ByteBudget &BackendBudget_;
   const ByteBudget &PeerBudget_;
   const LoopMonitor &Loop_;
+  const Allowances &Allowances_;
+  const FreshnessService &Freshness_;
   std::string Node_;
   Secret OperatorToken_;
   std::function<std::string()> State_;
--- a/src/libcoordination/calldialect.h
+++ b/src/libcoordination/calldialect.h
@@ -22,9 +22,23 @@
   std::string Host_; ///< Selects the route together with the path.
   /// How long the caller waits; nothing if the request does not say.
   std::optional<Millis> Remaining_;
+  /// The key by which the caller identifies its team; empty for none.
+  std::string Key_;
   bool operator==(const CallMetadata &) const = default;
 };
 
+/// What a forwarded request tells the backend server about its origin.
+struct CallOrigin {
+  std::string_view CallerService_;
+  /// Whether callers identify themselves by keys, which are not forwarded.
+  bool KeysInUse_ = false;
+  std::string_view Team_; ///< Empty for none.
+};
+
+/// Returns the key in an Authorization field of the scheme Bearer, or an empty
+/// text for any other value.
+std::string bearerKey(std::string_view Authorization);
+
 /// The HTTP conventions for calls of callers and backend servers that do not
 /// use the project's own interface: names and formats of header fields, and
 /// status codes. It only translates; admission and routing are decided
@@ -38,10 +52,11 @@
   virtual CallMetadata readCall(const HttpRequest &Request) const = 0;
 
   /// Returns the header fields that are forwarded to the backend server with
-  /// the request. They name CallerService as the service of the caller.
+  /// the request. They name the service and the team of the caller, whatever
+  /// the request says of these.
   virtual std::vector<HttpField>
   forwardedFields(const HttpRequest &Request,
-                  std::string_view CallerService) const = 0;
+                  const CallOrigin &Origin) const = 0;
 
   /// Returns the fields that the gate adds before it forwards the request to
   /// its backend server: the time that remains, and the only instance that may
--- a/src/libcoordination/entry.h
+++ b/src/libcoordination/entry.h
@@ -12,6 +12,7 @@
 
 namespace coltsfoot {
 
+class Allowances;
 class AttemptTable;
 class Balancer;
 class CallCounts;
@@ -37,6 +38,7 @@
   int Status_ = 0;
   Millis Latency_;
   bool Root_ = true; ///< False for a nested call.
+  std::string Team_; ///< Empty for none.
 };
 
 /// A call that needed a further attempt which the retry budget pays for.
@@ -61,6 +63,7 @@
   PolicyKind Policy_;
   RetryBudget &Budget_;
   DrainAdmission &Drain_;
+  Allowances &Allowances_;
   /// The format of calls; null for the project's own interface.
   const CallDialect *Dialect_ = nullptr;
   /// Returns the service of the backend server of this VM.
@@ -74,6 +77,8 @@
   std::function<void(const RetryRecord &)> OnRetry_;
   /// Returns whether a newer configuration is known than the one in force.
   std::function<bool()> ConfigOutdated_;
+  /// See FreshnessService::keysVerified().
+  std::function<bool()> KeysVerified_;
 
   /// Returns why a call without a route is refused: the route may be in the
   /// configuration that this node is known to lack.
--- a/src/libcoordination/entrycall.cpp
+++ b/src/libcoordination/entrycall.cpp
@@ -1,5 +1,6 @@
 #include "entrycall.h"
 
+#include "allowances.h"
 #include "attempttable.h"
 #include "callcounts.h"
 #include "calldialect.h"
@@ -7,6 +8,7 @@
 #include "coltsfoot_types.h"
 #include "drainadmission.h"
 #include "entrythreshold.h"
+#include "httpframing.h"
 #include "peerdoubt.h"
 #include "peerpool.h"
 #include "pendingcalls.h"
@@ -107,7 +109,8 @@
           reasonName(reasonOf(Outcome)),
           Status,
           Latency,
-          Request.Depth_ == 0};
+          Request.Depth_ == 0,
+          Request.Team_};
 }
 
 Millis jitteredWait(Millis MinWait, uint64_t Random) {
@@ -172,12 +175,42 @@
     boost::asio::dispatch(Self->Strand_,
                           [Self] { Self->abandon(Reason::Cancelled); });
   });
+  bool NeedsAllowance =
+      Request_.Depth_ == 0 && !Request_.Team_.empty() && !ClosingReason_;
+  if (NeedsAllowance)
+    takeAllowance();
+  else
+    offerFirst();
+}
+
+void EntryCall::offerFirst() {
   if (Request_.Ticket_)
     offerCandidate(0);
   else
     offerNextGate();
 }
 
+// Nested calls are part of a root call that the allowance has let through.
+void EntryCall::takeAllowance() {
+  auto OnResult = [Self = Pointer(this)](const Allowances::Result &Result) {
+    boost::asio::dispatch(Self->Strand_, [Self, Result] {
+      if (Self->Ended_) {
+        if (Result.Token_)
+          Self->Parts_->Allowances_.giveBack(Self->Request_.Team_,
+                                             *Result.Token_);
+        return;
+      }
+      if (Result.Granted_) {
+        Self->Allowance_ = Result.Token_;
+        return Self->offerFirst();
+      }
+      Self->RetryAfterMs_ = static_cast<int>(Result.RetryAfter_.whole());
+      Self->end(NotRun{Reason::AllowanceSpent});
+    });
+  };
+  Parts_->Allowances_.take(Request_.Team_, std::move(OnResult));
+}
+
 void EntryCall::note(std::string_view Event, const std::string &Detail) const {
   Parts_->Ledger_.note(Request_.RequestId_, Event,
                        "service=" + Request_.Service_ + " " + Detail);
@@ -208,11 +241,16 @@
           : 0);
   Offer.root_rank_order = Request_.RootRankOrder_;
   Offer.repeated = Repeated_ || Request_.ParentRepeated_;
+  Offer.team = Request_.Team_;
   const CallDialect *Dialect = Parts_->Dialect_;
   for (const HttpField &Field :
-       Dialect ? Dialect->forwardedFields(Incoming, Parts_->OwnService_())
+       Dialect ? Dialect->forwardedFields(Incoming,
+                                          {Parts_->OwnService_(),
+                                           Request_.KeysInUse_, Request_.Team_})
                : Incoming.Fields_) {
-    if (isHopByHopField(Field.Name_))
+    bool IsKey =
+        Request_.KeysInUse_ && equalIgnoringCase(Field.Name_, "Authorization");
+    if (IsKey || isHopByHopField(Field.Name_))
       continue;
     wire::WireField Copy;
     Copy.name = Field.Name_;
@@ -683,6 +721,10 @@
   end(std::move(Outcome));
 }
 
+std::string EntryCall::teamText() const {
+  return Request_.Team_.empty() ? "" : " team=" + Request_.Team_;
+}
+
 void EntryCall::end(Verdict Outcome, std::string Successor) {
   if (Ended_)
     return;
@@ -700,6 +742,8 @@
   Deadline_.cancel();
   Pause_.cancel();
   Exchange_->onAbandoned(nullptr);
+  if (Allowance_ && std::holds_alternative<NotRun>(Outcome))
+    Parts_->Allowances_.giveBack(Request_.Team_, *Allowance_);
   if (!Request_.ParentKey_.empty())
     Parts_->Attempts_.endNested(Request_.ParentKey_, Credits_.held());
   const Ran *Answered = std::get_if<Ran>(&Outcome);
@@ -710,7 +754,7 @@
         routeKey(Request_.Service_, Request_.Route_.Name_));
   if (!std::holds_alternative<Ran>(Outcome)) {
     note("call-ended",
-         "route=" + Request_.Route_.Name_ +
+         "route=" + Request_.Route_.Name_ + teamText() +
              " verdict=" + std::string(verdictName(Outcome)) + " reason=" +
              std::string(reasonName(reasonOf(Outcome))) + " gate=" + LastGate_ +
              " gates_tried=" + std::to_string(TriedGates_.size()) +
--- a/src/libcoordination/entrycall.h
+++ b/src/libcoordination/entrycall.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "allowanceholder.h"
 #include "creditpool.h"
 #include "entry.h"
 #include "peerpool.h"
@@ -85,6 +86,9 @@
   bool ParentRepeated_ = false;
   /// Order of the rank of the root request, without that of nested calls.
   int RootRankOrder_ = 0;
+  /// Whether callers identify themselves by keys, which are not forwarded.
+  bool KeysInUse_ = false;
+  std::string Team_; ///< Team of the root request; empty for none.
   /// Service and step name of a nested non-idempotent call; else empty.
   std::string StepKey_;
   std::shared_ptr<StepOffers> StepOffers_;
@@ -143,6 +147,8 @@
   void cut();
 
 private:
+  void offerFirst();
+  void takeAllowance();
   int lend();
   std::optional<NodeRef> pickGate(std::span<const GateInfo> Gates) const;
   void offerNextGate();
@@ -186,6 +192,7 @@
   RetryCase retryCase() const;
   void note(std::string_view Event, const std::string &Detail) const;
   std::string drainText() const;
+  std::string teamText() const;
   Millis now() const;
 
   const std::shared_ptr<const EntryParts> Parts_;
@@ -210,6 +217,8 @@
   };
   std::optional<Outstanding> Outstanding_;
   bool Ended_ = false;
+  /// The token of the team's allowance that the call has taken.
+  std::optional<AllowanceHolder::Token> Allowance_;
   /// Whether an attempt that got no answer may have run.
   bool AttemptMayHaveRun_ = false;
   CreditPool Credits_;
--- a/src/libcoordination/entryrequestreader.cpp
+++ b/src/libcoordination/entryrequestreader.cpp
@@ -26,6 +26,9 @@
 /// Under PolicyKind::None every hop has this many retries of its own, instead
 /// of a share of the request's credits.
 constexpr int RetriesPerHop = 3;
+/// Larger than the order of any rank or route, so that the rank of a team goes
+/// before that of a route.
+constexpr int OrdersPerTeamRank = 128;
 /// Where a call dialect is in use, nested calls take precedence over all root
 /// calls.
 constexpr int NestedRankOrder = 0;
@@ -119,6 +122,8 @@
     readRoot();
   else
     readNested(Context);
+  if (Context.empty())
+    readTeam(bearerKey(Incoming_.field("Authorization")), false);
   readDeadline();
   checkDrain();
   checkThresholds();
@@ -141,6 +146,8 @@
   Request_.Client_ = Incoming_.RemoteAddress_;
   Request_.Bucket_ = admissionBucketOf(Request_.RequestId_);
   readParent(Metadata);
+  if (Request_.Depth_ == 0)
+    readTeam(Metadata.Key_, !Metadata.ParentId_.empty());
   checkDrain();
   if (Request_.ParentRepeated_)
     Parts_.Budget_.charge(Request_.Service_, 1, Now_);
@@ -162,6 +169,8 @@
   Request_.Route_.Name_ = MatchedRoute->Name_;
   Request_.Route_.Kind_ = MatchedRoute->Name_;
   Request_.Route_.Idempotent_ = MatchedRoute->Idempotent_;
+  Request_.Route_.Anonymous_ = MatchedRoute->Anonymous_;
+  Request_.KeysInUse_ = Config_->hasTeams();
   Idempotent_ = MatchedRoute->Idempotent_;
   Request_.RankOrder_ = 1 + MatchedRoute->Order_;
   Request_.RootRankOrder_ = MatchedRoute->Order_;
@@ -188,6 +197,7 @@
   Request_.ParentAttempt_ = Parent->AttemptKey_;
   Request_.ParentRoute_ = Parent->RouteKey_;
   Request_.ParentRepeated_ = Parent->Repeated_;
+  Request_.Team_ = Parent->Team_;
   Request_.Client_ = Parent->Client_;
   Request_.Bucket_ = Parent->Bucket_;
   Request_.Deadline_ = std::min(Request_.Deadline_, Parent->Deadline_);
@@ -195,6 +205,42 @@
       Metadata.ParentId_, routeKey(Request_.Service_, Request_.Route_.Name_));
 }
 
+// A backend server that makes a call after its own has ended has no key to
+// send; it is told that the call can't be made now.
+void EntryRequestReader::readTeam(std::string_view Key, bool NamesParent) {
+  if (!Request_.KeysInUse_)
+    return;
+  if (Key.empty() && Request_.Route_.Anonymous_)
+    return;
+  if (Key.empty() && NamesParent)
+    throw Refusal{NotRun{Reason::Cancelled}, "the call above it has ended"};
+  if (Key.empty())
+    throw Refusal{NotRun{Parts_.ConfigOutdated_() ? Reason::NotReady
+                                                  : Reason::KeyMissing},
+                  "the route needs a team's key"};
+  Request_.Team_ = teamOfKey(Key);
+  rankByTeam();
+}
+
+// A key may belong to a configuration that this node lacks, or may have been
+// taken away by one.
+std::string_view EntryRequestReader::teamOfKey(std::string_view Key) const {
+  if (!Parts_.KeysVerified_())
+    throw Refusal{NotRun{Reason::KeysUnverified},
+                  "it is not known whether the configuration is the newest"};
+  const TeamResource *Team = Config_->teamOfKey(KeyDigest::of(Key));
+  if (!Team)
+    throw Refusal{NotRun{Parts_.ConfigOutdated_() ? Reason::KeysUnverified
+                                                  : Reason::KeyUnknown},
+                  "no team has this key"};
+  return Team->Name_;
+}
+
+void EntryRequestReader::rankByTeam() {
+  const TeamResource *Team = Config_->team(Request_.Team_);
+  Request_.RankOrder_ += OrdersPerTeamRank * Team->Order_;
+}
+
 void EntryRequestReader::issueExclusiveTicket() {
   auto NewTicket = Parts_.TicketIssuer_.issue(
       Request_.Service_, Request_.Route_.Name_, Request_.Client_);
@@ -233,6 +279,7 @@
                   "no route of service '" + Request_.Service_ +
                       "' matches the method and path"};
   Request_.Route_ = *MatchedRoute;
+  Request_.KeysInUse_ = Config_->hasTeams();
   Idempotent_ = MatchedRoute->Idempotent_;
   Request_.RankOrder_ = Config_->rank(MatchedRoute->Rank_).Order_;
   Request_.Protected_ = MatchedRoute->Protected_;
@@ -326,6 +373,7 @@
                   "the context names no call that the backend server of this "
                   "node is running"};
   Request_.RequestId_ = Parent->RequestId_;
+  Request_.Team_ = Parent->Team_;
   Request_.Client_ = Parent->Client_;
   Request_.Bucket_ = Parent->Bucket_;
   Request_.Depth_ = Parent->Depth_ + 1;
--- a/src/libcoordination/entryrequestreader.h
+++ b/src/libcoordination/entryrequestreader.h
@@ -54,6 +54,9 @@
   void readInDialect();
   void readHostRoute(const CallMetadata &Metadata);
   void readParent(const CallMetadata &Metadata);
+  void readTeam(std::string_view Key, bool NamesParent);
+  std::string_view teamOfKey(std::string_view Key) const;
+  void rankByTeam();
   void issueExclusiveTicket();
   bool mayBeRepetition() const;
   void returnCredits();
--- a/src/libcoordination/gate.cpp
+++ b/src/libcoordination/gate.cpp
@@ -499,6 +499,8 @@
   Request.Fields_.push_back(
       {"Coltsfoot-Request-Id", StartedCall.Offer_.request_id});
   Request.Fields_.push_back({"Coltsfoot-Client", StartedCall.Offer_.client});
+  if (!StartedCall.Offer_.team.empty())
+    Request.Fields_.push_back({"Coltsfoot-Team", StartedCall.Offer_.team});
   Request.Fields_.push_back(
       {"Coltsfoot-Deadline-Ms",
        std::to_string(std::max<int64_t>(0, Remaining.whole()))});
@@ -547,6 +549,7 @@
   Parent.RouteKey_ = StartedCall->RouteKey_;
   Parent.RootRankOrder_ = Offered.root_rank_order;
   Parent.Repeated_ = Offered.repeated;
+  Parent.Team_ = Offered.team;
   // With a dialect, nested calls name their parent by its request id only. A
   // request id that the attempt table already holds would be ambiguous, so such
   // a call gets a random key.
--- a/src/libcoordination/node.cpp
+++ b/src/libcoordination/node.cpp
@@ -1,6 +1,7 @@
 #include "node.h"
 
 #include "adapters.h"
+#include "allowances.h"
 #include "api.h"
 #include "attempttable.h"
 #include "bytebudget.h"
@@ -16,6 +17,7 @@
 #include "drainsequence.h"
 #include "entry.h"
 #include "entrythreshold.h"
+#include "freshnessservice.h"
 #include "gate.h"
 #include "gossipservice.h"
 #include "instancemonitor.h"
@@ -33,6 +35,7 @@
 #include "seedregistry.h"
 #include "timer.h"
 
+#include "coltsfootpoint/duration.h"
 #include "coltsfootpoint/ipport.h"
 #include "coltsfootpoint/log.h"
 #include "coltsfootpoint/secret.h"
@@ -116,6 +119,19 @@
   return Options;
 }
 
+AllowanceTolerance allowanceTolerance(const TeamSettings &Teams) {
+  AllowanceTolerance Tolerance;
+  if (!Teams.AllowanceWindow_.empty())
+    Tolerance.Window_ = parseDuration(Teams.AllowanceWindow_);
+  Tolerance.Overage_ = Teams.AllowanceOverage_;
+  return Tolerance;
+}
+
+Millis revokeWithin(const TeamSettings &Teams) {
+  return Teams.RevokeWithin_.empty() ? Millis()
+                                     : parseDuration(Teams.RevokeWithin_);
+}
+
 /// Returns the longest time that a drain may take, or nothing if it may last
 /// until the last call has ended.
 std::optional<Millis> drainLimit(const TimeoutSettings &Timeouts) {
@@ -225,6 +241,8 @@
   DrainAdmission GateDrain_{Clock_};
   TicketIssuer TicketIssuer_;
   Gate Gate_;
+  Allowances Allowances_;
+  FreshnessService Freshness_;
   Entry Entry_;
   Api Api_;
   std::unique_ptr<HttpServer> Http_;
@@ -290,6 +308,14 @@
              AllSettings.Limits_.Slots_ == SlotsMeaning::Exact,
              AllSettings.Limits_.SlotShare_, AllSettings.Limits_.UpstreamIdle_,
              Adapters_.Calls_.get(), &GateDrain_, BackendBudget_}),
+      Allowances_(Context, nodeContext(), Peers_,
+                  allowanceTolerance(AllSettings.Teams_)),
+      Freshness_(Context, nodeContext(), Peers_,
+                 {revokeWithin(AllSettings.Teams_),
+                  [this] {
+                    if (Follower_)
+                      Follower_->askNow();
+                  }}),
       Entry_(entryParts()), Api_(apiParts()),
       Strand_(asio::make_strand(Context)), Timer_(Strand_),
       Drain_({Gate_, Entry_, Api_, EntryDrain_, GateDrain_, Loop_,
@@ -319,7 +345,11 @@
     Follower_ = std::make_unique<ConfigFollower>(
         Context, *Adapters_.Config_, Config_, Clock_,
         ConfigFollower::Options{{AllSettings.LogService_.ReadWait_,
-                                 AllSettings.LogService_.FollowWait_}});
+                                 AllSettings.LogService_.FollowWait_},
+                                ConfigFollower::DefaultMaxDamaged,
+                                [this](Millis AsOf, int64_t Newest) {
+                                  Freshness_.onSource(AsOf, Newest);
+                                }});
   if (!Adapters_.Reports_ || AllSettings.Listen_.Reports_.empty())
     return;
   Instances_ = std::make_unique<InstanceMonitor>(Context, nodeContext(),
@@ -474,6 +504,7 @@
       Policy_,
       Budget_,
       EntryDrain_,
+      Allowances_,
       Adapters_.Calls_.get(),
       [this] {
         const std::string &Configured = Settings_.Node_.Service_;
@@ -484,7 +515,8 @@
       [this](const RetryRecord &Record) { Api_.recordRetry(Record); },
       [this] {
         return Config_.knownOffset() > Config_.current()->nextOffset();
-      }};
+      },
+      [this] { return Freshness_.keysVerified(); }};
 }
 
 ApiParts Node::Impl::apiParts() {
@@ -502,6 +534,8 @@
                  *BackendBudget_,
                  *PeerBudget_,
                  Loop_,
+                 Allowances_,
+                 Freshness_,
                  {},
                  {},
                  {},
@@ -544,8 +578,10 @@
   startGossip();
   ConfigSync_.start();
   Config_.start();
-  if (Follower_)
+  if (Follower_) {
     Follower_->start();
+    Freshness_.start();
+  }
   if (Instances_)
     Instances_->discover();
   if (LogClient_)
@@ -658,6 +694,14 @@
     wire::Frame Out;
     Out.__set_status_batch(Batch);
     Answer(std::move(Out));
+  } else if (Message.__isset.freshness_fetch) {
+    wire::Frame Out;
+    Out.__set_freshness_batch(Freshness_.answer(Message.freshness_fetch));
+    Answer(std::move(Out));
+  } else if (Message.__isset.allowance_ask) {
+    wire::Frame Out;
+    Out.__set_allowance_grant(Allowances_.answer(Message.allowance_ask));
+    Answer(std::move(Out));
   }
 }
 
@@ -698,6 +742,7 @@
   scheduleTick();
   flushLog();
   updateIsolation();
+  Allowances_.tick();
   Budget_.setFleetSize(Sockets_.Udp_->view()->presentCount());
   if (Config_.ready() && Lifecycle_.startServing()) {
     State_ = Lifecycle_.state();
@@ -736,6 +781,8 @@
   if (Follower_)
     Follower_->stop();
   Gate_.stop();
+  Allowances_.stop();
+  Freshness_.stop();
   Seeds_.stop();
   ConfigSync_.stop();
   Config_.stop();
--- a/src/libcoordination/nodemetrics.cpp
+++ b/src/libcoordination/nodemetrics.cpp
@@ -1,5 +1,6 @@
 #include "nodemetrics.h"
 
+#include "allowances.h"
 #include "bytebudget.h"
 #include "configservice.h"
 #include "configstate.h"
@@ -7,6 +8,7 @@
 #include "descriptors.h"
 #include "drainadmission.h"
 #include "entry.h"
+#include "freshnessservice.h"
 #include "gate.h"
 #include "gossipservice.h"
 #include "httpserver.h"
@@ -24,6 +26,8 @@
 /// Limit on the label sets of the call counter. Once it is reached, calls with
 /// a new label set are counted under the route `other`.
 constexpr size_t MaxCallKeys = 4096;
+/// The calls of further teams are counted as those of the team `other`.
+constexpr size_t MaxCountedTeams = 128;
 /// The value of a gauge of descriptors that could not be read.
 constexpr int64_t Unknown = -1;
 
@@ -136,6 +140,31 @@
                  [&Budget] { return static_cast<double>(Budget.refusals()); });
 }
 
+void NodeMetrics::addTeamGauges(const Allowances &Tokens,
+                                const FreshnessService &Freshness) {
+  auto Add = [&](const char *Outcome, uint64_t Allowances::Figures::*Count) {
+    Metrics_.gauge("coltsfoot_allowance",
+                   "Calls that needed a token of a team's allowance, by what "
+                   "became of them, messages to lenders, and tokens lent.",
+                   {{"outcome", Outcome}}, [&Tokens, Count] {
+                     return static_cast<double>(Tokens.figures().*Count);
+                   });
+  };
+  Add("granted", &Allowances::Figures::Granted_);
+  Add("own-share", &Allowances::Figures::Own_);
+  Add("refused", &Allowances::Figures::Refused_);
+  Add("asked", &Allowances::Figures::Asked_);
+  Add("unanswered", &Allowances::Figures::Unanswered_);
+  Add("lent", &Allowances::Figures::Lent_);
+  Metrics_.gauge("coltsfoot_config_verified_age_seconds",
+                 "Time since the configuration in force was last known to be "
+                 "the newest; -1 if it never was.",
+                 {}, [&Freshness] {
+                   std::optional<Millis> Age = Freshness.age();
+                   return Age ? Age->count() / MsPerSecond : -1.0;
+                 });
+}
+
 void NodeMetrics::addListenerGauges(std::string_view Port,
                                     const HttpServer &Server) {
   const MetricLabels Labels{{"port", std::string(Port)}};
@@ -220,6 +249,26 @@
     Found = CallCounters_.emplace(std::move(Key), &Added).first;
   }
   Found->second->add();
+  if (Ended.Root_ && !Ended.Team_.empty())
+    recordTeam(Ended);
+}
+
+// Called with the mutex held.
+void NodeMetrics::recordTeam(const CallRecord &Ended) {
+  bool Counted = CountedTeams_.contains(Ended.Team_);
+  if (!Counted && CountedTeams_.size() < MaxCountedTeams)
+    Counted = CountedTeams_.insert(Ended.Team_).second;
+  TeamKey Key{Counted ? Ended.Team_ : "other", std::string(Ended.Verdict_),
+              std::string(Ended.Reason_)};
+  auto Found = TeamCounters_.find(Key);
+  if (Found == TeamCounters_.end()) {
+    const auto &[Team, Verdict, Reason] = Key;
+    Counter &Added = Metrics_.counter(
+        "coltsfoot_team_calls_total", "Ended root calls with a team's key.",
+        {{"team", Team}, {"verdict", Verdict}, {"reason", Reason}});
+    Found = TeamCounters_.emplace(std::move(Key), &Added).first;
+  }
+  Found->second->add();
 }
 
 void NodeMetrics::recordRetry(const RetryRecord &Asked) {
--- a/src/libcoordination/nodemetrics.h
+++ b/src/libcoordination/nodemetrics.h
@@ -4,14 +4,17 @@
 
 #include <map>
 #include <mutex>
+#include <set>
 #include <string>
 #include <tuple>
 
 namespace coltsfoot {
 
+class Allowances;
 class ByteBudget;
 class ConfigService;
 class DrainAdmission;
+class FreshnessService;
 class Gate;
 class GossipService;
 class HttpServer;
@@ -42,6 +45,11 @@
   /// this object's last text().
   void addListenerGauges(std::string_view Port, const HttpServer &Server);
 
+  /// Adds the tokens of teams' allowances and the age of the knowledge that the
+  /// configuration is the newest.
+  void addTeamGauges(const Allowances &Tokens,
+                     const FreshnessService &Freshness);
+
   /// Adds the recent and the largest lag of the event loop.
   void addLagGauges(const LoopMonitor &Loop);
 
@@ -62,6 +70,7 @@
   using CallKey =
       std::tuple<std::string, std::string, std::string, std::string>;
 
+  void recordTeam(const CallRecord &Ended);
   void addGateGauges(const Gate &LocalGate);
   void addFleetGauges(const ConfigService &Config, const GossipService &Gossip);
   void addDescriptorGauges();
@@ -76,8 +85,14 @@
   /// Service, order of the rank, and result.
   using RetryKey = std::tuple<std::string, int, std::string_view>;
 
-  std::mutex Mutex_; // guards CallCounters_ and RetryCounters_
+  /// Team, verdict and reason.
+  using TeamKey = std::tuple<std::string, std::string, std::string>;
+
+  std::mutex Mutex_; // guards the members below
   std::map<CallKey, Counter *> CallCounters_;
+  std::map<TeamKey, Counter *> TeamCounters_;
+  /// The teams that have counters of their own.
+  std::set<std::string> CountedTeams_;
   std::map<RetryKey, Counter *> RetryCounters_;
 };
 
--- a/src/libcoordination/peerpool.cpp
+++ b/src/libcoordination/peerpool.cpp
@@ -54,6 +54,10 @@
     Message.config_fetch.sequence = Number;
   else if (Message.__isset.status_fetch)
     Message.status_fetch.sequence = Number;
+  else if (Message.__isset.freshness_fetch)
+    Message.freshness_fetch.sequence = Number;
+  else if (Message.__isset.allowance_ask)
+    Message.allowance_ask.sequence = Number;
 }
 
 int64_t numberOf(const wire::Frame &Answer) {
@@ -63,6 +67,10 @@
     return Answer.config_batch.sequence;
   if (Answer.__isset.status_batch)
     return Answer.status_batch.sequence;
+  if (Answer.__isset.freshness_batch)
+    return Answer.freshness_batch.sequence;
+  if (Answer.__isset.allowance_grant)
+    return Answer.allowance_grant.sequence;
   return 0;
 }
 
--- a/src/libcoordination/refusal.cpp
+++ b/src/libcoordination/refusal.cpp
@@ -13,6 +13,9 @@
   switch (Why) {
   case Reason::BadRequest:
     return 400;
+  case Reason::KeyMissing:
+  case Reason::KeyUnknown:
+    return 401;
   case Reason::TicketInvalid:
     return 403;
   case Reason::NoRoute:
@@ -29,6 +32,7 @@
   case Reason::QueueTimeout:
   case Reason::UpstreamShed:
   case Reason::BudgetSpent:
+  case Reason::AllowanceSpent:
     return 429;
   default:
     return 503;
--- a/src/libprotocol/codec.cpp
+++ b/src/libprotocol/codec.cpp
@@ -81,7 +81,9 @@
   int Count = int(Set.hello) + int(Set.offer) + int(Set.reply) +
               int(Set.inquiry) + int(Set.cancel) + int(Set.config_fetch) +
               int(Set.config_batch) + int(Set.heartbeat) +
-              int(Set.status_fetch) + int(Set.status_batch);
+              int(Set.status_fetch) + int(Set.status_batch) +
+              int(Set.freshness_fetch) + int(Set.freshness_batch) +
+              int(Set.allowance_ask) + int(Set.allowance_grant);
   if (Count != 1)
     throw CodecError("expected exactly one message in a frame");
   return Message;
--- a/src/libprotocol/coltsfoot.thrift
+++ b/src/libprotocol/coltsfoot.thrift
@@ -47,6 +47,7 @@
   18: i32 root_rank_order // order of the rank of the root request; 0 is the most urgent
   19: bool repeated       // an earlier attempt of the call, or of a call above it, was paid
                           // from the retry budget, so that nested calls are extra arrivals too
+  20: string team         // team of the root request; empty for none
 }
 
 // What the gate's admission control would refuse at present: every rank less
@@ -131,6 +132,34 @@
   2: string json
 }
 
+// Asks as of when the receiver knows its configuration to have been the newest.
+struct FreshnessFetch {
+  1: i64 sequence
+}
+
+struct FreshnessBatch {
+  1: i64 sequence
+  2: i64 version          // of the configuration in force at the sender
+  3: i64 age_ms           // since that version was known to be the newest; -1 for never
+}
+
+// Asks the lender of a team's allowance for tokens, each of which lets one call
+// through.
+struct AllowanceAsk {
+  1: i64 sequence
+  2: string team
+  3: i32 needed           // calls that wait for a token
+  4: i32 wanted           // tokens for calls to come
+}
+
+struct AllowanceGrant {
+  1: i64 sequence
+  2: i32 tokens
+  3: i32 retry_after_ms   // until a further token is due, if fewer than needed were granted
+  4: string lender        // the node to ask instead, if the sender is not the lender
+  5: bool known           // whether the sender knows the team or the other lender
+}
+
 union Frame {
   1: Hello hello
   2: Offer offer
@@ -142,6 +171,10 @@
   8: Heartbeat heartbeat
   9: StatusFetch status_fetch
   10: StatusBatch status_batch
+  11: FreshnessFetch freshness_fetch
+  12: FreshnessBatch freshness_batch
+  13: AllowanceAsk allowance_ask
+  14: AllowanceGrant allowance_grant
 }
 
 enum WireMemberState { ALIVE = 0, LEAVING = 1, SUSPECT = 2, DEAD = 3 }
--- a/src/libprotocol/gen-cpp/coltsfoot_types.cpp
+++ b/src/libprotocol/gen-cpp/coltsfoot_types.cpp
@@ -416,6 +416,10 @@
 void Offer::__set_repeated(const bool val) {
   this->repeated = val;
 }
+
+void Offer::__set_team(const std::string& val) {
+  this->team = val;
+}
 std::ostream& operator<<(std::ostream& out, const Offer& obj)
 {
   obj.printTo(out);
@@ -608,6 +612,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->team);
+          this->__isset.team = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -709,6 +721,10 @@
   xfer += oprot->writeBool(this->repeated);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("team", ::apache::thrift::protocol::T_STRING, 20);
+  xfer += oprot->writeString(this->team);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -735,6 +751,7 @@
   swap(a.objective_ms, b.objective_ms);
   swap(a.root_rank_order, b.root_rank_order);
   swap(a.repeated, b.repeated);
+  swap(a.team, b.team);
   swap(a.__isset, b.__isset);
 }
 
@@ -758,6 +775,7 @@
   objective_ms = other14.objective_ms;
   root_rank_order = other14.root_rank_order;
   repeated = other14.repeated;
+  team = other14.team;
   __isset = other14.__isset;
 }
 Offer::Offer(Offer&& other15) noexcept {
@@ -780,6 +798,7 @@
   objective_ms = other15.objective_ms;
   root_rank_order = other15.root_rank_order;
   repeated = other15.repeated;
+  team = std::move(other15.team);
   __isset = other15.__isset;
 }
 Offer& Offer::operator=(const Offer& other16) {
@@ -802,6 +821,7 @@
   objective_ms = other16.objective_ms;
   root_rank_order = other16.root_rank_order;
   repeated = other16.repeated;
+  team = other16.team;
   __isset = other16.__isset;
   return *this;
 }
@@ -825,6 +845,7 @@
   objective_ms = other17.objective_ms;
   root_rank_order = other17.root_rank_order;
   repeated = other17.repeated;
+  team = std::move(other17.team);
   __isset = other17.__isset;
   return *this;
 }
@@ -850,6 +871,7 @@
   out << ", " << "objective_ms=" << to_string(objective_ms);
   out << ", " << "root_rank_order=" << to_string(root_rank_order);
   out << ", " << "repeated=" << to_string(repeated);
+  out << ", " << "team=" << to_string(team);
   out << ")";
 }
 
@@ -2590,67 +2612,21 @@
 }
 
 
-Frame::~Frame() noexcept {
-}
-
-
-void Frame::__set_hello(const Hello& val) {
-  this->hello = val;
-__isset.hello = true;
-}
-
-void Frame::__set_offer(const Offer& val) {
-  this->offer = val;
-__isset.offer = true;
-}
-
-void Frame::__set_reply(const Reply& val) {
-  this->reply = val;
-__isset.reply = true;
-}
-
-void Frame::__set_inquiry(const Inquiry& val) {
-  this->inquiry = val;
-__isset.inquiry = true;
-}
-
-void Frame::__set_cancel(const Cancel& val) {
-  this->cancel = val;
-__isset.cancel = true;
-}
-
-void Frame::__set_config_fetch(const ConfigFetch& val) {
-  this->config_fetch = val;
-__isset.config_fetch = true;
-}
-
-void Frame::__set_config_batch(const ConfigBatch& val) {
-  this->config_batch = val;
-__isset.config_batch = true;
-}
-
-void Frame::__set_heartbeat(const Heartbeat& val) {
-  this->heartbeat = val;
-__isset.heartbeat = true;
+FreshnessFetch::~FreshnessFetch() noexcept {
 }
 
-void Frame::__set_status_fetch(const StatusFetch& val) {
-  this->status_fetch = val;
-__isset.status_fetch = true;
-}
 
-void Frame::__set_status_batch(const StatusBatch& val) {
-  this->status_batch = val;
-__isset.status_batch = true;
+void FreshnessFetch::__set_sequence(const int64_t val) {
+  this->sequence = val;
 }
-std::ostream& operator<<(std::ostream& out, const Frame& obj)
+std::ostream& operator<<(std::ostream& out, const FreshnessFetch& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Frame::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t FreshnessFetch::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2672,81 +2648,9 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->hello.read(iprot);
-          this->__isset.hello = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->offer.read(iprot);
-          this->__isset.offer = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->reply.read(iprot);
-          this->__isset.reply = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->inquiry.read(iprot);
-          this->__isset.inquiry = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->cancel.read(iprot);
-          this->__isset.cancel = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->config_fetch.read(iprot);
-          this->__isset.config_fetch = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->config_batch.read(iprot);
-          this->__isset.config_batch = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 8:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->heartbeat.read(iprot);
-          this->__isset.heartbeat = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 9:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->status_fetch.read(iprot);
-          this->__isset.status_fetch = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 10:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->status_batch.read(iprot);
-          this->__isset.status_batch = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2763,199 +2667,75 @@
   return xfer;
 }
 
-uint32_t Frame::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t FreshnessFetch::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Frame");
+  xfer += oprot->writeStructBegin("FreshnessFetch");
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.hello) {
-    xfer += oprot->writeFieldBegin("hello", ::apache::thrift::protocol::T_STRUCT, 1);
-    xfer += this->hello.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.offer) {
-    xfer += oprot->writeFieldBegin("offer", ::apache::thrift::protocol::T_STRUCT, 2);
-    xfer += this->offer.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.reply) {
-    xfer += oprot->writeFieldBegin("reply", ::apache::thrift::protocol::T_STRUCT, 3);
-    xfer += this->reply.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.inquiry) {
-    xfer += oprot->writeFieldBegin("inquiry", ::apache::thrift::protocol::T_STRUCT, 4);
-    xfer += this->inquiry.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.cancel) {
-    xfer += oprot->writeFieldBegin("cancel", ::apache::thrift::protocol::T_STRUCT, 5);
-    xfer += this->cancel.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.config_fetch) {
-    xfer += oprot->writeFieldBegin("config_fetch", ::apache::thrift::protocol::T_STRUCT, 6);
-    xfer += this->config_fetch.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.config_batch) {
-    xfer += oprot->writeFieldBegin("config_batch", ::apache::thrift::protocol::T_STRUCT, 7);
-    xfer += this->config_batch.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.heartbeat) {
-    xfer += oprot->writeFieldBegin("heartbeat", ::apache::thrift::protocol::T_STRUCT, 8);
-    xfer += this->heartbeat.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.status_fetch) {
-    xfer += oprot->writeFieldBegin("status_fetch", ::apache::thrift::protocol::T_STRUCT, 9);
-    xfer += this->status_fetch.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.status_batch) {
-    xfer += oprot->writeFieldBegin("status_batch", ::apache::thrift::protocol::T_STRUCT, 10);
-    xfer += this->status_batch.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(Frame &a, Frame &b) {
+void swap(FreshnessFetch &a, FreshnessFetch &b) {
   using ::std::swap;
-  swap(a.hello, b.hello);
-  swap(a.offer, b.offer);
-  swap(a.reply, b.reply);
-  swap(a.inquiry, b.inquiry);
-  swap(a.cancel, b.cancel);
-  swap(a.config_fetch, b.config_fetch);
-  swap(a.config_batch, b.config_batch);
-  swap(a.heartbeat, b.heartbeat);
-  swap(a.status_fetch, b.status_fetch);
-  swap(a.status_batch, b.status_batch);
+  swap(a.sequence, b.sequence);
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other70) {
-  hello = other70.hello;
-  offer = other70.offer;
-  reply = other70.reply;
-  inquiry = other70.inquiry;
-  cancel = other70.cancel;
-  config_fetch = other70.config_fetch;
-  config_batch = other70.config_batch;
-  heartbeat = other70.heartbeat;
-  status_fetch = other70.status_fetch;
-  status_batch = other70.status_batch;
+FreshnessFetch::FreshnessFetch(const FreshnessFetch& other70) noexcept {
+  sequence = other70.sequence;
   __isset = other70.__isset;
 }
-Frame::Frame(Frame&& other71) noexcept {
-  hello = std::move(other71.hello);
-  offer = std::move(other71.offer);
-  reply = std::move(other71.reply);
-  inquiry = std::move(other71.inquiry);
-  cancel = std::move(other71.cancel);
-  config_fetch = std::move(other71.config_fetch);
-  config_batch = std::move(other71.config_batch);
-  heartbeat = std::move(other71.heartbeat);
-  status_fetch = std::move(other71.status_fetch);
-  status_batch = std::move(other71.status_batch);
+FreshnessFetch::FreshnessFetch(FreshnessFetch&& other71) noexcept {
+  sequence = other71.sequence;
   __isset = other71.__isset;
 }
-Frame& Frame::operator=(const Frame& other72) {
-  hello = other72.hello;
-  offer = other72.offer;
-  reply = other72.reply;
-  inquiry = other72.inquiry;
-  cancel = other72.cancel;
-  config_fetch = other72.config_fetch;
-  config_batch = other72.config_batch;
-  heartbeat = other72.heartbeat;
-  status_fetch = other72.status_fetch;
-  status_batch = other72.status_batch;
+FreshnessFetch& FreshnessFetch::operator=(const FreshnessFetch& other72) noexcept {
+  sequence = other72.sequence;
   __isset = other72.__isset;
   return *this;
 }
-Frame& Frame::operator=(Frame&& other73) noexcept {
-  hello = std::move(other73.hello);
-  offer = std::move(other73.offer);
-  reply = std::move(other73.reply);
-  inquiry = std::move(other73.inquiry);
-  cancel = std::move(other73.cancel);
-  config_fetch = std::move(other73.config_fetch);
-  config_batch = std::move(other73.config_batch);
-  heartbeat = std::move(other73.heartbeat);
-  status_fetch = std::move(other73.status_fetch);
-  status_batch = std::move(other73.status_batch);
+FreshnessFetch& FreshnessFetch::operator=(FreshnessFetch&& other73) noexcept {
+  sequence = other73.sequence;
   __isset = other73.__isset;
   return *this;
 }
-void Frame::printTo(std::ostream& out) const {
+void FreshnessFetch::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Frame(";
-  out << "hello="; (__isset.hello ? (out << to_string(hello)) : (out << "<null>"));
-  out << ", " << "offer="; (__isset.offer ? (out << to_string(offer)) : (out << "<null>"));
-  out << ", " << "reply="; (__isset.reply ? (out << to_string(reply)) : (out << "<null>"));
-  out << ", " << "inquiry="; (__isset.inquiry ? (out << to_string(inquiry)) : (out << "<null>"));
-  out << ", " << "cancel="; (__isset.cancel ? (out << to_string(cancel)) : (out << "<null>"));
-  out << ", " << "config_fetch="; (__isset.config_fetch ? (out << to_string(config_fetch)) : (out << "<null>"));
-  out << ", " << "config_batch="; (__isset.config_batch ? (out << to_string(config_batch)) : (out << "<null>"));
-  out << ", " << "heartbeat="; (__isset.heartbeat ? (out << to_string(heartbeat)) : (out << "<null>"));
-  out << ", " << "status_fetch="; (__isset.status_fetch ? (out << to_string(status_fetch)) : (out << "<null>"));
-  out << ", " << "status_batch="; (__isset.status_batch ? (out << to_string(status_batch)) : (out << "<null>"));
+  out << "FreshnessFetch(";
+  out << "sequence=" << to_string(sequence);
   out << ")";
 }
 
 
-WireMember::~WireMember() noexcept {
-}
-
-
-void WireMember::__set_node(const std::string& val) {
-  this->node = val;
-}
-
-void WireMember::__set_incarnation(const int64_t val) {
-  this->incarnation = val;
-}
-
-void WireMember::__set_generation(const int64_t val) {
-  this->generation = val;
-}
-
-void WireMember::__set_state(const int32_t val) {
-  this->state = val;
-}
-
-void WireMember::__set_zone(const std::string& val) {
-  this->zone = val;
+FreshnessBatch::~FreshnessBatch() noexcept {
 }
 
-void WireMember::__set_region(const std::string& val) {
-  this->region = val;
-}
 
-void WireMember::__set_service_name(const std::string& val) {
-  this->service_name = val;
+void FreshnessBatch::__set_sequence(const int64_t val) {
+  this->sequence = val;
 }
 
-void WireMember::__set_slots(const int32_t val) {
-  this->slots = val;
+void FreshnessBatch::__set_version(const int64_t val) {
+  this->version = val;
 }
 
-void WireMember::__set_config_offset(const int64_t val) {
-  this->config_offset = val;
+void FreshnessBatch::__set_age_ms(const int64_t val) {
+  this->age_ms = val;
 }
-std::ostream& operator<<(std::ostream& out, const WireMember& obj)
+std::ostream& operator<<(std::ostream& out, const FreshnessBatch& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t WireMember::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t FreshnessBatch::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2977,7 +2757,947 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t FreshnessBatch::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("FreshnessBatch");
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(FreshnessBatch &a, FreshnessBatch &b) {
+  using ::std::swap;
+  swap(a.sequence, b.sequence);
+  swap(a.version, b.version);
+  swap(a.age_ms, b.age_ms);
+  swap(a.__isset, b.__isset);
+}
+
+FreshnessBatch::FreshnessBatch(const FreshnessBatch& other74) noexcept {
+  sequence = other74.sequence;
+  version = other74.version;
+  age_ms = other74.age_ms;
+  __isset = other74.__isset;
+}
+FreshnessBatch::FreshnessBatch(FreshnessBatch&& other75) noexcept {
+  sequence = other75.sequence;
+  version = other75.version;
+  age_ms = other75.age_ms;
+  __isset = other75.__isset;
+}
+FreshnessBatch& FreshnessBatch::operator=(const FreshnessBatch& other76) noexcept {
+  sequence = other76.sequence;
+  version = other76.version;
+  age_ms = other76.age_ms;
+  __isset = other76.__isset;
+  return *this;
+}
+FreshnessBatch& FreshnessBatch::operator=(FreshnessBatch&& other77) noexcept {
+  sequence = other77.sequence;
+  version = other77.version;
+  age_ms = other77.age_ms;
+  __isset = other77.__isset;
+  return *this;
+}
+void FreshnessBatch::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "FreshnessBatch(";
+  out << "sequence=" << to_string(sequence);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ")";
+}
+
+
+AllowanceAsk::~AllowanceAsk() noexcept {
+}
+
+
+void AllowanceAsk::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void AllowanceAsk::__set_team(const std::string& val) {
+  this->team = val;
+}
+
+void AllowanceAsk::__set_needed(const int32_t val) {
+  this->needed = val;
+}
+
+void AllowanceAsk::__set_wanted(const int32_t val) {
+  this->wanted = val;
+}
+std::ostream& operator<<(std::ostream& out, const AllowanceAsk& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t AllowanceAsk::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->team);
+          this->__isset.team = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->needed);
+          this->__isset.needed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->wanted);
+          this->__isset.wanted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t AllowanceAsk::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AllowanceAsk");
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("team", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->team);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("needed", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->needed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wanted", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->wanted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AllowanceAsk &a, AllowanceAsk &b) {
+  using ::std::swap;
+  swap(a.sequence, b.sequence);
+  swap(a.team, b.team);
+  swap(a.needed, b.needed);
+  swap(a.wanted, b.wanted);
+  swap(a.__isset, b.__isset);
+}
+
+AllowanceAsk::AllowanceAsk(const AllowanceAsk& other78) {
+  sequence = other78.sequence;
+  team = other78.team;
+  needed = other78.needed;
+  wanted = other78.wanted;
+  __isset = other78.__isset;
+}
+AllowanceAsk::AllowanceAsk(AllowanceAsk&& other79) noexcept {
+  sequence = other79.sequence;
+  team = std::move(other79.team);
+  needed = other79.needed;
+  wanted = other79.wanted;
+  __isset = other79.__isset;
+}
+AllowanceAsk& AllowanceAsk::operator=(const AllowanceAsk& other80) {
+  sequence = other80.sequence;
+  team = other80.team;
+  needed = other80.needed;
+  wanted = other80.wanted;
+  __isset = other80.__isset;
+  return *this;
+}
+AllowanceAsk& AllowanceAsk::operator=(AllowanceAsk&& other81) noexcept {
+  sequence = other81.sequence;
+  team = std::move(other81.team);
+  needed = other81.needed;
+  wanted = other81.wanted;
+  __isset = other81.__isset;
+  return *this;
+}
+void AllowanceAsk::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AllowanceAsk(";
+  out << "sequence=" << to_string(sequence);
+  out << ", " << "team=" << to_string(team);
+  out << ", " << "needed=" << to_string(needed);
+  out << ", " << "wanted=" << to_string(wanted);
+  out << ")";
+}
+
+
+AllowanceGrant::~AllowanceGrant() noexcept {
+}
+
+
+void AllowanceGrant::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void AllowanceGrant::__set_tokens(const int32_t val) {
+  this->tokens = val;
+}
+
+void AllowanceGrant::__set_retry_after_ms(const int32_t val) {
+  this->retry_after_ms = val;
+}
+
+void AllowanceGrant::__set_lender(const std::string& val) {
+  this->lender = val;
+}
+
+void AllowanceGrant::__set_known(const bool val) {
+  this->known = val;
+}
+std::ostream& operator<<(std::ostream& out, const AllowanceGrant& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t AllowanceGrant::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->tokens);
+          this->__isset.tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->retry_after_ms);
+          this->__isset.retry_after_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->lender);
+          this->__isset.lender = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->known);
+          this->__isset.known = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t AllowanceGrant::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AllowanceGrant");
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("retry_after_ms", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->retry_after_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lender", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->lender);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->known);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AllowanceGrant &a, AllowanceGrant &b) {
+  using ::std::swap;
+  swap(a.sequence, b.sequence);
+  swap(a.tokens, b.tokens);
+  swap(a.retry_after_ms, b.retry_after_ms);
+  swap(a.lender, b.lender);
+  swap(a.known, b.known);
+  swap(a.__isset, b.__isset);
+}
+
+AllowanceGrant::AllowanceGrant(const AllowanceGrant& other82) {
+  sequence = other82.sequence;
+  tokens = other82.tokens;
+  retry_after_ms = other82.retry_after_ms;
+  lender = other82.lender;
+  known = other82.known;
+  __isset = other82.__isset;
+}
+AllowanceGrant::AllowanceGrant(AllowanceGrant&& other83) noexcept {
+  sequence = other83.sequence;
+  tokens = other83.tokens;
+  retry_after_ms = other83.retry_after_ms;
+  lender = std::move(other83.lender);
+  known = other83.known;
+  __isset = other83.__isset;
+}
+AllowanceGrant& AllowanceGrant::operator=(const AllowanceGrant& other84) {
+  sequence = other84.sequence;
+  tokens = other84.tokens;
+  retry_after_ms = other84.retry_after_ms;
+  lender = other84.lender;
+  known = other84.known;
+  __isset = other84.__isset;
+  return *this;
+}
+AllowanceGrant& AllowanceGrant::operator=(AllowanceGrant&& other85) noexcept {
+  sequence = other85.sequence;
+  tokens = other85.tokens;
+  retry_after_ms = other85.retry_after_ms;
+  lender = std::move(other85.lender);
+  known = other85.known;
+  __isset = other85.__isset;
+  return *this;
+}
+void AllowanceGrant::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AllowanceGrant(";
+  out << "sequence=" << to_string(sequence);
+  out << ", " << "tokens=" << to_string(tokens);
+  out << ", " << "retry_after_ms=" << to_string(retry_after_ms);
+  out << ", " << "lender=" << to_string(lender);
+  out << ", " << "known=" << to_string(known);
+  out << ")";
+}
+
+
+Frame::~Frame() noexcept {
+}
+
+
+void Frame::__set_hello(const Hello& val) {
+  this->hello = val;
+__isset.hello = true;
+}
+
+void Frame::__set_offer(const Offer& val) {
+  this->offer = val;
+__isset.offer = true;
+}
+
+void Frame::__set_reply(const Reply& val) {
+  this->reply = val;
+__isset.reply = true;
+}
+
+void Frame::__set_inquiry(const Inquiry& val) {
+  this->inquiry = val;
+__isset.inquiry = true;
+}
+
+void Frame::__set_cancel(const Cancel& val) {
+  this->cancel = val;
+__isset.cancel = true;
+}
+
+void Frame::__set_config_fetch(const ConfigFetch& val) {
+  this->config_fetch = val;
+__isset.config_fetch = true;
+}
+
+void Frame::__set_config_batch(const ConfigBatch& val) {
+  this->config_batch = val;
+__isset.config_batch = true;
+}
+
+void Frame::__set_heartbeat(const Heartbeat& val) {
+  this->heartbeat = val;
+__isset.heartbeat = true;
+}
+
+void Frame::__set_status_fetch(const StatusFetch& val) {
+  this->status_fetch = val;
+__isset.status_fetch = true;
+}
+
+void Frame::__set_status_batch(const StatusBatch& val) {
+  this->status_batch = val;
+__isset.status_batch = true;
+}
+
+void Frame::__set_freshness_fetch(const FreshnessFetch& val) {
+  this->freshness_fetch = val;
+__isset.freshness_fetch = true;
+}
+
+void Frame::__set_freshness_batch(const FreshnessBatch& val) {
+  this->freshness_batch = val;
+__isset.freshness_batch = true;
+}
+
+void Frame::__set_allowance_ask(const AllowanceAsk& val) {
+  this->allowance_ask = val;
+__isset.allowance_ask = true;
+}
+
+void Frame::__set_allowance_grant(const AllowanceGrant& val) {
+  this->allowance_grant = val;
+__isset.allowance_grant = true;
+}
+std::ostream& operator<<(std::ostream& out, const Frame& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Frame::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->hello.read(iprot);
+          this->__isset.hello = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->offer.read(iprot);
+          this->__isset.offer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->reply.read(iprot);
+          this->__isset.reply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->inquiry.read(iprot);
+          this->__isset.inquiry = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->cancel.read(iprot);
+          this->__isset.cancel = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->config_fetch.read(iprot);
+          this->__isset.config_fetch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->config_batch.read(iprot);
+          this->__isset.config_batch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->heartbeat.read(iprot);
+          this->__isset.heartbeat = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->status_fetch.read(iprot);
+          this->__isset.status_fetch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->status_batch.read(iprot);
+          this->__isset.status_batch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->freshness_fetch.read(iprot);
+          this->__isset.freshness_fetch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->freshness_batch.read(iprot);
+          this->__isset.freshness_batch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->allowance_ask.read(iprot);
+          this->__isset.allowance_ask = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->allowance_grant.read(iprot);
+          this->__isset.allowance_grant = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Frame::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Frame");
+
+  if (this->__isset.hello) {
+    xfer += oprot->writeFieldBegin("hello", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->hello.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.offer) {
+    xfer += oprot->writeFieldBegin("offer", ::apache::thrift::protocol::T_STRUCT, 2);
+    xfer += this->offer.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.reply) {
+    xfer += oprot->writeFieldBegin("reply", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += this->reply.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.inquiry) {
+    xfer += oprot->writeFieldBegin("inquiry", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->inquiry.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.cancel) {
+    xfer += oprot->writeFieldBegin("cancel", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->cancel.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.config_fetch) {
+    xfer += oprot->writeFieldBegin("config_fetch", ::apache::thrift::protocol::T_STRUCT, 6);
+    xfer += this->config_fetch.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.config_batch) {
+    xfer += oprot->writeFieldBegin("config_batch", ::apache::thrift::protocol::T_STRUCT, 7);
+    xfer += this->config_batch.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.heartbeat) {
+    xfer += oprot->writeFieldBegin("heartbeat", ::apache::thrift::protocol::T_STRUCT, 8);
+    xfer += this->heartbeat.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.status_fetch) {
+    xfer += oprot->writeFieldBegin("status_fetch", ::apache::thrift::protocol::T_STRUCT, 9);
+    xfer += this->status_fetch.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.status_batch) {
+    xfer += oprot->writeFieldBegin("status_batch", ::apache::thrift::protocol::T_STRUCT, 10);
+    xfer += this->status_batch.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.freshness_fetch) {
+    xfer += oprot->writeFieldBegin("freshness_fetch", ::apache::thrift::protocol::T_STRUCT, 11);
+    xfer += this->freshness_fetch.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.freshness_batch) {
+    xfer += oprot->writeFieldBegin("freshness_batch", ::apache::thrift::protocol::T_STRUCT, 12);
+    xfer += this->freshness_batch.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.allowance_ask) {
+    xfer += oprot->writeFieldBegin("allowance_ask", ::apache::thrift::protocol::T_STRUCT, 13);
+    xfer += this->allowance_ask.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.allowance_grant) {
+    xfer += oprot->writeFieldBegin("allowance_grant", ::apache::thrift::protocol::T_STRUCT, 14);
+    xfer += this->allowance_grant.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Frame &a, Frame &b) {
+  using ::std::swap;
+  swap(a.hello, b.hello);
+  swap(a.offer, b.offer);
+  swap(a.reply, b.reply);
+  swap(a.inquiry, b.inquiry);
+  swap(a.cancel, b.cancel);
+  swap(a.config_fetch, b.config_fetch);
+  swap(a.config_batch, b.config_batch);
+  swap(a.heartbeat, b.heartbeat);
+  swap(a.status_fetch, b.status_fetch);
+  swap(a.status_batch, b.status_batch);
+  swap(a.freshness_fetch, b.freshness_fetch);
+  swap(a.freshness_batch, b.freshness_batch);
+  swap(a.allowance_ask, b.allowance_ask);
+  swap(a.allowance_grant, b.allowance_grant);
+  swap(a.__isset, b.__isset);
+}
+
+Frame::Frame(const Frame& other86) {
+  hello = other86.hello;
+  offer = other86.offer;
+  reply = other86.reply;
+  inquiry = other86.inquiry;
+  cancel = other86.cancel;
+  config_fetch = other86.config_fetch;
+  config_batch = other86.config_batch;
+  heartbeat = other86.heartbeat;
+  status_fetch = other86.status_fetch;
+  status_batch = other86.status_batch;
+  freshness_fetch = other86.freshness_fetch;
+  freshness_batch = other86.freshness_batch;
+  allowance_ask = other86.allowance_ask;
+  allowance_grant = other86.allowance_grant;
+  __isset = other86.__isset;
+}
+Frame::Frame(Frame&& other87) noexcept {
+  hello = std::move(other87.hello);
+  offer = std::move(other87.offer);
+  reply = std::move(other87.reply);
+  inquiry = std::move(other87.inquiry);
+  cancel = std::move(other87.cancel);
+  config_fetch = std::move(other87.config_fetch);
+  config_batch = std::move(other87.config_batch);
+  heartbeat = std::move(other87.heartbeat);
+  status_fetch = std::move(other87.status_fetch);
+  status_batch = std::move(other87.status_batch);
+  freshness_fetch = std::move(other87.freshness_fetch);
+  freshness_batch = std::move(other87.freshness_batch);
+  allowance_ask = std::move(other87.allowance_ask);
+  allowance_grant = std::move(other87.allowance_grant);
+  __isset = other87.__isset;
+}
+Frame& Frame::operator=(const Frame& other88) {
+  hello = other88.hello;
+  offer = other88.offer;
+  reply = other88.reply;
+  inquiry = other88.inquiry;
+  cancel = other88.cancel;
+  config_fetch = other88.config_fetch;
+  config_batch = other88.config_batch;
+  heartbeat = other88.heartbeat;
+  status_fetch = other88.status_fetch;
+  status_batch = other88.status_batch;
+  freshness_fetch = other88.freshness_fetch;
+  freshness_batch = other88.freshness_batch;
+  allowance_ask = other88.allowance_ask;
+  allowance_grant = other88.allowance_grant;
+  __isset = other88.__isset;
+  return *this;
+}
+Frame& Frame::operator=(Frame&& other89) noexcept {
+  hello = std::move(other89.hello);
+  offer = std::move(other89.offer);
+  reply = std::move(other89.reply);
+  inquiry = std::move(other89.inquiry);
+  cancel = std::move(other89.cancel);
+  config_fetch = std::move(other89.config_fetch);
+  config_batch = std::move(other89.config_batch);
+  heartbeat = std::move(other89.heartbeat);
+  status_fetch = std::move(other89.status_fetch);
+  status_batch = std::move(other89.status_batch);
+  freshness_fetch = std::move(other89.freshness_fetch);
+  freshness_batch = std::move(other89.freshness_batch);
+  allowance_ask = std::move(other89.allowance_ask);
+  allowance_grant = std::move(other89.allowance_grant);
+  __isset = other89.__isset;
+  return *this;
+}
+void Frame::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Frame(";
+  out << "hello="; (__isset.hello ? (out << to_string(hello)) : (out << "<null>"));
+  out << ", " << "offer="; (__isset.offer ? (out << to_string(offer)) : (out << "<null>"));
+  out << ", " << "reply="; (__isset.reply ? (out << to_string(reply)) : (out << "<null>"));
+  out << ", " << "inquiry="; (__isset.inquiry ? (out << to_string(inquiry)) : (out << "<null>"));
+  out << ", " << "cancel="; (__isset.cancel ? (out << to_string(cancel)) : (out << "<null>"));
+  out << ", " << "config_fetch="; (__isset.config_fetch ? (out << to_string(config_fetch)) : (out << "<null>"));
+  out << ", " << "config_batch="; (__isset.config_batch ? (out << to_string(config_batch)) : (out << "<null>"));
+  out << ", " << "heartbeat="; (__isset.heartbeat ? (out << to_string(heartbeat)) : (out << "<null>"));
+  out << ", " << "status_fetch="; (__isset.status_fetch ? (out << to_string(status_fetch)) : (out << "<null>"));
+  out << ", " << "status_batch="; (__isset.status_batch ? (out << to_string(status_batch)) : (out << "<null>"));
+  out << ", " << "freshness_fetch="; (__isset.freshness_fetch ? (out << to_string(freshness_fetch)) : (out << "<null>"));
+  out << ", " << "freshness_batch="; (__isset.freshness_batch ? (out << to_string(freshness_batch)) : (out << "<null>"));
+  out << ", " << "allowance_ask="; (__isset.allowance_ask ? (out << to_string(allowance_ask)) : (out << "<null>"));
+  out << ", " << "allowance_grant="; (__isset.allowance_grant ? (out << to_string(allowance_grant)) : (out << "<null>"));
+  out << ")";
+}
+
+
+WireMember::~WireMember() noexcept {
+}
+
+
+void WireMember::__set_node(const std::string& val) {
+  this->node = val;
+}
+
+void WireMember::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void WireMember::__set_generation(const int64_t val) {
+  this->generation = val;
+}
+
+void WireMember::__set_state(const int32_t val) {
+  this->state = val;
+}
+
+void WireMember::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+
+void WireMember::__set_region(const std::string& val) {
+  this->region = val;
+}
+
+void WireMember::__set_service_name(const std::string& val) {
+  this->service_name = val;
+}
+
+void WireMember::__set_slots(const int32_t val) {
+  this->slots = val;
+}
+
+void WireMember::__set_config_offset(const int64_t val) {
+  this->config_offset = val;
+}
+std::ostream& operator<<(std::ostream& out, const WireMember& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WireMember::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
           xfer += iprot->readString(this->node);
           this->__isset.node = true;
         } else {
@@ -3120,54 +3840,54 @@
   swap(a.__isset, b.__isset);
 }
 
-WireMember::WireMember(const WireMember& other74) {
-  node = other74.node;
-  incarnation = other74.incarnation;
-  generation = other74.generation;
-  state = other74.state;
-  zone = other74.zone;
-  region = other74.region;
-  service_name = other74.service_name;
-  slots = other74.slots;
-  config_offset = other74.config_offset;
-  __isset = other74.__isset;
-}
-WireMember::WireMember(WireMember&& other75) noexcept {
-  node = std::move(other75.node);
-  incarnation = other75.incarnation;
-  generation = other75.generation;
-  state = other75.state;
-  zone = std::move(other75.zone);
-  region = std::move(other75.region);
-  service_name = std::move(other75.service_name);
-  slots = other75.slots;
-  config_offset = other75.config_offset;
-  __isset = other75.__isset;
-}
-WireMember& WireMember::operator=(const WireMember& other76) {
-  node = other76.node;
-  incarnation = other76.incarnation;
-  generation = other76.generation;
-  state = other76.state;
-  zone = other76.zone;
-  region = other76.region;
-  service_name = other76.service_name;
-  slots = other76.slots;
-  config_offset = other76.config_offset;
-  __isset = other76.__isset;
+WireMember::WireMember(const WireMember& other90) {
+  node = other90.node;
+  incarnation = other90.incarnation;
+  generation = other90.generation;
+  state = other90.state;
+  zone = other90.zone;
+  region = other90.region;
+  service_name = other90.service_name;
+  slots = other90.slots;
+  config_offset = other90.config_offset;
+  __isset = other90.__isset;
+}
+WireMember::WireMember(WireMember&& other91) noexcept {
+  node = std::move(other91.node);
+  incarnation = other91.incarnation;
+  generation = other91.generation;
+  state = other91.state;
+  zone = std::move(other91.zone);
+  region = std::move(other91.region);
+  service_name = std::move(other91.service_name);
+  slots = other91.slots;
+  config_offset = other91.config_offset;
+  __isset = other91.__isset;
+}
+WireMember& WireMember::operator=(const WireMember& other92) {
+  node = other92.node;
+  incarnation = other92.incarnation;
+  generation = other92.generation;
+  state = other92.state;
+  zone = other92.zone;
+  region = other92.region;
+  service_name = other92.service_name;
+  slots = other92.slots;
+  config_offset = other92.config_offset;
+  __isset = other92.__isset;
   return *this;
 }
-WireMember& WireMember::operator=(WireMember&& other77) noexcept {
-  node = std::move(other77.node);
-  incarnation = other77.incarnation;
-  generation = other77.generation;
-  state = other77.state;
-  zone = std::move(other77.zone);
-  region = std::move(other77.region);
-  service_name = std::move(other77.service_name);
-  slots = other77.slots;
-  config_offset = other77.config_offset;
-  __isset = other77.__isset;
+WireMember& WireMember::operator=(WireMember&& other93) noexcept {
+  node = std::move(other93.node);
+  incarnation = other93.incarnation;
+  generation = other93.generation;
+  state = other93.state;
+  zone = std::move(other93.zone);
+  region = std::move(other93.region);
+  service_name = std::move(other93.service_name);
+  slots = other93.slots;
+  config_offset = other93.config_offset;
+  __isset = other93.__isset;
   return *this;
 }
 void WireMember::printTo(std::ostream& out) const {
@@ -3278,26 +3998,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Probe::Probe(const Probe& other78) {
-  sequence = other78.sequence;
-  target = other78.target;
-  __isset = other78.__isset;
+Probe::Probe(const Probe& other94) {
+  sequence = other94.sequence;
+  target = other94.target;
+  __isset = other94.__isset;
 }
-Probe::Probe(Probe&& other79) noexcept {
-  sequence = other79.sequence;
-  target = std::move(other79.target);
-  __isset = other79.__isset;
+Probe::Probe(Probe&& other95) noexcept {
+  sequence = other95.sequence;
+  target = std::move(other95.target);
+  __isset = other95.__isset;
 }
-Probe& Probe::operator=(const Probe& other80) {
-  sequence = other80.sequence;
-  target = other80.target;
-  __isset = other80.__isset;
+Probe& Probe::operator=(const Probe& other96) {
+  sequence = other96.sequence;
+  target = other96.target;
+  __isset = other96.__isset;
   return *this;
 }
-Probe& Probe::operator=(Probe&& other81) noexcept {
-  sequence = other81.sequence;
-  target = std::move(other81.target);
-  __isset = other81.__isset;
+Probe& Probe::operator=(Probe&& other97) noexcept {
+  sequence = other97.sequence;
+  target = std::move(other97.target);
+  __isset = other97.__isset;
   return *this;
 }
 void Probe::printTo(std::ostream& out) const {
@@ -3401,26 +4121,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ProbeAck::ProbeAck(const ProbeAck& other82) {
-  sequence = other82.sequence;
-  target = other82.target;
-  __isset = other82.__isset;
+ProbeAck::ProbeAck(const ProbeAck& other98) {
+  sequence = other98.sequence;
+  target = other98.target;
+  __isset = other98.__isset;
 }
-ProbeAck::ProbeAck(ProbeAck&& other83) noexcept {
-  sequence = other83.sequence;
-  target = std::move(other83.target);
-  __isset = other83.__isset;
+ProbeAck::ProbeAck(ProbeAck&& other99) noexcept {
+  sequence = other99.sequence;
+  target = std::move(other99.target);
+  __isset = other99.__isset;
 }
-ProbeAck& ProbeAck::operator=(const ProbeAck& other84) {
-  sequence = other84.sequence;
-  target = other84.target;
-  __isset = other84.__isset;
+ProbeAck& ProbeAck::operator=(const ProbeAck& other100) {
+  sequence = other100.sequence;
+  target = other100.target;
+  __isset = other100.__isset;
   return *this;
 }
-ProbeAck& ProbeAck::operator=(ProbeAck&& other85) noexcept {
-  sequence = other85.sequence;
-  target = std::move(other85.target);
-  __isset = other85.__isset;
+ProbeAck& ProbeAck::operator=(ProbeAck&& other101) noexcept {
+  sequence = other101.sequence;
+  target = std::move(other101.target);
+  __isset = other101.__isset;
   return *this;
 }
 void ProbeAck::printTo(std::ostream& out) const {
@@ -3524,26 +4244,26 @@
   swap(a.__isset, b.__isset);
 }
 
-TableDigest::TableDigest(const TableDigest& other86) {
-  digests = other86.digests;
-  answer = other86.answer;
-  __isset = other86.__isset;
+TableDigest::TableDigest(const TableDigest& other102) {
+  digests = other102.digests;
+  answer = other102.answer;
+  __isset = other102.__isset;
 }
-TableDigest::TableDigest(TableDigest&& other87) noexcept {
-  digests = std::move(other87.digests);
-  answer = other87.answer;
-  __isset = other87.__isset;
+TableDigest::TableDigest(TableDigest&& other103) noexcept {
+  digests = std::move(other103.digests);
+  answer = other103.answer;
+  __isset = other103.__isset;
 }
-TableDigest& TableDigest::operator=(const TableDigest& other88) {
-  digests = other88.digests;
-  answer = other88.answer;
-  __isset = other88.__isset;
+TableDigest& TableDigest::operator=(const TableDigest& other104) {
+  digests = other104.digests;
+  answer = other104.answer;
+  __isset = other104.__isset;
   return *this;
 }
-TableDigest& TableDigest::operator=(TableDigest&& other89) noexcept {
-  digests = std::move(other89.digests);
-  answer = other89.answer;
-  __isset = other89.__isset;
+TableDigest& TableDigest::operator=(TableDigest&& other105) noexcept {
+  digests = std::move(other105.digests);
+  answer = other105.answer;
+  __isset = other105.__isset;
   return *this;
 }
 void TableDigest::printTo(std::ostream& out) const {
@@ -3653,14 +4373,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size90;
-            ::apache::thrift::protocol::TType _etype93;
-            xfer += iprot->readListBegin(_etype93, _size90);
-            this->members.resize(_size90);
-            uint32_t _i94;
-            for (_i94 = 0; _i94 < _size90; ++_i94)
+            uint32_t _size106;
+            ::apache::thrift::protocol::TType _etype109;
+            xfer += iprot->readListBegin(_etype109, _size106);
+            this->members.resize(_size106);
+            uint32_t _i110;
+            for (_i110 = 0; _i110 < _size106; ++_i110)
             {
-              xfer += this->members[_i94].read(iprot);
+              xfer += this->members[_i110].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3673,14 +4393,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size95;
-            ::apache::thrift::protocol::TType _etype98;
-            xfer += iprot->readListBegin(_etype98, _size95);
-            this->records.resize(_size95);
-            uint32_t _i99;
-            for (_i99 = 0; _i99 < _size95; ++_i99)
+            uint32_t _size111;
+            ::apache::thrift::protocol::TType _etype114;
+            xfer += iprot->readListBegin(_etype114, _size111);
+            this->records.resize(_size111);
+            uint32_t _i115;
+            for (_i115 = 0; _i115 < _size111; ++_i115)
             {
-              xfer += this->records[_i99].read(iprot);
+              xfer += this->records[_i115].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3735,10 +4455,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<WireMember> ::const_iterator _iter100;
-    for (_iter100 = this->members.begin(); _iter100 != this->members.end(); ++_iter100)
+    std::vector<WireMember> ::const_iterator _iter116;
+    for (_iter116 = this->members.begin(); _iter116 != this->members.end(); ++_iter116)
     {
-      xfer += (*_iter100).write(oprot);
+      xfer += (*_iter116).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3747,10 +4467,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<ConfigRecord> ::const_iterator _iter101;
-    for (_iter101 = this->records.begin(); _iter101 != this->records.end(); ++_iter101)
+    std::vector<ConfigRecord> ::const_iterator _iter117;
+    for (_iter117 = this->records.begin(); _iter117 != this->records.end(); ++_iter117)
     {
-      xfer += (*_iter101).write(oprot);
+      xfer += (*_iter117).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3778,46 +4498,46 @@
   swap(a.__isset, b.__isset);
 }
 
-Datagram::Datagram(const Datagram& other102) {
-  fleet = other102.fleet;
-  sender = other102.sender;
-  probe = other102.probe;
-  ack = other102.ack;
-  members = other102.members;
-  records = other102.records;
-  digest = other102.digest;
-  __isset = other102.__isset;
-}
-Datagram::Datagram(Datagram&& other103) noexcept {
-  fleet = std::move(other103.fleet);
-  sender = std::move(other103.sender);
-  probe = std::move(other103.probe);
-  ack = std::move(other103.ack);
-  members = std::move(other103.members);
-  records = std::move(other103.records);
-  digest = std::move(other103.digest);
-  __isset = other103.__isset;
-}
-Datagram& Datagram::operator=(const Datagram& other104) {
-  fleet = other104.fleet;
-  sender = other104.sender;
-  probe = other104.probe;
-  ack = other104.ack;
-  members = other104.members;
-  records = other104.records;
-  digest = other104.digest;
-  __isset = other104.__isset;
+Datagram::Datagram(const Datagram& other118) {
+  fleet = other118.fleet;
+  sender = other118.sender;
+  probe = other118.probe;
+  ack = other118.ack;
+  members = other118.members;
+  records = other118.records;
+  digest = other118.digest;
+  __isset = other118.__isset;
+}
+Datagram::Datagram(Datagram&& other119) noexcept {
+  fleet = std::move(other119.fleet);
+  sender = std::move(other119.sender);
+  probe = std::move(other119.probe);
+  ack = std::move(other119.ack);
+  members = std::move(other119.members);
+  records = std::move(other119.records);
+  digest = std::move(other119.digest);
+  __isset = other119.__isset;
+}
+Datagram& Datagram::operator=(const Datagram& other120) {
+  fleet = other120.fleet;
+  sender = other120.sender;
+  probe = other120.probe;
+  ack = other120.ack;
+  members = other120.members;
+  records = other120.records;
+  digest = other120.digest;
+  __isset = other120.__isset;
   return *this;
 }
-Datagram& Datagram::operator=(Datagram&& other105) noexcept {
-  fleet = std::move(other105.fleet);
-  sender = std::move(other105.sender);
-  probe = std::move(other105.probe);
-  ack = std::move(other105.ack);
-  members = std::move(other105.members);
-  records = std::move(other105.records);
-  digest = std::move(other105.digest);
-  __isset = other105.__isset;
+Datagram& Datagram::operator=(Datagram&& other121) noexcept {
+  fleet = std::move(other121.fleet);
+  sender = std::move(other121.sender);
+  probe = std::move(other121.probe);
+  ack = std::move(other121.ack);
+  members = std::move(other121.members);
+  records = std::move(other121.records);
+  digest = std::move(other121.digest);
+  __isset = other121.__isset;
   return *this;
 }
 void Datagram::printTo(std::ostream& out) const {
@@ -3960,34 +4680,34 @@
   swap(a.__isset, b.__isset);
 }
 
-SeedRecord::SeedRecord(const SeedRecord& other106) {
-  node = other106.node;
-  zone = other106.zone;
-  region = other106.region;
-  expires_wall_ms = other106.expires_wall_ms;
-  __isset = other106.__isset;
-}
-SeedRecord::SeedRecord(SeedRecord&& other107) noexcept {
-  node = std::move(other107.node);
-  zone = std::move(other107.zone);
-  region = std::move(other107.region);
-  expires_wall_ms = other107.expires_wall_ms;
-  __isset = other107.__isset;
-}
-SeedRecord& SeedRecord::operator=(const SeedRecord& other108) {
-  node = other108.node;
-  zone = other108.zone;
-  region = other108.region;
-  expires_wall_ms = other108.expires_wall_ms;
-  __isset = other108.__isset;
+SeedRecord::SeedRecord(const SeedRecord& other122) {
+  node = other122.node;
+  zone = other122.zone;
+  region = other122.region;
+  expires_wall_ms = other122.expires_wall_ms;
+  __isset = other122.__isset;
+}
+SeedRecord::SeedRecord(SeedRecord&& other123) noexcept {
+  node = std::move(other123.node);
+  zone = std::move(other123.zone);
+  region = std::move(other123.region);
+  expires_wall_ms = other123.expires_wall_ms;
+  __isset = other123.__isset;
+}
+SeedRecord& SeedRecord::operator=(const SeedRecord& other124) {
+  node = other124.node;
+  zone = other124.zone;
+  region = other124.region;
+  expires_wall_ms = other124.expires_wall_ms;
+  __isset = other124.__isset;
   return *this;
 }
-SeedRecord& SeedRecord::operator=(SeedRecord&& other109) noexcept {
-  node = std::move(other109.node);
-  zone = std::move(other109.zone);
-  region = std::move(other109.region);
-  expires_wall_ms = other109.expires_wall_ms;
-  __isset = other109.__isset;
+SeedRecord& SeedRecord::operator=(SeedRecord&& other125) noexcept {
+  node = std::move(other125.node);
+  zone = std::move(other125.zone);
+  region = std::move(other125.region);
+  expires_wall_ms = other125.expires_wall_ms;
+  __isset = other125.__isset;
   return *this;
 }
 void SeedRecord::printTo(std::ostream& out) const {
--- a/src/libprotocol/gen-cpp/coltsfoot_types.h
+++ b/src/libprotocol/gen-cpp/coltsfoot_types.h
@@ -62,6 +62,14 @@
 
 class StatusBatch;
 
+class FreshnessFetch;
+
+class FreshnessBatch;
+
+class AllowanceAsk;
+
+class AllowanceGrant;
+
 class Frame;
 
 class WireMember;
@@ -195,7 +203,7 @@
 std::ostream& operator<<(std::ostream& out, const Hello& obj);
 
 typedef struct _Offer__isset {
-  _Offer__isset() : attempt(false), request_id(false), service_name(false), method(false), target(false), fields(false), body(false), remaining_ms(false), credits(false), client(false), bucket(false), depth(false), ticket(false), route(false), rank_order(false), protected_call(false), objective_ms(false), root_rank_order(false), repeated(false) {}
+  _Offer__isset() : attempt(false), request_id(false), service_name(false), method(false), target(false), fields(false), body(false), remaining_ms(false), credits(false), client(false), bucket(false), depth(false), ticket(false), route(false), rank_order(false), protected_call(false), objective_ms(false), root_rank_order(false), repeated(false), team(false) {}
   bool attempt :1;
   bool request_id :1;
   bool service_name :1;
@@ -215,6 +223,7 @@
   bool objective_ms :1;
   bool root_rank_order :1;
   bool repeated :1;
+  bool team :1;
 } _Offer__isset;
 
 class Offer : public virtual ::apache::thrift::TBase {
@@ -242,7 +251,8 @@
           protected_call(0),
           objective_ms(0),
           root_rank_order(0),
-          repeated(0) {
+          repeated(0),
+          team() {
   }
 
   virtual ~Offer() noexcept;
@@ -265,6 +275,7 @@
   int32_t objective_ms;
   int32_t root_rank_order;
   bool repeated;
+  std::string team;
 
   _Offer__isset __isset;
 
@@ -306,6 +317,8 @@
 
   void __set_repeated(const bool val);
 
+  void __set_team(const std::string& val);
+
   bool operator == (const Offer & rhs) const
   {
     if (!(attempt == rhs.attempt))
@@ -346,6 +359,8 @@
       return false;
     if (!(repeated == rhs.repeated))
       return false;
+    if (!(team == rhs.team))
+      return false;
     return true;
   }
   bool operator != (const Offer &rhs) const {
@@ -1030,8 +1045,251 @@
 
 std::ostream& operator<<(std::ostream& out, const StatusBatch& obj);
 
+typedef struct _FreshnessFetch__isset {
+  _FreshnessFetch__isset() : sequence(false) {}
+  bool sequence :1;
+} _FreshnessFetch__isset;
+
+class FreshnessFetch : public virtual ::apache::thrift::TBase {
+ public:
+
+  FreshnessFetch(const FreshnessFetch&) noexcept;
+  FreshnessFetch(FreshnessFetch&&) noexcept;
+  FreshnessFetch& operator=(const FreshnessFetch&) noexcept;
+  FreshnessFetch& operator=(FreshnessFetch&&) noexcept;
+  FreshnessFetch() noexcept
+                 : sequence(0) {
+  }
+
+  virtual ~FreshnessFetch() noexcept;
+  int64_t sequence;
+
+  _FreshnessFetch__isset __isset;
+
+  void __set_sequence(const int64_t val);
+
+  bool operator == (const FreshnessFetch & rhs) const
+  {
+    if (!(sequence == rhs.sequence))
+      return false;
+    return true;
+  }
+  bool operator != (const FreshnessFetch &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FreshnessFetch & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FreshnessFetch &a, FreshnessFetch &b);
+
+std::ostream& operator<<(std::ostream& out, const FreshnessFetch& obj);
+
+typedef struct _FreshnessBatch__isset {
+  _FreshnessBatch__isset() : sequence(false), version(false), age_ms(false) {}
+  bool sequence :1;
+  bool version :1;
+  bool age_ms :1;
+} _FreshnessBatch__isset;
+
+class FreshnessBatch : public virtual ::apache::thrift::TBase {
+ public:
+
+  FreshnessBatch(const FreshnessBatch&) noexcept;
+  FreshnessBatch(FreshnessBatch&&) noexcept;
+  FreshnessBatch& operator=(const FreshnessBatch&) noexcept;
+  FreshnessBatch& operator=(FreshnessBatch&&) noexcept;
+  FreshnessBatch() noexcept
+                 : sequence(0),
+                   version(0),
+                   age_ms(0) {
+  }
+
+  virtual ~FreshnessBatch() noexcept;
+  int64_t sequence;
+  int64_t version;
+  int64_t age_ms;
+
+  _FreshnessBatch__isset __isset;
+
+  void __set_sequence(const int64_t val);
+
+  void __set_version(const int64_t val);
+
+  void __set_age_ms(const int64_t val);
+
+  bool operator == (const FreshnessBatch & rhs) const
+  {
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const FreshnessBatch &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FreshnessBatch & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FreshnessBatch &a, FreshnessBatch &b);
+
+std::ostream& operator<<(std::ostream& out, const FreshnessBatch& obj);
+
+typedef struct _AllowanceAsk__isset {
+  _AllowanceAsk__isset() : sequence(false), team(false), needed(false), wanted(false) {}
+  bool sequence :1;
+  bool team :1;
+  bool needed :1;
+  bool wanted :1;
+} _AllowanceAsk__isset;
+
+class AllowanceAsk : public virtual ::apache::thrift::TBase {
+ public:
+
+  AllowanceAsk(const AllowanceAsk&);
+  AllowanceAsk(AllowanceAsk&&) noexcept;
+  AllowanceAsk& operator=(const AllowanceAsk&);
+  AllowanceAsk& operator=(AllowanceAsk&&) noexcept;
+  AllowanceAsk() noexcept
+               : sequence(0),
+                 team(),
+                 needed(0),
+                 wanted(0) {
+  }
+
+  virtual ~AllowanceAsk() noexcept;
+  int64_t sequence;
+  std::string team;
+  int32_t needed;
+  int32_t wanted;
+
+  _AllowanceAsk__isset __isset;
+
+  void __set_sequence(const int64_t val);
+
+  void __set_team(const std::string& val);
+
+  void __set_needed(const int32_t val);
+
+  void __set_wanted(const int32_t val);
+
+  bool operator == (const AllowanceAsk & rhs) const
+  {
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(team == rhs.team))
+      return false;
+    if (!(needed == rhs.needed))
+      return false;
+    if (!(wanted == rhs.wanted))
+      return false;
+    return true;
+  }
+  bool operator != (const AllowanceAsk &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AllowanceAsk & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AllowanceAsk &a, AllowanceAsk &b);
+
+std::ostream& operator<<(std::ostream& out, const AllowanceAsk& obj);
+
+typedef struct _AllowanceGrant__isset {
+  _AllowanceGrant__isset() : sequence(false), tokens(false), retry_after_ms(false), lender(false), known(false) {}
+  bool sequence :1;
+  bool tokens :1;
+  bool retry_after_ms :1;
+  bool lender :1;
+  bool known :1;
+} _AllowanceGrant__isset;
+
+class AllowanceGrant : public virtual ::apache::thrift::TBase {
+ public:
+
+  AllowanceGrant(const AllowanceGrant&);
+  AllowanceGrant(AllowanceGrant&&) noexcept;
+  AllowanceGrant& operator=(const AllowanceGrant&);
+  AllowanceGrant& operator=(AllowanceGrant&&) noexcept;
+  AllowanceGrant() noexcept
+                 : sequence(0),
+                   tokens(0),
+                   retry_after_ms(0),
+                   lender(),
+                   known(0) {
+  }
+
+  virtual ~AllowanceGrant() noexcept;
+  int64_t sequence;
+  int32_t tokens;
+  int32_t retry_after_ms;
+  std::string lender;
+  bool known;
+
+  _AllowanceGrant__isset __isset;
+
+  void __set_sequence(const int64_t val);
+
+  void __set_tokens(const int32_t val);
+
+  void __set_retry_after_ms(const int32_t val);
+
+  void __set_lender(const std::string& val);
+
+  void __set_known(const bool val);
+
+  bool operator == (const AllowanceGrant & rhs) const
+  {
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(tokens == rhs.tokens))
+      return false;
+    if (!(retry_after_ms == rhs.retry_after_ms))
+      return false;
+    if (!(lender == rhs.lender))
+      return false;
+    if (!(known == rhs.known))
+      return false;
+    return true;
+  }
+  bool operator != (const AllowanceGrant &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AllowanceGrant & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AllowanceGrant &a, AllowanceGrant &b);
+
+std::ostream& operator<<(std::ostream& out, const AllowanceGrant& obj);
+
 typedef struct _Frame__isset {
-  _Frame__isset() : hello(false), offer(false), reply(false), inquiry(false), cancel(false), config_fetch(false), config_batch(false), heartbeat(false), status_fetch(false), status_batch(false) {}
+  _Frame__isset() : hello(false), offer(false), reply(false), inquiry(false), cancel(false), config_fetch(false), config_batch(false), heartbeat(false), status_fetch(false), status_batch(false), freshness_fetch(false), freshness_batch(false), allowance_ask(false), allowance_grant(false) {}
   bool hello :1;
   bool offer :1;
   bool reply :1;
@@ -1042,6 +1300,10 @@
   bool heartbeat :1;
   bool status_fetch :1;
   bool status_batch :1;
+  bool freshness_fetch :1;
+  bool freshness_batch :1;
+  bool allowance_ask :1;
+  bool allowance_grant :1;
 } _Frame__isset;
 
 class Frame : public virtual ::apache::thrift::TBase {
@@ -1065,6 +1327,10 @@
   Heartbeat heartbeat;
   StatusFetch status_fetch;
   StatusBatch status_batch;
+  FreshnessFetch freshness_fetch;
+  FreshnessBatch freshness_batch;
+  AllowanceAsk allowance_ask;
+  AllowanceGrant allowance_grant;
 
   _Frame__isset __isset;
 
@@ -1088,6 +1354,14 @@
 
   void __set_status_batch(const StatusBatch& val);
 
+  void __set_freshness_fetch(const FreshnessFetch& val);
+
+  void __set_freshness_batch(const FreshnessBatch& val);
+
+  void __set_allowance_ask(const AllowanceAsk& val);
+
+  void __set_allowance_grant(const AllowanceGrant& val);
+
   bool operator == (const Frame & rhs) const
   {
     if (__isset.hello != rhs.__isset.hello)
@@ -1130,6 +1404,22 @@
       return false;
     else if (__isset.status_batch && !(status_batch == rhs.status_batch))
       return false;
+    if (__isset.freshness_fetch != rhs.__isset.freshness_fetch)
+      return false;
+    else if (__isset.freshness_fetch && !(freshness_fetch == rhs.freshness_fetch))
+      return false;
+    if (__isset.freshness_batch != rhs.__isset.freshness_batch)
+      return false;
+    else if (__isset.freshness_batch && !(freshness_batch == rhs.freshness_batch))
+      return false;
+    if (__isset.allowance_ask != rhs.__isset.allowance_ask)
+      return false;
+    else if (__isset.allowance_ask && !(allowance_ask == rhs.allowance_ask))
+      return false;
+    if (__isset.allowance_grant != rhs.__isset.allowance_grant)
+      return false;
+    else if (__isset.allowance_grant && !(allowance_grant == rhs.allowance_grant))
+      return false;
     return true;
   }
   bool operator != (const Frame &rhs) const {
--- a/src/libstate/attempttable.h
+++ b/src/libstate/attempttable.h
@@ -37,6 +37,7 @@
   /// Whether this run, or one above it, is an extra arrival of a request that
   /// arrived before.
   bool Repeated_ = false;
+  std::string Team_; ///< Of the root request; empty for none.
   bool operator==(const ParentCall &) const = default;
 };
 
--- a/src/libutil/settings.cpp
+++ b/src/libutil/settings.cpp
@@ -1,5 +1,6 @@
 #include "coltsfootpoint/settings.h"
 
+#include "coltsfootpoint/duration.h"
 #include "coltsfootpoint/ipport.h"
 #include "coltsfootpoint/settingserror.h"
 #include "coltsfootpoint/verdict.h"
@@ -11,6 +12,7 @@
 #include <fstream>
 #include <iterator>
 #include <map>
+#include <stdexcept>
 
 namespace coltsfoot {
 
@@ -29,6 +31,14 @@
          std::all_of(Text.begin(), Text.end(), IsNameCharacter);
 }
 
+bool isDuration(const std::string &Text) {
+  try {
+    return parseDuration(Text) > Millis();
+  } catch (const std::invalid_argument &) {
+    return false;
+  }
+}
+
 bool hasFormat(TextFormat Format, const std::string &Text) {
   switch (Format) {
   case TextFormat::Name:
@@ -39,6 +49,8 @@
     return parseIpPort(Text).has_value();
   case TextFormat::FileName:
     return !Text.empty() && Text.find('\0') == std::string::npos;
+  case TextFormat::Duration:
+    return isDuration(Text);
   }
   return false;
 }
--- a/src/libutil/settingstable.cpp
+++ b/src/libutil/settingstable.cpp
@@ -55,6 +55,7 @@
 constexpr auto Membership = &Settings::Membership_;
 constexpr auto Limits = &Settings::Limits_;
 constexpr auto Timeouts = &Settings::Timeouts_;
+constexpr auto Teams = &Settings::Teams_;
 constexpr auto Security = &Settings::Security_;
 constexpr auto Logging = &Settings::Logging_;
 
@@ -81,6 +82,7 @@
 using M = MembershipSettings;
 using I = LimitSettings;
 using T = TimeoutSettings;
+using E = TeamSettings;
 using S = SecuritySettings;
 using G = LoggingSettings;
 
@@ -294,6 +296,19 @@
                  "server gets new work",
                  number<Timeouts, &T::Lease_>(3 * SecondMs, 100, HourMs)},
 
+    SettingEntry{"teams", "revoke_within", "",
+                 "time after its removal from the configuration for which a "
+                 "team's key may still be taken, such as \"5s\"; without it, a "
+                 "node that is cut off takes it for longer",
+                 text<Teams, &E::RevokeWithin_>(TextFormat::Duration, "")},
+    SettingEntry{"teams", "allowance_window", "",
+                 "length of the windows in which the allowances of teams hold; "
+                 "without it 5s",
+                 text<Teams, &E::AllowanceWindow_>(TextFormat::Duration, "")},
+    SettingEntry{"teams", "allowance_overage", "share",
+                 "share by which a team may exceed its allowance in a window",
+                 number<Teams, &E::AllowanceOverage_>(0.1, 0, 1)},
+
     SettingEntry{"security", "ticket_key_file", "",
                  "file with the key that signs tickets; the key must be the "
                  "same on all nodes and is required with node.interface = "
@@ -329,6 +344,8 @@
     return "an IP address and a port, such as \"10.0.0.1:7000\"";
   case TextFormat::FileName:
     return "a file name";
+  case TextFormat::Duration:
+    return "a duration above zero, such as \"5s\" or \"1500ms\"";
   }
   return {};
 }
--- a/src/libutil/settingstable.h
+++ b/src/libutil/settingstable.h
@@ -9,7 +9,7 @@
 namespace coltsfoot {
 
 /// Format that the value of a text setting must have.
-enum class TextFormat { Name, IpAddress, IpPort, FileName };
+enum class TextFormat { Name, IpAddress, IpPort, FileName, Duration };
 
 /// A number within a range that includes both ends. It must be a whole number
 /// unless SettingEntry::allowsFractions().
--- a/src/libutil/verdict.cpp
+++ b/src/libutil/verdict.cpp
@@ -5,7 +5,7 @@
 namespace coltsfoot {
 
 std::string_view reasonName(Reason Why) {
-  static constexpr std::array<std::string_view, 24> Names = {
+  static constexpr std::array<std::string_view, 28> Names = {
       "none",
       "bad-request",
       "too-large",
@@ -29,6 +29,10 @@
       "not-ready",
       "isolated",
       "answer-not-kept",
+      "key-missing",
+      "key-unknown",
+      "keys-unverified",
+      "allowance-spent",
       "unknown"};
   auto Index = static_cast<size_t>(Why);
   return Index < Names.size() ? Names[Index] : Names.back();
--- a/testsuite/common/platformmachine.cpp
+++ b/testsuite/common/platformmachine.cpp
@@ -107,7 +107,8 @@
          platformAddress(1) +
          ":1\"]\npeers_port = " + std::to_string(PeerPort) +
          "\n[limits]\nslots = \"exact\"\n" + MachineOptions.Limits_ +
-         "[timeouts]\nlease_ms = 60000\n" + MachineOptions.Timeouts_;
+         "[timeouts]\nlease_ms = 60000\n" + MachineOptions.Timeouts_ +
+         "[teams]\n" + MachineOptions.Teams_;
 }
 
 void PlatformMachine::start() {
--- a/testsuite/common/platformmachine.h
+++ b/testsuite/common/platformmachine.h
@@ -54,6 +54,8 @@
     std::string Limits_ = {};
     /// TOML lines for the settings table `log_service`.
     std::string LogService_ = "read_wait_ms = 500\n";
+    /// TOML lines for the settings table `teams`.
+    std::string Teams_ = {};
     /// The value of the option --kill-after; empty for none.
     std::string KillAfter_ = {};
   };
--- a/testsuite/common/platformupstream.cpp
+++ b/testsuite/common/platformupstream.cpp
@@ -1,6 +1,7 @@
 #include "platformupstream.h"
 
 #include "httpclient.h"
+#include "httpframing.h"
 #include "timer.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -57,6 +58,19 @@
       .Status_;
 }
 
+namespace {
+
+/// Returns all values of a field, separated by commas.
+std::string allValues(const HttpRequest &Request, std::string_view Name) {
+  std::string Values;
+  for (const HttpField &Field : Request.Fields_)
+    if (equalIgnoringCase(Field.Name_, Name))
+      Values += (Values.empty() ? "" : ",") + Field.Value_;
+  return Values;
+}
+
+} // namespace
+
 int PlatformUpstream::deregister(const std::string &Ip, uint16_t Port) const {
   std::string Instance;
   {
@@ -140,7 +154,8 @@
     }
     Runs_.push_back({Id, Request.Target_,
                      std::string(Request.field("Caller-Service")),
-                     Request.Body_});
+                     Request.Body_, allValues(Request, "Tenant-Name"),
+                     !Request.field("Authorization").empty()});
   }
   Reply.Fields_.push_back({"Server-Signature", "sig." + Id});
   auto Timer = std::make_shared<boost::asio::steady_timer>(
--- a/testsuite/common/platformupstream.h
+++ b/testsuite/common/platformupstream.h
@@ -31,6 +31,8 @@
     std::string Target_;
     std::string CallerService_;
     std::string Body_;
+    std::string Tenants_; ///< All values of the field Tenant-Name.
+    bool HasKey_ = false; ///< Whether it bears an Authorization field.
     bool operator==(const Run &) const = default;
   };
 
