Reject answers whose status HTTP does not define

What callers saw: a backend server in trouble sent the status 000. 000, 001 and 099 counted as interim responses, so the call waited for its deadline, and the response after 000 reached the client as the answer; 600 and 999 reached the client as they were.

Cause: the response parser takes any three digits, everything below 200 was taken for interim and everything above for final. A status outside 100 to 599 now ends the attempt at once as one that may have run (502), the connection is closed, and answer_not_attributed names the cause odd-status. The same holds for the store's answers, health checks and the replies of peers.

--- a/src/libcoordination/callwire.cpp
+++ b/src/libcoordination/callwire.cpp
@@ -2,6 +2,7 @@
 
 #include "coltsfoot_types.h"
 #include "configstate.h"
+#include "httpframing.h"
 
 #include <algorithm>
 
@@ -22,6 +23,8 @@
     return NotRun{Why};
   if (Reply.outcome != RanIndex)
     return MayHaveRun{Why};
+  if (!isFinalHttpStatus(Reply.status))
+    return MayHaveRun{Reason::UpstreamLost};
   Answer ServerAnswer{Reply.status, {}, Reply.body};
   for (const wire::WireField &Field : Reply.fields)
     ServerAnswer.Fields_.push_back({Field.name, Field.value});
--- a/src/libtransport/httpframing.h
+++ b/src/libtransport/httpframing.h
@@ -26,6 +26,16 @@
 /// contains neither spaces nor control characters.
 bool isHttpTarget(std::string_view Target);
 
+/// Returns whether a status is one that HTTP defines: 100 to 599.
+constexpr bool isHttpStatus(int Status) {
+  return Status >= 100 && Status <= 599;
+}
+
+/// Returns whether a status ends an exchange: 200 to 599.
+constexpr bool isFinalHttpStatus(int Status) {
+  return isHttpStatus(Status) && Status >= 200;
+}
+
 /// Returns whether the field is Connection, Keep-Alive, Transfer-Encoding or
 /// Content-Length. The sender of a message sets these fields itself and does
 /// not copy them from another message.
--- a/src/libtransport/httpserversession.cpp
+++ b/src/libtransport/httpserversession.cpp
@@ -97,7 +97,7 @@
   Response Out;
   // An interim (1xx) or invalid status can't end an exchange, so it is replaced
   // by 502.
-  bool IsFinal = Reply.Status_ >= 200 && Reply.Status_ <= 999;
+  bool IsFinal = isFinalHttpStatus(Reply.Status_);
   Out.result(static_cast<unsigned>(IsFinal ? Reply.Status_ : 502));
   copyFields(Reply, Out);
   if (hasNoBody(Reply.Status_))
--- a/src/libtransport/serialhttpclient.cpp
+++ b/src/libtransport/serialhttpclient.cpp
@@ -1,5 +1,7 @@
 #include "serialhttpclient.h"
 
+#include "httpframing.h"
+
 #include <boost/asio/post.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/beast/core.hpp>
@@ -19,7 +21,6 @@
 using Steady = std::chrono::steady_clock;
 
 constexpr int HttpVersion11 = 11;
-constexpr int FirstFinalStatus = 200;
 /// Limit of received bytes that the parser has not consumed: a response head,
 /// chunk header or trailer must fit in it.
 constexpr size_t MaxUnparsedBytes = size_t{64} * 1024;
@@ -184,7 +185,9 @@
     int Status = static_cast<int>(Message.result_int());
     // The final response that follows an interim one would be taken for that of
     // the next request.
-    if (Status < FirstFinalStatus)
+    if (!isHttpStatus(Status))
+      return finishUnknown("received a status that HTTP does not define");
+    if (!isFinalHttpStatus(Status))
       return finishUnknown("received an interim response");
     // Bytes after the response belong to no request.
     if (!Message.keep_alive() || Buffer_.size() > 0)
--- a/src/libtransport/serialhttpclient_test.cpp
+++ b/src/libtransport/serialhttpclient_test.cpp
@@ -134,6 +134,18 @@
   Test.checkUsesNewConnection();
 }
 
+TEST_CASE("a status that HTTP does not define is no response") {
+  for (const char *Status : {"000", "099", "600", "999"}) {
+    Fixture Test;
+    auto First = Test.request();
+    RawSocket Server = Test.Listener_.accept();
+    std::string Odd =
+        "HTTP/1.1 " + std::string(Status) + " Odd\r\nContent-Length: 0\r\n\r\n";
+    CHECK(Test.outcomeOf(std::move(First), Server, Odd) == "unknown");
+    Test.checkUsesNewConnection();
+  }
+}
+
 TEST_CASE("a connection without unread bytes is kept") {
   Fixture Test;
   auto First = Test.request();
--- a/src/libtransport/upstreamclient.cpp
+++ b/src/libtransport/upstreamclient.cpp
@@ -430,9 +430,14 @@
     return;
   if (Error)
     return fail(reasonOf(Error));
-  unsigned Status = Parser_->get().result_int();
-  constexpr unsigned SwitchingProtocols = 101;
-  if (Status < 200 && Status != SwitchingProtocols &&
+  int Status = static_cast<int>(Parser_->get().result_int());
+  // What follows such a status belongs to no request either.
+  if (!isHttpStatus(Status)) {
+    noteNotAttributed("odd-status");
+    return fail(Reason::UpstreamLost);
+  }
+  constexpr int SwitchingProtocols = 101;
+  if (!isFinalHttpStatus(Status) && Status != SwitchingProtocols &&
       ++SkippedResponses_ <= MaxSkippedResponses)
     return read();
   // Without a length or chunks, only the end of the connection marks the end of
@@ -447,7 +452,7 @@
   if (echoesOtherRequest() && Reused_ &&
       ++SkippedResponses_ <= MaxSkippedResponses)
     return read();
-  if (Status < 200 || RefusedCloseDelimited ||
+  if (!isFinalHttpStatus(Status) || RefusedCloseDelimited ||
       hasUnsupportedCoding(Parser_->get()) || !isOwnResponse())
     return fail(Reason::UpstreamLost);
   rememberEcho();
--- a/src/libtransport/upstreamclient_test.cpp
+++ b/src/libtransport/upstreamclient_test.cpp
@@ -132,6 +132,32 @@
 
 } // namespace
 
+// Guards against a client that gets a status which is none as the answer, or
+// the response that follows it.
+TEST_CASE("a status that HTTP does not define ends the call at once") {
+  Fixture Test;
+  const std::string Lost = "may-have-run upstream-lost";
+  for (const char *Status : {"000", "001", "099", "600", "999"}) {
+    CAPTURE(Status);
+    std::string Odd = "HTTP/1.1 " + std::string(Status) +
+                      " Odd\r\nContent-Length: 2\r\n\r\nok";
+    CHECK(Test.outcomeOf(Odd) == Lost);
+    CHECK(Test.outcomeOf(Odd + std::string(OkResponse)) == Lost);
+    CHECK(Test.outcomeOf(Odd, "HEAD") == Lost);
+    // Without an end of the connection, too.
+    Outcome &Open = Test.call("/x", Millis(20'000));
+    RawSocket Accepted = Test.Server_.accept();
+    Accepted.receiveUntil("\r\n\r\n");
+    Accepted.send(Odd);
+    CHECK(Open.text() == Lost);
+  }
+  for (const char *Malformed : {"20", "2000", "2x0", "abc"})
+    CHECK(Test.outcomeOf("HTTP/1.1 " + std::string(Malformed) +
+                         " Odd\r\nContent-Length: 2\r\n\r\nok") == Lost);
+  CHECK(Test.outcomeOf("HTTP/1.1 599 Own\r\nContent-Length: 2\r\n\r\nok") ==
+        "ran 599 ok");
+}
+
 TEST_CASE("complete responses are passed on") {
   Fixture Test;
   CHECK(Test.outcomeOf(OkResponse) == "ran 200 ok");
--- a/testsuite/platform/spoiled_answers_test.cpp
+++ b/testsuite/platform/spoiled_answers_test.cpp
@@ -161,6 +161,34 @@
   }
 }
 
+// Guards against a client that gets a status which is none as the answer.
+TEST_CASE(
+    "an answer with a status that HTTP does not define is not passed on") {
+  std::atomic<int> Status = 0;
+  std::atomic<bool> Follows = false;
+  FaultySite Site([&](RawSocket &Socket, const std::string &Head) {
+    std::string Good = goodAnswers(Head).front();
+    std::string Digits = std::to_string(1000 + Status).substr(1);
+    std::string Odd = Good;
+    Odd.replace(Odd.find("200"), 3, Digits);
+    Socket.send(Follows ? Odd + Good : Odd);
+    std::this_thread::sleep_for(TimeToArrive);
+  });
+  for (int Each : {0, 1, 99, 600, 999})
+    for (bool GoodFollows : {false, true}) {
+      CAPTURE(Each);
+      Status = Each;
+      Follows = GoodFollows;
+      for (const char *Method : {"GET", "POST"}) {
+        bool Post = std::string_view(Method) == "POST";
+        HttpReply Reply =
+            Site.callUntilReceived(2, Method, Post ? "/once/x" : "/safe/x");
+        CHECK(Reply.Status_ == 502);
+        CHECK(Reply.header("Server-Signature").empty());
+      }
+    }
+}
+
 TEST_CASE("a body without length that is reset is not passed on as complete") {
   std::atomic<bool> Reset = false;
   FaultySite Site([&](RawSocket &Socket, const std::string &Head) {
