Read a store anew that has come back from an older copy

Cause: the store may lose what it has acknowledged and give offsets out again. A node that reads on from its old position misses a configuration that was written again below it.

Each answer's Store-Era is read now. Once it rises, no position of an earlier era is used: the newest configuration is requested again. A version in force is kept although the store has lost it, and that keys are verified rests on the newest version that any node is known to have.

--- a/src/libcoordination/allowances.cpp
+++ b/src/libcoordination/allowances.cpp
@@ -46,7 +46,7 @@
       : Context_(Context), NodeContext_(ThisNode), Peers_(Peers),
         Tolerance_(Tolerance), ChangedAt_(now()), TidiedAt_(now()) {}
 
-  void take(const std::string &Team, Handler OnResult);
+  void take(const std::string &Team, const Handler &OnResult);
   void giveBack(const std::string &Team, const AllowanceHolder::Token &Unused);
   wire::AllowanceGrant answer(const wire::AllowanceAsk &Ask);
   void tick() {
@@ -95,7 +95,7 @@
   void useOwnShare(Borrower &Of, const std::string &Team, Due &Ended);
   void noteLender(Borrower &Of, const Question &Asked, bool Lost) const;
   // Called without it.
-  void ask(const std::string &Team, std::string Lender = {});
+  void ask(const std::string &Team, const std::string &Lender = {});
   void send(const std::shared_ptr<Question> &Asked, int Wanted);
   void onGrant(Question &Asked, const wire::AllowanceGrant &Grant);
   void onLost(Question &Asked);
@@ -194,7 +194,7 @@
   return {false, {}, AskPause};
 }
 
-void Allowances::Impl::take(const std::string &Team, Handler OnResult) {
+void Allowances::Impl::take(const std::string &Team, const Handler &OnResult) {
   AllowanceLimits Limits = limitsOf(Team);
   if (Limits.RatePerS_ <= 0)
     return OnResult({true, {}, {}});
@@ -212,7 +212,7 @@
     } else if (Now < Of.AskAgainAt_ || Stopped_) {
       Immediate = ownResult(Of, Limits, Now);
     } else {
-      Of.Waiting_.push_back(std::move(OnResult));
+      Of.Waiting_.push_back(OnResult);
       MustAsk = !std::exchange(Of.Asking_, true);
     }
   }
@@ -232,7 +232,7 @@
 
 /// Asks the lender of a team, or the given node. The borrower is marked as
 /// asking.
-void Allowances::Impl::ask(const std::string &Team, std::string Lender) {
+void Allowances::Impl::ask(const std::string &Team, const std::string &Lender) {
   auto Asked = std::make_shared<Question>(Context_);
   int Wanted = 0;
   {
@@ -241,7 +241,7 @@
     Borrower &Of = Borrowers_[Team];
     Asked->Team_ = Team;
     Asked->Redirected_ = !Lender.empty();
-    Asked->Lender_ = Lender.empty() ? lender(Team) : std::move(Lender);
+    Asked->Lender_ = Lender.empty() ? lender(Team) : Lender;
     Asked->AskedAt_ = now();
     Asked->Needed_ = static_cast<int>(Of.Waiting_.size());
     Wanted = Of.Holder_.wanted(Asked->AskedAt_);
@@ -417,8 +417,8 @@
 
 Allowances::~Allowances() = default;
 
-void Allowances::take(const std::string &Team, Handler OnResult) {
-  Impl_->take(Team, std::move(OnResult));
+void Allowances::take(const std::string &Team, const Handler &OnResult) {
+  Impl_->take(Team, OnResult);
 }
 void Allowances::giveBack(const std::string &Team,
                           const AllowanceHolder::Token &Unused) {
--- a/src/libcoordination/allowances.h
+++ b/src/libcoordination/allowances.h
@@ -61,7 +61,7 @@
   /// Takes a token of the team's. The handler is called exactly once, with no
   /// lock held, possibly before this returns. A team without a limit, or one
   /// that the configuration no longer holds, is always granted.
-  void take(const std::string &Team, Handler OnResult);
+  void take(const std::string &Team, const Handler &OnResult);
   /// Gives back the token of a call that has not run and never will.
   void giveBack(const std::string &Team, const AllowanceHolder::Token &Unused);
 
--- a/src/libcoordination/configfollower.cpp
+++ b/src/libcoordination/configfollower.cpp
@@ -55,6 +55,7 @@
 private:
   void poll();
   void onAnswer(const ConfigPollResponse &Answer);
+  bool isOfEarlierEra(const ConfigPollResponse &Answer);
   void onDamaged(const std::string &Why);
   void adoptFrom(const ConfigPollResponse &Answer);
   bool adopt(const VersionedConfig &NewConfig);
@@ -96,6 +97,7 @@
   /// Whether Position_ was ever valid.
   bool HadPosition_ = false;
   int64_t Position_ = 0;
+  std::optional<int64_t> Era_; ///< The latest that the source told.
   /// Whether a request with fetchAfter() has succeeded since the source last
   /// answered ConfigHistoryLost.
   bool Followed_ = false;
@@ -131,6 +133,10 @@
   if (!Running_)
     return;
   bool GaveUp = std::exchange(GivingUp_, false);
+  if (isOfEarlierEra(Answer)) {
+    onSourceUp();
+    return scheduleRetry();
+  }
   if (const auto *Down = std::get_if<ConfigSourceDown>(&Answer.Result_)) {
     if (GaveUp) {
       Polling_.onGivenUp();
@@ -163,6 +169,27 @@
   pollAgain(Progress);
 }
 
+/// Takes notice of the source's era. Returns whether what the answer says of
+/// positions no longer holds, as it came late or answers a request with a
+/// position of an earlier era.
+bool ConfigFollower::Impl::isOfEarlierEra(const ConfigPollResponse &Answer) {
+  if (!Answer.Era_)
+    return false;
+  int64_t Known = Era_.value_or(*Answer.Era_);
+  if (*Answer.Era_ < Known)
+    return true;
+  Era_ = Answer.Era_;
+  if (*Answer.Era_ == Known)
+    return false;
+  logEvent(LogLevel::Warning, "config_source_rolled_back",
+           {{"era", *Answer.Era_},
+            {"position", Position_},
+            {"version", Config_.current()->nextOffset()}});
+  bool Positioned = std::exchange(HasPosition_, false);
+  HadPosition_ = false;
+  return Positioned;
+}
+
 void ConfigFollower::Impl::pollAgain(bool Progress) {
   if (!Pace_.mayAskAtOnce(Clock_.now(), Progress))
     return scheduleRetry();
@@ -307,10 +334,12 @@
 }
 
 // What the source had when it was asked counts, not when it answered: a request
-// may have waited there or on the way.
+// may have waited there or on the way. A version that the source has lost and a
+// peer still has counts too.
 void ConfigFollower::Impl::reportNewest() const {
   if (Options_.OnNewest_ && AdoptedVersion_ > 0)
-    Options_.OnNewest_(SentSinceBoot_, AdoptedVersion_);
+    Options_.OnNewest_(SentSinceBoot_,
+                       std::max(AdoptedVersion_, Config_.knownOffset()));
 }
 
 void ConfigFollower::Impl::onSourceDown(const std::string &Why) {
--- a/src/libcoordination/configfollower.h
+++ b/src/libcoordination/configfollower.h
@@ -24,6 +24,12 @@
 /// as a whole, it requests the newest configuration again, because the records
 /// at its position may never become readable.
 ///
+/// A source that comes back from an older copy loses what it has acknowledged
+/// since, and gives positions out again. Once its era has risen, no position of
+/// an earlier one is used: the newest configuration is requested again. A
+/// version that is in force here is kept although the source has lost it, and
+/// of two contents of one version the first that arrived.
+///
 /// The source answers a waiting request as soon as there is a newer
 /// configuration. To keep the request rate at the source low, only the few log
 /// readers of each zone use short waits, and all other nodes use long ones, and
--- a/src/libcoordination/configfollower_test.cpp
+++ b/src/libcoordination/configfollower_test.cpp
@@ -198,6 +198,53 @@
   CHECK(follow({Both, {NoNewConfig{}, 7}}).Version_ == 5);
 }
 
+namespace {
+
+ConfigPollResponse ofEra(int64_t Era, ConfigPollResult Result,
+                         int64_t Position) {
+  ConfigPollResponse Response{std::move(Result), Position};
+  Response.Era_ = Era;
+  return Response;
+}
+
+} // namespace
+
+// Guards against a version that was written again below the old position, and
+// is never read.
+TEST_CASE("a source that came back from an older copy is read anew") {
+  auto Followed = follow({ofEra(1, serviceConfig(3, ValidService), 7),
+                          ofEra(2, NoNewConfig{}, 9),
+                          ofEra(2, serviceConfig(5, ValidService), 4),
+                          ofEra(2, NoNewConfig{}, 4)});
+  CHECK(Followed.Requests_ ==
+        std::vector<std::string>{"newest", "7", "newest", "4"});
+  CHECK(Followed.Version_ == 5);
+}
+
+TEST_CASE("a version in force is kept although the source has lost it") {
+  auto Followed = follow({ofEra(1, serviceConfig(8, ValidService), 7),
+                          ofEra(2, ConfigHistoryLost{}, 0),
+                          ofEra(2, serviceConfig(3, ValidService), 4),
+                          ofEra(2, NoNewConfig{}, 4)});
+  CHECK(Followed.Requests_ ==
+        std::vector<std::string>{"newest", "7", "newest", "4"});
+  CHECK(Followed.Version_ == 8);
+}
+
+TEST_CASE("a refusal tells of the new era too, and a late answer of an old era "
+          "moves nothing") {
+  auto Followed = follow(
+      {ofEra(1, serviceConfig(3, ValidService), 7),
+       ofEra(2, ConfigSourceDown{"503"}, 0),
+       ofEra(1, serviceConfig(4, ValidService), 9),
+       ofEra(2, serviceConfig(5, ValidService), 4), ofEra(3, NoNewConfig{}, 5),
+       ofEra(3, NoNewConfig{}, 2), ofEra(3, NoNewConfig{}, 2)});
+  CHECK(Followed.Requests_ == std::vector<std::string>{"newest", "7", "newest",
+                                                       "newest", "4", "newest",
+                                                       "2"});
+  CHECK(Followed.Version_ == 5);
+}
+
 TEST_CASE("a log reader polls with short waits, other nodes with long ones") {
   CHECK(requestWaits(true) == std::vector<Millis>{Millis(), Millis(1000),
                                                   Millis(1000), Millis(1000)});
--- a/src/libcoordination/configsource.h
+++ b/src/libcoordination/configsource.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -55,6 +56,9 @@
   /// highest first. They matter when Result_ turns out to be invalid.
   std::vector<VersionedConfig> Older_ = {};
   std::vector<PassedOverRecord> PassedOver_ = {};
+  /// How often the source has come back from an older copy of its records;
+  /// nothing if it does not tell.
+  std::optional<int64_t> Era_ = {};
   /// Whether the source had nothing beyond this response when it answered.
   bool Complete_ = false;
 };
--- a/src/libcoordination/entrycall.cpp
+++ b/src/libcoordination/entrycall.cpp
@@ -208,7 +208,7 @@
       Self->end(NotRun{Reason::AllowanceSpent});
     });
   };
-  Parts_->Allowances_.take(Request_.Team_, std::move(OnResult));
+  Parts_->Allowances_.take(Request_.Team_, OnResult);
 }
 
 void EntryCall::note(std::string_view Event, const std::string &Detail) const {
--- a/src/libtransport/serialhttpclient.cpp
+++ b/src/libtransport/serialhttpclient.cpp
@@ -192,7 +192,11 @@
     // Bytes after the response belong to no request.
     if (!Message.keep_alive() || Buffer_.size() > 0)
       disconnect();
-    finish(HttpResponse{Status, std::move(Message.body())});
+    std::vector<HttpField> Fields;
+    for (const auto &Field : Message)
+      Fields.push_back(
+          {std::string(Field.name_string()), std::string(Field.value())});
+    finish(HttpResponse{Status, std::move(Message.body()), std::move(Fields)});
   }
 
   void finishUnknown(std::string Why) {
--- a/src/libtransport/serialhttpclient.h
+++ b/src/libtransport/serialhttpclient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coltsfootpoint/time.h"
+#include "coltsfootpoint/verdict.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -9,6 +10,7 @@
 #include <memory>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace coltsfoot {
 
@@ -16,6 +18,7 @@
 struct HttpResponse {
   int Status_ = 0;
   std::string Body_;
+  std::vector<HttpField> Fields_ = {};
 };
 
 /// No byte of the request was written.
--- a/testsuite/common/platformstore.cpp
+++ b/testsuite/common/platformstore.cpp
@@ -3,6 +3,7 @@
 #include "base64.h"
 #include "timer.h"
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
 #include <map>
@@ -99,19 +100,33 @@
   FirstOffset_ = EndOffset_;
 }
 
+void PlatformStore::rollBack(size_t Count) {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  Records_.resize(Records_.size() - std::min(Count, Records_.size()));
+  EndOffset_ = Records_.empty() ? 0 : Records_.back().Offset_ + 1;
+  FirstOffset_ = std::min(FirstOffset_, EndOffset_);
+  ++Era_;
+}
+
+void PlatformStore::respond(const HttpExchange::Pointer &Exchange,
+                            Answer Reply) const {
+  Reply.Fields_.push_back({"Store-Era", std::to_string(Era_)});
+  Exchange->respond(std::move(Reply));
+}
+
 void PlatformStore::handle(const HttpExchange::Pointer &Exchange) {
   std::string_view Target = Exchange->request().Target_;
   std::lock_guard<std::mutex> Lock(Mutex_);
   if (Down_)
-    return Exchange->respond(Answer{503, {}, ""});
+    return respond(Exchange, Answer{503, {}, ""});
   if (Target.starts_with("/log-newest"))
-    return Exchange->respond(newest(queryText(Target, "after")));
+    return respond(Exchange, newest(queryText(Target, "after")));
   if (!Target.starts_with("/log-read"))
-    return Exchange->respond(Answer{404, {}, ""});
+    return respond(Exchange, Answer{404, {}, ""});
   int64_t From = queryNumber(Target, "from");
   Millis Wait(static_cast<double>(queryNumber(Target, "wait-ms")));
-  if (From < EndOffset_ || From < FirstOffset_)
-    return Exchange->respond(recordsFrom(From));
+  if (From != EndOffset_ || From < FirstOffset_)
+    return respond(Exchange, recordsFrom(From));
   Waiters_.push_back({Exchange, From, Clock_.now() + Wait});
 }
 
@@ -149,7 +164,7 @@
 }
 
 Answer PlatformStore::recordsFrom(int64_t From) const {
-  if (From < FirstOffset_)
+  if (From < FirstOffset_ || From > EndOffset_)
     return Answer{
         410, {}, json::serialize(json::object{{"first", FirstOffset_}})};
   std::string Body = encodeBigEndian(static_cast<uint64_t>(EndOffset_), 8) +
@@ -170,10 +185,10 @@
   std::lock_guard<std::mutex> Lock(Mutex_);
   for (auto Each = Waiters_.begin(); Each != Waiters_.end();) {
     bool WaitIsOver =
-        Each->From_ < EndOffset_ || Clock_.now() >= Each->WaitEnd_ || Down_;
+        Each->From_ != EndOffset_ || Clock_.now() >= Each->WaitEnd_ || Down_;
     if (WaitIsOver)
-      Each->Exchange_->respond(Down_ ? Answer{503, {}, ""}
-                                     : recordsFrom(Each->From_));
+      respond(Each->Exchange_,
+              Down_ ? Answer{503, {}, ""} : recordsFrom(Each->From_));
     Each = WaitIsOver ? Waiters_.erase(Each) : std::next(Each);
   }
 }
--- a/testsuite/common/platformstore.h
+++ b/testsuite/common/platformstore.h
@@ -38,6 +38,10 @@
   void setCutsRecords(bool Cut);
   /// Starts or ends an outage, in which all requests are answered with 503.
   void setDown(bool Down);
+  /// Comes back from an older copy that lacks the last records, as many as
+  /// Count: their offsets are given out again, reads from offsets that are no
+  /// more are answered 410, and the header field `Store-Era` rises.
+  void rollBack(size_t Count);
   /// Makes the log of records start at its present end: reads from an earlier
   /// offset are answered 410. The latest record of each key stays available.
   void compact();
@@ -57,6 +61,7 @@
   };
 
   void handle(const HttpExchange::Pointer &Exchange);
+  void respond(const HttpExchange::Pointer &Exchange, Answer Reply) const;
   Answer newest(const std::string &After) const;
   Answer recordsFrom(int64_t From) const;
   void scheduleTick();
@@ -69,6 +74,7 @@
   std::vector<Record> Records_;
   int64_t EndOffset_ = 0;
   int64_t FirstOffset_ = 0;
+  int64_t Era_ = 1;
   bool Down_ = false;
   bool CutsRecords_ = false;
   size_t PageSize_ = 0;
--- a/testsuite/platform/platform_test.cpp
+++ b/testsuite/platform/platform_test.cpp
@@ -132,6 +132,12 @@
   }
 }
 
+/// Appends records without a meaning.
+void putOthers(PlatformStore &Store, int Count) {
+  for (int I = 0; I < Count; ++I)
+    Store.put("other", std::to_string(I));
+}
+
 /// Appends records and newest items that can't be read.
 void putOddRecords(PlatformStore &Store) {
   using namespace std::string_literals;
@@ -568,3 +574,46 @@
   CHECK(Site.machine(1).runs("anew-").empty());
   CHECK(Site.machine(2).runs("anew-").empty());
 }
+
+// Guards against a configuration that is written again below the position from
+// which nodes read on, and never comes into force.
+TEST_CASE("a store that comes back from an older copy is read anew") {
+  Site Site;
+  Site.startWithConfig(platformConfiguration(1, "alpha"));
+  putOthers(Site.store(), 4);
+  Site.store().put("config", platformConfiguration(2, "beta"));
+  Site.waitUntilMovedToBeta();
+  bool Twice = false;
+  SUBCASE("once") {}
+  SUBCASE("twice in a row") { Twice = true; }
+  Site.store().setDown(true);
+  usleep(300'000);
+  Site.store().rollBack(3);
+  // Offsets are given out again, beyond the position that nodes had.
+  Site.store().put("config", platformConfiguration(3, "alpha"));
+  putOthers(Site.store(), 5);
+  if (Twice) {
+    Site.store().setDown(false);
+    usleep(100'000);
+    Site.store().setDown(true);
+    Site.store().rollBack(6);
+    Site.store().put("config", platformConfiguration(4, "alpha"));
+    putOthers(Site.store(), 9);
+  }
+  Site.store().setDown(false);
+  Site.waitUntilMovedToAlpha();
+}
+
+// Guards against a node that goes back behind a version that the store lost.
+TEST_CASE("a version that the store has lost stays in force and reaches a node "
+          "that starts") {
+  Site Site;
+  Site.startWithConfig(platformConfiguration(1, "alpha"));
+  Site.store().put("config", platformConfiguration(2, "beta"));
+  Site.waitUntilMovedToBeta();
+  Site.store().rollBack(1);
+  restartNode(Site.machine(1));
+  Site.waitUntilMoved("lost", 3, 3);
+  Site.store().put("config", platformConfiguration(3, "alpha"));
+  Site.waitUntilMovedToAlpha();
+}
--- a/testsuite/teams/teams_test.cpp
+++ b/testsuite/teams/teams_test.cpp
@@ -202,8 +202,10 @@
   Frozen.node().kill(SIGSTOP);
   Site.store().put("config", configuration(2, false));
   sleepFor(RevokeWithin + Millis(500));
+  constexpr int LateCalls = 20;
   std::vector<std::future<int>> Calls;
-  for (int I = 0; I < 20; ++I)
+  Calls.reserve(LateCalls);
+  for (int I = 0; I < LateCalls; ++I)
     Calls.push_back(std::async(std::launch::async, [&, I] {
       return Frozen
           .call("GET", "/safe/x", "late" + std::to_string(I),
@@ -228,8 +230,10 @@
   std::atomic<int> Refused = 0;
   std::atomic<int> Other = 0;
   std::atomic<bool> Advised = true;
+  constexpr int ClientCount = 6;
   std::vector<std::future<void>> Clients;
-  for (int Client = 0; Client < 6; ++Client)
+  Clients.reserve(ClientCount);
+  for (int Client = 0; Client < ClientCount; ++Client)
     Clients.push_back(std::async(std::launch::async, [&, Client] {
       for (int I = 0; Clock.now() < End; ++I) {
         HttpReply Reply =
