Ask for the age of the configuration only where a bound is set

FreshnessService started without a bound too, found every age too large, and asked the store once a second on each node.

It starts only with teams.revoke_within now, and a node whose configuration holds no teams does not look at the membership for allowances.

--- a/src/libcoordination/freshnessservice.cpp
+++ b/src/libcoordination/freshnessservice.cpp
@@ -69,8 +69,10 @@
     return Known_.age(InForce, Now);
   }
 
+  bool hasBound() const { return Options_.RevokeWithin_ > Millis(); }
+
   bool keysVerified() const {
-    if (Options_.RevokeWithin_ <= Millis())
+    if (!hasBound())
       return true;
     std::optional<Millis> Age = age();
     return Age && *Age <= Options_.RevokeWithin_ * VerifiedShare;
@@ -219,7 +221,10 @@
 
 FreshnessService::~FreshnessService() = default;
 
-void FreshnessService::start() { Impl_->start(); }
+void FreshnessService::start() {
+  if (Impl_->hasBound())
+    Impl_->start();
+}
 void FreshnessService::stop() { Impl_->stop(); }
 void FreshnessService::onSource(Millis AsOf, int64_t Newest) {
   Impl_->onEvidence(AsOf, Newest);
--- a/src/libcoordination/node.cpp
+++ b/src/libcoordination/node.cpp
@@ -742,7 +742,8 @@
   scheduleTick();
   flushLog();
   updateIsolation();
-  Allowances_.tick();
+  if (Config_.current()->hasTeams())
+    Allowances_.tick();
   Budget_.setFleetSize(Sockets_.Udp_->view()->presentCount());
   if (Config_.ready() && Lifecycle_.startServing()) {
     State_ = Lifecycle_.state();
