Rank calls by their team only where gates do

Found by reading: on the own interface gates rank a root call by its route, while the entry added the team's order before it compared the call with their thresholds. A team with an order above 0 would have been refused first whenever any threshold was down.

--- a/src/libcoordination/entryrequestreader.cpp
+++ b/src/libcoordination/entryrequestreader.cpp
@@ -236,7 +236,11 @@
   return Team->Name_;
 }
 
+// Without a dialect, gates rank a root call by its route alone, and the entry
+// compares it with their thresholds.
 void EntryRequestReader::rankByTeam() {
+  if (!Parts_.Dialect_)
+    return;
   const TeamResource *Team = Config_->team(Request_.Team_);
   Request_.RankOrder_ += OrdersPerTeamRank * Team->Order_;
 }
