--- a/review/standin2/fleet.cpp
+++ b/review/standin2/fleet.cpp
@@ -3,6 +3,7 @@
 #include "platformmachine.h"
 #include "timer.h"
 
+#include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <thread>
@@ -38,7 +39,7 @@
 SmallFleet::SmallFleet(const std::string &Program,
                        const std::vector<std::string> &Names,
                        const std::string &Configuration,
-                       Upstream::Options Common)
+                       Upstream::Options Common, std::vector<int> Seeds)
     : Folder_(makeFolder()), Store_(platformAddress(0)) {
   Store_.put("config", Configuration);
   for (const std::string &Service : Names) {
@@ -49,6 +50,7 @@
     MachineOptions.Folder_ = Folder_;
     MachineOptions.Store_ = Store_.address();
     MachineOptions.Service_ = Service;
+    MachineOptions.Seeds_ = Seeds;
     Machines_.push_back(std::make_unique<Machine>(MachineOptions));
     Upstream::Options UpstreamOptions = Common;
     UpstreamOptions.Ip_ = Machines_.back()->ip();
@@ -67,6 +69,11 @@
   std::filesystem::remove_all(Folder_, Ignored);
 }
 
+void SmallFleet::remove(size_t Index) {
+  Machines_[Index]->node().kill(SIGKILL);
+  Upstreams_[Index] = nullptr;
+}
+
 void SmallFleet::start() {
   for (size_t I = 0; I < size(); ++I) {
     Machines_[I]->start();
@@ -80,7 +87,7 @@
 int SmallFleet::runsOf(const std::string &Id) const {
   int Runs = 0;
   for (const auto &Each : Upstreams_)
-    Runs += Each->runsOf(Id);
+    Runs += Each ? Each->runsOf(Id) : 0;
   return Runs;
 }
 
--- a/review/standin2/fleet.h
+++ b/review/standin2/fleet.h
@@ -38,13 +38,17 @@
 public:
   /// Starts the stores and upstreams, one machine for each name of a service,
   /// but no node. Configuration is the value of `op/config`.
-  /// Common holds what is alike for all upstreams.
+  /// Common holds what is alike for all upstreams, Seeds the numbers of the
+  /// machines in `seed-nodes`, from 1.
   SmallFleet(const std::string &Program, const std::vector<std::string> &Names,
-             const std::string &Configuration, Upstream::Options Common = {});
+             const std::string &Configuration, Upstream::Options Common = {},
+             std::vector<int> Seeds = {1});
   ~SmallFleet();
   SmallFleet(const SmallFleet &) = delete;
   SmallFleet &operator=(const SmallFleet &) = delete;
 
+  /// Removes a machine for good: its node and its upstream end, without a word.
+  void remove(size_t Index);
   /// Starts all nodes and waits until they serve. Throws WaitTimeout.
   void start();
   Machine &machine(size_t Index) { return *Machines_[Index]; }
--- a/review/standin2/machine.cpp
+++ b/review/standin2/machine.cpp
@@ -5,6 +5,7 @@
 
 #include <fstream>
 #include <sstream>
+#include <utility>
 
 namespace coltsfoot {
 
@@ -12,6 +13,15 @@
 
 constexpr Millis StartTimeout(10000);
 
+std::string seedList(const std::vector<int> &Numbers) {
+  std::string List;
+  for (int Each : Numbers)
+    List += std::string(List.empty() ? "" : ",") + "\"" +
+            platformAddress(Each) + ":" + std::to_string(Machine::ReportPort) +
+            "\"";
+  return List;
+}
+
 /// Returns what deploy/node.toml.in renders for a machine of this kind.
 std::string renderSettings(const Machine::Options &Given,
                            const std::string &Ip) {
@@ -27,9 +37,9 @@
       << Machine::ReportPort << "\"\n\n[log_service]\naddress = \""
       << Given.Store_
       << "\"\nread_wait_ms = 1000\nfollow_wait_ms = 30000\n\n"
-         "[membership]\npeers = [\""
-      << platformAddress(1) << ":" << Machine::ReportPort
-      << "\"]\npeers_port = 7620\nsuspicion_ms = 1000\n"
+         "[membership]\npeers = ["
+      << seedList(Given.Seeds_)
+      << "]\npeers_port = 7620\nsuspicion_ms = 1000\n"
          "isolation_ms = 3600000\n\n[limits]\ndescriptors = "
       << Given.Descriptors_
       << "\nreserved_descriptors = 1200\nbody_bytes = 67108864\n"
@@ -50,6 +60,11 @@
   std::ofstream(SettingsFile_) << renderSettings(Options_, Ip_);
 }
 
+void Machine::changeSeeds(std::vector<int> Seeds) {
+  Options_.Seeds_ = std::move(Seeds);
+  std::ofstream(SettingsFile_) << renderSettings(Options_, Ip_);
+}
+
 void Machine::launch() {
   Node_ = std::make_unique<Process>(
       Options_.Program_,
--- a/review/standin2/machine.h
+++ b/review/standin2/machine.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace coltsfoot {
 
@@ -25,10 +26,15 @@
     std::string Store_;   ///< The `ip:port` of the platform's store.
     std::string Service_;
     int Descriptors_ = 4100;
+    /// The numbers of the machines in `seed-nodes`.
+    std::vector<int> Seeds_ = {1};
   };
 
   explicit Machine(const Options &MachineOptions);
 
+  /// Writes the settings file anew with other seed nodes, as the platform does
+  /// when the settings change.
+  void changeSeeds(std::vector<int> Seeds);
   /// Starts the node, for the first time or again, without waiting for it.
   void launch();
   /// Starts the node and waits until it listens. Throws WaitTimeout.
@@ -44,7 +50,7 @@
   Process &node() { return *Node_; }
 
 private:
-  const Options Options_;
+  Options Options_;
   const std::string Ip_;
   const std::string SettingsFile_;
   std::unique_ptr<Process> Node_;
